--- /dev/null
+++ b/crates/rookferry_burn/src/main.rs
@@ -0,0 +1,3 @@
+//! The report on service-level burn; begins with the next change.
+
+fn main() {}
--- /dev/null
+++ b/crates/rookferry_controller/src/main.rs
@@ -0,0 +1,3 @@
+//! Fenced orders to engines under a lease; begins with the next change.
+
+fn main() {}
--- /dev/null
+++ b/crates/rookferry_core/src/admission/fair_queue.rs
@@ -0,0 +1,163 @@
+//! A bounded queue that shares turns among client accounts by weight.
+//!
+//! Each account's requests carry virtual finish times, a cost apart divided
+//! by its weight; the earliest goes next. An account that sends more than its
+//! share thus waits behind its own requests. When the queue is full, the last
+//! request of the account that is furthest over its share is turned away, so
+//! that a flood can't keep others out.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use rookferry_wire::AccountId;
+
+/// A request that waits.
+#[derive(Debug)]
+pub struct Waiting<T> {
+    /// Its account.
+    pub account: AccountId,
+    /// What waits.
+    pub item: T,
+    finish: f64,
+}
+
+/// What became of a push.
+#[derive(Debug)]
+pub struct Pushed<T> {
+    /// The request that was turned away to make room; it may be the pushed one.
+    pub evicted: Option<Waiting<T>>,
+}
+
+#[derive(Debug)]
+struct Lane<T> {
+    waiting: VecDeque<Waiting<T>>,
+    last_finish: f64,
+}
+
+/// The queue.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    limit: usize,
+    length: usize,
+    virtual_now: f64,
+    lanes: BTreeMap<AccountId, Lane<T>>,
+}
+
+impl<T> FairQueue<T> {
+    /// A queue for at most `limit` requests.
+    #[must_use]
+    pub const fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            length: 0,
+            virtual_now: 0.0,
+            lanes: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the limit; what waits stays.
+    pub const fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
+    /// Adds a request of an account with a weight above 0.
+    ///
+    /// `cost` is in any unit that is the same for all, such as tokens.
+    pub fn push(&mut self, account: AccountId, weight: f64, cost: f64, item: T) -> Pushed<T> {
+        let virtual_now = self.virtual_now;
+        let lane = self.lanes.entry(account.clone()).or_insert_with(|| Lane {
+            waiting: VecDeque::new(),
+            last_finish: virtual_now,
+        });
+        let start = lane.last_finish.max(virtual_now);
+        let finish = start + cost / weight;
+        lane.last_finish = finish;
+        lane.waiting.push_back(Waiting {
+            account,
+            item,
+            finish,
+        });
+        self.length += 1;
+        let evicted = if self.length > self.limit {
+            self.evict()
+        } else {
+            None
+        };
+        Pushed { evicted }
+    }
+
+    /// The request whose turn it is.
+    pub fn pop(&mut self) -> Option<Waiting<T>> {
+        let account = self.first_account()?;
+        let lane = self.lanes.get_mut(&account)?;
+        let next = lane.waiting.pop_front()?;
+        self.length -= 1;
+        self.virtual_now = self.virtual_now.max(next.finish);
+        if lane.waiting.is_empty() && lane.last_finish <= self.virtual_now {
+            self.lanes.remove(&account);
+        }
+        Some(next)
+    }
+
+    /// The request whose turn it is, left in place.
+    #[must_use]
+    pub fn peek(&self) -> Option<&T> {
+        let account = self.first_account()?;
+        let lane = self.lanes.get(&account)?;
+        lane.waiting.front().map(|waiting| &waiting.item)
+    }
+
+    /// Takes out all that no longer need their turn.
+    pub fn remove_if(&mut self, mut is_over: impl FnMut(&T) -> bool) -> Vec<Waiting<T>> {
+        let mut removed = Vec::new();
+        for lane in self.lanes.values_mut() {
+            let waiting = std::mem::take(&mut lane.waiting);
+            for entry in waiting {
+                if is_over(&entry.item) {
+                    removed.push(entry);
+                } else {
+                    lane.waiting.push_back(entry);
+                }
+            }
+        }
+        self.length -= removed.len();
+        removed
+    }
+
+    /// How many wait.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    fn first_account(&self) -> Option<AccountId> {
+        let heads = self.lanes.iter().filter_map(|(account, lane)| {
+            let head = lane.waiting.front()?;
+            Some((head.finish, account))
+        });
+        let first = heads.min_by(|(left, _), (right, _)| left.total_cmp(right));
+        first.map(|(_, account)| account.clone())
+    }
+
+    fn evict(&mut self) -> Option<Waiting<T>> {
+        let tails = self
+            .lanes
+            .values_mut()
+            .filter(|lane| !lane.waiting.is_empty());
+        let furthest =
+            tails.max_by(|left, right| left.last_finish.total_cmp(&right.last_finish))?;
+        let evicted = furthest.waiting.pop_back()?;
+        furthest.last_finish = furthest
+            .waiting
+            .back()
+            .map_or(self.virtual_now, |waiting| waiting.finish);
+        self.length -= 1;
+        Some(evicted)
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/src/bound.rs
@@ -0,0 +1,57 @@
+//! The bound that the hardware sets: the greatest flow of tokens over a layer
+//! graph whose engines have known rates.
+
+use std::collections::BTreeMap;
+
+use petgraph::algo::ford_fulkerson;
+use petgraph::graph::DiGraph;
+use petgraph::graph::NodeIndex;
+use rookferry_wire::LayerRange;
+
+/// An engine's share in the bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RatedEngine {
+    /// The layers that it holds.
+    pub layers: LayerRange,
+    /// Tokens a second that it can put through them, its link included.
+    pub tokens_per_s: u64,
+}
+
+/// Tokens a second that the engines can generate together at most.
+///
+/// ```
+/// use rookferry_core::RatedEngine;
+/// use rookferry_core::throughput_bound;
+/// use rookferry_wire::LayerRange;
+///
+/// let engine = |start, end, tokens_per_s| RatedEngine {
+///     layers: LayerRange { start, end },
+///     tokens_per_s,
+/// };
+/// let engines = [engine(0, 4, 100), engine(4, 8, 60), engine(4, 8, 70)];
+/// assert_eq!(throughput_bound(8, &engines), 100);
+/// ```
+#[must_use]
+pub fn throughput_bound(layers: u16, engines: &[RatedEngine]) -> u64 {
+    let mut graph: DiGraph<(), u64> = DiGraph::new();
+    let nodes: Vec<NodeIndex> = (0..=layers).map(|_| graph.add_node(())).collect();
+    for (range, rate) in merged(engines) {
+        let start = usize::from(range.start);
+        let end = usize::from(range.end);
+        if range.is_empty() || end >= nodes.len() {
+            continue;
+        }
+        graph.add_edge(nodes[start], nodes[end], rate);
+    }
+    let (flow, _) = ford_fulkerson(&graph, nodes[0], nodes[usize::from(layers)]);
+    flow
+}
+
+/// Engines with the same layers act as one edge.
+fn merged(engines: &[RatedEngine]) -> BTreeMap<LayerRange, u64> {
+    let mut rates = BTreeMap::new();
+    for engine in engines {
+        *rates.entry(engine.layers).or_default() += engine.tokens_per_s;
+    }
+    rates
+}
--- /dev/null
+++ b/crates/rookferry_core/src/lib.rs
@@ -0,0 +1,129 @@
+//! Coordination parts of the rookferry router: pure decision code.
+//!
+//! Nothing here opens a socket, starts a thread, reads a clock or draws a
+//! random number. Each part takes events, with the time where it matters, and
+//! returns actions. The daemons run these parts; others can embed them, and
+//! tests drive the very same code.
+//!
+//! | part | question it answers |
+//! |---|---|
+//! | [`Selector`] | does this rule concern these labels? |
+//! | [`SiteConfig`], [`ConfigAdopter`] | is this configuration sound, and is it newer? |
+//! | [`RoutingTable`], [`Fleet`], [`ChainChooser`] | which engines run this request? |
+//! | [`StreamDriver`], [`StageGate`] | which token goes through which layers next? |
+//! | [`ClaimWriter`], [`TicketBook`] | may this request be dispatched? |
+//! | [`Undispatched`], [`Verdict`] | what may its caller be told? |
+//! | [`FairQueue`], [`DrainRate`], [`RetryBudget`] | whose turn is it, and who is turned away? |
+//! | [`MemberTable`], [`HeartbeatPlan`], [`Lease`] | who answers, and who gives orders? |
+//! | [`throughput_bound`], [`WindowCount`] | how good is it? |
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod admission;
+mod bound;
+mod burn;
+mod claim;
+mod config;
+mod decision;
+mod lease;
+mod member;
+mod outcome;
+mod placement;
+mod retry;
+mod routing;
+mod selector;
+mod stream;
+
+pub use admission::DrainRate;
+pub use admission::FairQueue;
+pub use admission::Pushed;
+pub use admission::Waiting;
+pub use bound::RatedEngine;
+pub use bound::throughput_bound;
+pub use burn::ObjectiveSample;
+pub use burn::WindowCount;
+pub use burn::objective_applies;
+pub use claim::AskId;
+pub use claim::Claim;
+pub use claim::ClaimAction;
+pub use claim::ClaimEvent;
+pub use claim::ClaimKey;
+pub use claim::ClaimObject;
+pub use claim::ClaimRefusal;
+pub use claim::ClaimWriter;
+pub use claim::KeyFault;
+pub use claim::TicketBook;
+pub use claim::TicketFault;
+pub use claim::TicketState;
+pub use config::AccountConfig;
+pub use config::ChooserKind;
+pub use config::ConfigFault;
+pub use config::ConfigFaults;
+pub use config::ModelConfig;
+pub use config::Objective;
+pub use config::ObjectiveKind;
+pub use config::PlacementRule;
+pub use config::PolicyConfig;
+pub use config::PoolConfig;
+pub use config::RouteConfig;
+pub use config::ServiceConfig;
+pub use config::SiteConfig;
+pub use config::changed_paths;
+pub use config::read_json;
+pub use decision::DecisionLog;
+pub use decision::DecisionRecord;
+pub use decision::DecisionResult;
+pub use decision::PoolUse;
+pub use lease::Lease;
+pub use lease::LeaseAction;
+pub use lease::LeaseObject;
+pub use lease::LeaseTiming;
+pub use member::Adopted;
+pub use member::ConfigAdopter;
+pub use member::HeartbeatFault;
+pub use member::HeartbeatPlan;
+pub use member::Member;
+pub use member::MemberState;
+pub use member::MemberTable;
+pub use member::PeerTarget;
+pub use member::home_of;
+pub use outcome::Dispatched;
+pub use outcome::NotRun;
+pub use outcome::Undispatched;
+pub use outcome::Unknown;
+pub use outcome::Verdict;
+pub use placement::NeededOrder;
+pub use placement::needed_orders;
+pub use retry::RetryBudget;
+pub use routing::Candidate;
+pub use routing::CandidateVerdict;
+pub use routing::ChainChooser;
+pub use routing::ChainRequest;
+pub use routing::ChosenChain;
+pub use routing::Engine;
+pub use routing::EngineState;
+pub use routing::EngineStats;
+pub use routing::ExpectedFinish;
+pub use routing::Fleet;
+pub use routing::LayerGraph;
+pub use routing::LeastOutstanding;
+pub use routing::PrefixIndex;
+pub use routing::RandomChain;
+pub use routing::RoundRobin;
+pub use routing::RouteChoice;
+pub use routing::RouteTrial;
+pub use routing::RoutingTable;
+pub use routing::ServiceInstance;
+pub use routing::choose_service;
+pub use routing::chooser_for;
+pub use routing::prefix_hash;
+pub use selector::Selector;
+pub use selector::SelectorError;
+pub use stream::AbandonReason;
+pub use stream::GateVerdict;
+pub use stream::Stage;
+pub use stream::StageEvent;
+pub use stream::StageGate;
+pub use stream::StreamAction;
+pub use stream::StreamDriver;
+pub use stream::StreamSpec;
--- /dev/null
+++ b/crates/rookferry_core/src/routing/affinity.rs
@@ -0,0 +1,115 @@
+//! Which engines likely hold a prompt's prefix.
+//!
+//! Cache events come late and with gaps, so the index is only a hint; a gap
+//! makes it forget the engine.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::hash::BuildHasher;
+use std::hash::BuildHasherDefault;
+use std::hash::DefaultHasher;
+
+use rookferry_wire::CacheEvents;
+use rookferry_wire::EngineId;
+
+/// Tokens of a prompt that make its prefix.
+const PREFIX_TOKENS: usize = 32;
+/// Prefixes kept for each engine.
+const MAX_PREFIXES_PER_ENGINE: usize = 4_096;
+
+/// Hash of a prompt's prefix, `None` for prompts too short to be cached.
+#[must_use]
+pub fn prefix_hash(prompt: &[u64]) -> Option<u64> {
+    let prefix = prompt.get(..PREFIX_TOKENS)?;
+    Some(BuildHasherDefault::<DefaultHasher>::default().hash_one(prefix))
+}
+
+#[derive(Debug, Default)]
+struct EnginePrefixes {
+    next: u64,
+    order: VecDeque<u64>,
+}
+
+/// Prefixes by engine.
+#[derive(Debug, Default)]
+pub struct PrefixIndex {
+    engines: HashMap<EngineId, EnginePrefixes>,
+    holders: HashMap<u64, Vec<EngineId>>,
+}
+
+impl PrefixIndex {
+    /// An empty index.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an engine's events; a gap forgets what was known of it.
+    pub fn on_events(&mut self, engine: &EngineId, events: &CacheEvents) {
+        for event in &events.events {
+            let known = self.engines.entry(engine.clone()).or_default();
+            if event.seq < known.next {
+                continue;
+            }
+            let is_gap = event.seq > known.next && known.next != 0;
+            if is_gap {
+                self.forget(engine);
+            }
+            self.engines.entry(engine.clone()).or_default().next = event.seq + 1;
+            if event.stored {
+                self.insert(engine, event.prefix);
+            } else {
+                self.remove(engine, event.prefix);
+            }
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn forget(&mut self, engine: &EngineId) {
+        let Some(known) = self.engines.remove(engine) else {
+            return;
+        };
+        for prefix in known.order {
+            self.remove_holder(engine, prefix);
+        }
+    }
+
+    /// Engines that likely hold the prefix.
+    #[must_use]
+    pub fn holders(&self, prefix: u64) -> &[EngineId] {
+        self.holders.get(&prefix).map_or(&[], Vec::as_slice)
+    }
+
+    fn insert(&mut self, engine: &EngineId, prefix: u64) {
+        let holders = self.holders.entry(prefix).or_default();
+        if holders.contains(engine) {
+            return;
+        }
+        holders.push(engine.clone());
+        let known = self.engines.entry(engine.clone()).or_default();
+        known.order.push_back(prefix);
+        if known.order.len() <= MAX_PREFIXES_PER_ENGINE {
+            return;
+        }
+        if let Some(oldest) = known.order.pop_front() {
+            self.remove_holder(engine, oldest);
+        }
+    }
+
+    fn remove(&mut self, engine: &EngineId, prefix: u64) {
+        if let Some(known) = self.engines.get_mut(engine) {
+            known.order.retain(|kept| *kept != prefix);
+        }
+        self.remove_holder(engine, prefix);
+    }
+
+    fn remove_holder(&mut self, engine: &EngineId, prefix: u64) {
+        let Some(holders) = self.holders.get_mut(&prefix) else {
+            return;
+        };
+        holders.retain(|holder| holder != engine);
+        if holders.is_empty() {
+            self.holders.remove(&prefix);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/src/routing/mod.rs
@@ -0,0 +1,35 @@
+//! Where requests go: the fleet as seen from one instance, estimates of its
+//! engines, and the choice of a chain over the layer graph.
+
+mod affinity;
+mod candidate;
+mod chooser;
+mod engine;
+mod fleet;
+mod graph;
+mod service;
+mod stats;
+mod table;
+
+pub use affinity::PrefixIndex;
+pub use affinity::prefix_hash;
+pub use candidate::Candidate;
+pub use candidate::CandidateVerdict;
+pub use chooser::ChainChooser;
+pub use chooser::ChainRequest;
+pub use chooser::ChosenChain;
+pub use chooser::ExpectedFinish;
+pub use chooser::LeastOutstanding;
+pub use chooser::RandomChain;
+pub use chooser::RoundRobin;
+pub use chooser::chooser_for;
+pub use engine::Engine;
+pub use engine::EngineState;
+pub use fleet::Fleet;
+pub use graph::LayerGraph;
+pub use service::ServiceInstance;
+pub use service::choose_service;
+pub use stats::EngineStats;
+pub use table::RouteChoice;
+pub use table::RouteTrial;
+pub use table::RoutingTable;
--- /dev/null
+++ b/crates/rookferry_core/src/routing/service.rs
@@ -0,0 +1,100 @@
+//! Plain services beside the engines: the choice of an instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rookferry_wire::DomainId;
+use rookferry_wire::InstanceId;
+use rookferry_wire::Labels;
+
+use super::Candidate;
+use super::CandidateVerdict;
+use super::EngineState;
+use super::EngineStats;
+
+/// Cost of an instance that nothing is known about, so that it gets tried.
+const UNKNOWN_COST_US: u64 = 500;
+/// Extra cost for each loss in a row.
+const FAILURE_COST_US: u64 = 100_000;
+
+/// An instance of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceInstance {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
+    /// Its labels.
+    pub labels: Labels,
+    /// Whether it gets new work.
+    pub state: EngineState,
+    /// Learned figures.
+    pub stats: Arc<EngineStats>,
+}
+
+impl ServiceInstance {
+    /// The labels that selectors see.
+    #[must_use]
+    pub fn selector_labels(&self) -> Labels {
+        let mut labels = self.labels.clone();
+        labels.insert("instance".to_owned(), self.instance.to_string());
+        labels.insert("failure_domain".to_owned(), self.failure_domain.to_string());
+        labels
+    }
+
+    /// Expected time of a call: the learned one, for each call under way and
+    /// this one.
+    #[must_use]
+    pub fn cost_us(&self) -> u64 {
+        let round_trip = self.stats.round_trip();
+        let one_us = round_trip.map_or(UNKNOWN_COST_US, |time| {
+            u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+        });
+        let calls = u64::from(self.stats.own_streams()) + 1;
+        one_us.saturating_mul(calls) + u64::from(self.stats.failures()) * FAILURE_COST_US
+    }
+}
+
+/// The instance that is expected to answer first, and why the others lost.
+///
+/// Instances of `own_domain` are preferred while any of them is live.
+#[must_use]
+pub fn choose_service<'a>(
+    instances: &'a [ServiceInstance],
+    own_domain: &str,
+    excluded: &[InstanceId],
+) -> (Option<&'a ServiceInstance>, Vec<Candidate>) {
+    let usable =
+        |instance: &&ServiceInstance| verdict(instance, excluded) == CandidateVerdict::Costlier;
+    let near = |instance: &&ServiceInstance| *instance.failure_domain == *own_domain;
+    let best_near = instances.iter().filter(usable).filter(near);
+    let best = best_near
+        .min_by_key(|instance| instance.cost_us())
+        .or_else(|| {
+            instances
+                .iter()
+                .filter(usable)
+                .min_by_key(|instance| instance.cost_us())
+        });
+    let candidates = instances.iter().map(|instance| Candidate {
+        engine: instance.instance.clone(),
+        cost_us: instance.cost_us(),
+        verdict: if best.is_some_and(|best| best.instance == instance.instance) {
+            CandidateVerdict::Chosen
+        } else {
+            verdict(instance, excluded)
+        },
+    });
+    (best, candidates.collect())
+}
+
+fn verdict(instance: &ServiceInstance, excluded: &[InstanceId]) -> CandidateVerdict {
+    match instance.state {
+        EngineState::Leaving => CandidateVerdict::Leaving,
+        EngineState::Lost => CandidateVerdict::Lost,
+        EngineState::Live if excluded.contains(&instance.instance) => CandidateVerdict::Excluded,
+        EngineState::Live => CandidateVerdict::Costlier,
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/src/selector/lexer.rs
@@ -0,0 +1,80 @@
+//! Splits a selector's text into tokens, each with its column.
+
+/// One token of a selector.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Token {
+    Word(String),
+    Equal,
+    NotEqual,
+    Bang,
+    Comma,
+    Open,
+    Close,
+}
+
+/// A token and the column, from 1, where it starts.
+#[derive(Clone, Debug)]
+pub(super) struct Spanned {
+    pub(super) token: Token,
+    pub(super) column: usize,
+}
+
+/// A character that starts no token, or a quote left open.
+#[derive(Debug)]
+pub(super) struct LexError {
+    pub(super) column: usize,
+    pub(super) found: char,
+}
+
+pub(super) fn lex(text: &str) -> Result<Vec<Spanned>, LexError> {
+    let chars: Vec<char> = text.chars().collect();
+    let mut tokens = Vec::new();
+    let mut at = 0;
+    while at < chars.len() {
+        let column = at + 1;
+        let found = chars[at];
+        if found.is_whitespace() {
+            at += 1;
+            continue;
+        }
+        let (token, next) = match found {
+            '=' if chars.get(at + 1) == Some(&'=') => (Token::Equal, at + 2),
+            '=' => (Token::Equal, at + 1),
+            '!' if chars.get(at + 1) == Some(&'=') => (Token::NotEqual, at + 2),
+            '!' => (Token::Bang, at + 1),
+            ',' => (Token::Comma, at + 1),
+            '(' => (Token::Open, at + 1),
+            ')' => (Token::Close, at + 1),
+            '"' => quoted(&chars, at)?,
+            _ if is_word(found) => word(&chars, at),
+            _ => return Err(LexError { column, found }),
+        };
+        tokens.push(Spanned { token, column });
+        at = next;
+    }
+    Ok(tokens)
+}
+
+fn is_word(c: char) -> bool {
+    c.is_alphanumeric() || matches!(c, '.' | '_' | '-' | '/')
+}
+
+fn word(chars: &[char], start: usize) -> (Token, usize) {
+    let length = chars[start..].iter().take_while(|c| is_word(**c)).count();
+    let end = start + length;
+    (Token::Word(chars[start..end].iter().collect()), end)
+}
+
+fn quoted(chars: &[char], start: usize) -> Result<(Token, usize), LexError> {
+    let inner = &chars[start + 1..];
+    let Some(length) = inner.iter().position(|c| *c == '"') else {
+        return Err(LexError {
+            column: start + 1,
+            found: '"',
+        });
+    };
+    Ok((
+        Token::Word(inner[..length].iter().collect()),
+        start + length + 2,
+    ))
+}
--- /dev/null
+++ b/crates/rookferry_core/src/stream/driver.rs
@@ -0,0 +1,529 @@
+//! Carries one stream hop by hop through its stages.
+//!
+//! The driver has at most one step under way. It learns of a lost stage, asks
+//! for other engines for those layers, opens a new attempt on all stages and
+//! goes on from what each of them still holds: a stage that holds a position
+//! gives the recorded output, a new one runs the replayed prefix. What has
+//! run is thus not run again, and the caller sees each position once.
+
+use rookferry_wire::Attempt;
+use rookferry_wire::AttemptRequest;
+use rookferry_wire::EngineId;
+use rookferry_wire::LayerRange;
+use rookferry_wire::Position;
+use rookferry_wire::Refusal;
+use rookferry_wire::Step;
+use rookferry_wire::StreamId;
+
+/// Attempts after which a stream is given up; each loss costs one.
+const MAX_ATTEMPTS_PER_DRIVER: u32 = 16;
+/// The first attempt needs no opening on the engines.
+const FIRST_ATTEMPT: Attempt = 1;
+
+/// One stage of a stream's pipeline.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stage {
+    /// The engine.
+    pub engine: EngineId,
+    /// The layers that it runs.
+    pub layers: LayerRange,
+}
+
+/// What a stream is to do.
+#[derive(Clone, Debug)]
+pub struct StreamSpec {
+    /// Its id.
+    pub stream: StreamId,
+    /// Its stages in order of layers, without gap or overlap.
+    pub stages: Vec<Stage>,
+    /// The prompt's tokens, at least one.
+    pub prompt: Vec<u64>,
+    /// How many tokens to generate at most.
+    pub max_tokens: u32,
+    /// The token that ends the answer early.
+    pub stop_token: Option<u64>,
+    /// Higher goes first on the engines.
+    pub priority: u8,
+}
+
+/// What the driver asks of its surroundings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamAction {
+    /// Open an attempt.
+    Open {
+        /// On this engine.
+        engine: EngineId,
+        /// The request.
+        request: AttemptRequest,
+    },
+    /// Send a step.
+    Send {
+        /// To this engine.
+        engine: EngineId,
+        /// The step.
+        step: Step,
+    },
+    /// Show a token to the caller.
+    Emit {
+        /// Its index in the answer.
+        index: u32,
+        /// The token.
+        token: u64,
+    },
+    /// Find other engines for a stage's layers.
+    Replace {
+        /// The layers.
+        layers: LayerRange,
+        /// The engine that doesn't serve them any more.
+        lost: EngineId,
+    },
+    /// The answer is whole.
+    Finish,
+    /// The stream can't go on.
+    Abandon {
+        /// Why.
+        reason: AbandonReason,
+    },
+}
+
+/// Why a stream can't go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AbandonReason {
+    /// Another driver has opened a newer attempt.
+    TakenOver,
+    /// No engines are left for a stage.
+    NoReplacement,
+    /// A stage that had to hold the stream doesn't.
+    NotHeld,
+    /// It was cancelled on an engine.
+    Cancelled,
+    /// Too many stages were lost.
+    TooManyAttempts,
+}
+
+/// What the driver is told.
+#[derive(Clone, Debug)]
+pub enum StageEvent {
+    /// An attempt is open.
+    Opened {
+        /// On this engine.
+        engine: EngineId,
+        /// The attempt.
+        attempt: Attempt,
+        /// Positions held there.
+        kept: Position,
+    },
+    /// An attempt was refused.
+    OpenRefused {
+        /// By this engine.
+        engine: EngineId,
+        /// The attempt.
+        attempt: Attempt,
+        /// The newest attempt there; 0 if the stream isn't held.
+        newest: Attempt,
+    },
+    /// A step is done.
+    Done {
+        /// By this engine.
+        engine: EngineId,
+        /// For this attempt.
+        attempt: Attempt,
+        /// One output a position.
+        output: Vec<u64>,
+    },
+    /// A step was refused and did not run.
+    Refused {
+        /// By this engine.
+        engine: EngineId,
+        /// For this attempt.
+        attempt: Attempt,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// An engine doesn't answer.
+    Lost {
+        /// The engine.
+        engine: EngineId,
+        /// The attempt in which it was asked.
+        attempt: Attempt,
+    },
+    /// Other engines for the layers asked for.
+    Replaced {
+        /// They cover the same layers.
+        stages: Vec<Stage>,
+    },
+    /// There are no other engines.
+    NoReplacement,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    /// Not started.
+    Ready,
+    /// Waits for answers to attempts.
+    Opening { kept: Vec<Option<Position>> },
+    /// Waits for a step's result.
+    Stepping { stage: usize },
+    /// Waits for other engines.
+    Replacing { stage: usize },
+    /// Finished or given up.
+    Ended,
+}
+
+/// Drives one stream; takes events and returns actions.
+#[derive(Clone, Debug)]
+pub struct StreamDriver {
+    spec: StreamSpec,
+    attempt: Attempt,
+    first_attempt: Attempt,
+    tokens: Vec<u64>,
+    /// Per stage, the first position of the current pass.
+    starts: Vec<Position>,
+    phase: Phase,
+    /// Whether another instance began the stream.
+    is_resumed: bool,
+    /// Whether the first stage is known to hold it.
+    is_held: bool,
+    /// Steps sent and not known to have been refused before they ran.
+    steps_at_risk: u32,
+}
+
+impl StreamDriver {
+    /// A driver for a stream that no engine has seen.
+    #[must_use]
+    pub fn new(spec: StreamSpec) -> Self {
+        Self::with_attempt(spec, FIRST_ATTEMPT, false)
+    }
+
+    /// A driver for a stream that another instance began.
+    ///
+    /// Its engines give what they recorded, and it goes on from there. The
+    /// first stage must hold the stream; otherwise it is given up with
+    /// [`AbandonReason::NotHeld`], so that work isn't run a second time.
+    #[must_use]
+    pub fn resume(spec: StreamSpec, above: Attempt) -> Self {
+        Self::with_attempt(spec, above + 1, true)
+    }
+
+    fn with_attempt(spec: StreamSpec, attempt: Attempt, is_resumed: bool) -> Self {
+        let stages = spec.stages.len();
+        Self {
+            tokens: spec.prompt.clone(),
+            spec,
+            attempt,
+            first_attempt: attempt,
+            starts: vec![0; stages],
+            phase: Phase::Ready,
+            is_resumed,
+            is_held: !is_resumed,
+            steps_at_risk: 0,
+        }
+    }
+
+    /// The first actions.
+    pub fn start(&mut self) -> Vec<StreamAction> {
+        if self.is_resumed {
+            return self.open_all();
+        }
+        vec![self.send(0, self.tokens.clone())]
+    }
+
+    /// Takes an event; one that belongs to an older attempt, or to an engine
+    /// that isn't asked, changes nothing.
+    pub fn on_event(&mut self, event: StageEvent) -> Vec<StreamAction> {
+        match event {
+            StageEvent::Opened {
+                engine,
+                attempt,
+                kept,
+            } => self.on_opened(&engine, attempt, kept),
+            StageEvent::OpenRefused {
+                engine,
+                attempt,
+                newest,
+            } => self.on_open_refused(&engine, attempt, newest),
+            StageEvent::Done {
+                engine,
+                attempt,
+                output,
+            } => self.on_done(&engine, attempt, &output),
+            StageEvent::Refused {
+                engine,
+                attempt,
+                refusal,
+            } => self.on_refused(&engine, attempt, refusal),
+            StageEvent::Lost { engine, attempt } => self.on_lost(&engine, attempt),
+            StageEvent::Replaced { stages } => self.on_replaced(stages),
+            StageEvent::NoReplacement => self.on_no_replacement(),
+        }
+    }
+
+    /// The newest attempt.
+    #[must_use]
+    pub const fn attempt(&self) -> Attempt {
+        self.attempt
+    }
+
+    /// The stages as they are now.
+    #[must_use]
+    pub fn stages(&self) -> &[Stage] {
+        &self.spec.stages
+    }
+
+    /// The stream's id.
+    #[must_use]
+    pub const fn stream(&self) -> StreamId {
+        self.spec.stream
+    }
+
+    /// The generated tokens so far.
+    #[must_use]
+    pub fn generated(&self) -> &[u64] {
+        &self.tokens[self.spec.prompt.len()..]
+    }
+
+    /// Whether every step so far was refused by its engine before it ran.
+    #[must_use]
+    pub const fn nothing_ran(&self) -> bool {
+        self.steps_at_risk == 0 && !self.is_resumed
+    }
+
+    /// Whether it has finished or been given up.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.phase == Phase::Ended
+    }
+
+    fn on_opened(
+        &mut self,
+        engine: &EngineId,
+        attempt: Attempt,
+        kept: Position,
+    ) -> Vec<StreamAction> {
+        if attempt != self.attempt {
+            return Vec::new();
+        }
+        let Some(stage) = self.stage_of(engine) else {
+            return Vec::new();
+        };
+        let Phase::Opening { kept: answers } = &mut self.phase else {
+            return Vec::new();
+        };
+        answers[stage] = Some(kept);
+        self.is_held |= stage == 0;
+        let all: Option<Vec<Position>> = answers.iter().copied().collect();
+        let Some(all) = all else {
+            return Vec::new();
+        };
+        self.set_starts(&all);
+        let input = self.tokens[self.starts[0] as usize..].to_vec();
+        vec![self.send(0, input)]
+    }
+
+    fn on_open_refused(
+        &mut self,
+        engine: &EngineId,
+        attempt: Attempt,
+        newest: Attempt,
+    ) -> Vec<StreamAction> {
+        if attempt != self.attempt || !self.is_opening(engine) {
+            return Vec::new();
+        }
+        if newest == 0 {
+            return self.abandon(AbandonReason::NotHeld);
+        }
+        if !self.is_held && newest >= attempt {
+            return self.reopen_above(newest);
+        }
+        self.abandon(AbandonReason::TakenOver)
+    }
+
+    fn on_done(
+        &mut self,
+        engine: &EngineId,
+        attempt: Attempt,
+        output: &[u64],
+    ) -> Vec<StreamAction> {
+        let Some(stage) = self.stepping(engine, attempt) else {
+            return Vec::new();
+        };
+        let expected = self.tokens.len() - self.starts[stage] as usize;
+        if output.len() != expected {
+            return self.replace(stage);
+        }
+        let next = stage + 1;
+        if next < self.spec.stages.len() {
+            let skip = (self.starts[next] - self.starts[stage]) as usize;
+            return vec![self.send(next, output[skip..].to_vec())];
+        }
+        let Some(token) = output.last().copied() else {
+            return self.replace(stage);
+        };
+        self.on_token(token)
+    }
+
+    fn on_token(&mut self, token: u64) -> Vec<StreamAction> {
+        let index = self.generated().len();
+        let index = u32::try_from(index).unwrap_or(u32::MAX);
+        self.tokens.push(token);
+        let mut actions = vec![StreamAction::Emit { index, token }];
+        let is_last = index + 1 >= self.spec.max_tokens || self.spec.stop_token == Some(token);
+        if is_last {
+            self.phase = Phase::Ended;
+            actions.push(StreamAction::Finish);
+            return actions;
+        }
+        let position = Position::try_from(self.tokens.len() - 1).unwrap_or(Position::MAX);
+        self.starts.fill(position);
+        actions.push(self.send(0, vec![token]));
+        actions
+    }
+
+    fn on_refused(
+        &mut self,
+        engine: &EngineId,
+        attempt: Attempt,
+        refusal: Refusal,
+    ) -> Vec<StreamAction> {
+        let Some(stage) = self.stepping(engine, attempt) else {
+            return Vec::new();
+        };
+        self.steps_at_risk -= 1;
+        match refusal {
+            Refusal::StaleAttempt { .. } => self.abandon(AbandonReason::TakenOver),
+            Refusal::Cancelled => self.abandon(AbandonReason::Cancelled),
+            Refusal::Leaving | Refusal::Overloaded => self.replace(stage),
+            Refusal::Gap { .. } | Refusal::UnopenedAttempt => self.reopen(),
+        }
+    }
+
+    fn on_lost(&mut self, engine: &EngineId, attempt: Attempt) -> Vec<StreamAction> {
+        if attempt != self.attempt {
+            return Vec::new();
+        }
+        let is_asked = self.stepping(engine, attempt).is_some() || self.is_opening(engine);
+        let Some(stage) = self.stage_of(engine).filter(|_| is_asked) else {
+            return Vec::new();
+        };
+        self.replace(stage)
+    }
+
+    fn on_replaced(&mut self, stages: Vec<Stage>) -> Vec<StreamAction> {
+        let Phase::Replacing { stage } = self.phase else {
+            return Vec::new();
+        };
+        self.spec.stages.splice(stage..=stage, stages);
+        self.starts = vec![0; self.spec.stages.len()];
+        self.reopen()
+    }
+
+    fn on_no_replacement(&mut self) -> Vec<StreamAction> {
+        if !matches!(self.phase, Phase::Replacing { .. }) {
+            return Vec::new();
+        }
+        self.abandon(AbandonReason::NoReplacement)
+    }
+
+    fn replace(&mut self, stage: usize) -> Vec<StreamAction> {
+        if !self.is_held && stage == 0 {
+            return self.abandon(AbandonReason::NotHeld);
+        }
+        self.phase = Phase::Replacing { stage };
+        let lost = &self.spec.stages[stage];
+        vec![StreamAction::Replace {
+            layers: lost.layers,
+            lost: lost.engine.clone(),
+        }]
+    }
+
+    fn reopen_above(&mut self, newest: Attempt) -> Vec<StreamAction> {
+        self.attempt = newest;
+        self.first_attempt = newest + 1;
+        self.reopen()
+    }
+
+    fn reopen(&mut self) -> Vec<StreamAction> {
+        if self.attempt - self.first_attempt >= MAX_ATTEMPTS_PER_DRIVER {
+            return self.abandon(AbandonReason::TooManyAttempts);
+        }
+        self.attempt += 1;
+        self.open_all()
+    }
+
+    fn open_all(&mut self) -> Vec<StreamAction> {
+        let keep = if self.is_resumed {
+            Position::MAX
+        } else {
+            Position::try_from(self.tokens.len()).unwrap_or(Position::MAX)
+        };
+        self.phase = Phase::Opening {
+            kept: vec![None; self.spec.stages.len()],
+        };
+        let stages = self.spec.stages.iter().enumerate();
+        stages
+            .map(|(index, stage)| StreamAction::Open {
+                engine: stage.engine.clone(),
+                request: AttemptRequest {
+                    stream: self.spec.stream,
+                    attempt: self.attempt,
+                    keep,
+                    must_exist: !self.is_held && index == 0,
+                },
+            })
+            .collect()
+    }
+
+    /// Each stage begins where it, or any later stage, lacks positions; the
+    /// newest position always runs through all.
+    fn set_starts(&mut self, kept: &[Position]) {
+        let newest = self.tokens.len() - 1;
+        let mut start = Position::try_from(newest).unwrap_or(Position::MAX);
+        for (stage, held) in kept.iter().enumerate().rev() {
+            start = start.min(*held);
+            self.starts[stage] = start;
+        }
+    }
+
+    fn send(&mut self, stage: usize, input: Vec<u64>) -> StreamAction {
+        self.phase = Phase::Stepping { stage };
+        self.steps_at_risk += 1;
+        StreamAction::Send {
+            engine: self.spec.stages[stage].engine.clone(),
+            step: Step {
+                stream: self.spec.stream,
+                attempt: self.attempt,
+                position: self.starts[stage],
+                input,
+                priority: self.spec.priority,
+            },
+        }
+    }
+
+    fn abandon(&mut self, reason: AbandonReason) -> Vec<StreamAction> {
+        self.phase = Phase::Ended;
+        vec![StreamAction::Abandon { reason }]
+    }
+
+    fn stage_of(&self, engine: &EngineId) -> Option<usize> {
+        self.spec
+            .stages
+            .iter()
+            .position(|stage| stage.engine == *engine)
+    }
+
+    fn stepping(&self, engine: &EngineId, attempt: Attempt) -> Option<usize> {
+        let Phase::Stepping { stage } = self.phase else {
+            return None;
+        };
+        let is_asked = attempt == self.attempt && self.spec.stages[stage].engine == *engine;
+        is_asked.then_some(stage)
+    }
+
+    fn is_opening(&self, engine: &EngineId) -> bool {
+        let Phase::Opening { kept } = &self.phase else {
+            return false;
+        };
+        self.stage_of(engine)
+            .is_some_and(|stage| kept[stage].is_none())
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/config.rs
@@ -0,0 +1,107 @@
+//! Configurations: every fault with its path, and adoption only upward.
+
+use rookferry_core::Adopted;
+use rookferry_core::ConfigAdopter;
+use rookferry_core::SiteConfig;
+use rookferry_core::changed_paths;
+use rstest::rstest;
+use serde_json::json;
+
+const DIGEST: &str = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
+
+fn sound() -> serde_json::Value {
+    json!({
+        "models": {"scribe": {"layers": 12}},
+        "accounts": {"desk": {"key_sha256": DIGEST}},
+        "pools": {"main": {"selector": "model = scribe"}},
+        "routes": [{"name": "all", "pool": "main"}],
+        "placement": [{"name": "p", "selector": "", "model": "scribe", "version": "1", "layers": {"start": 0, "end": 12}}],
+        "objectives": [{"name": "o", "kind": "first_token", "target": 0.95, "limit_ms": 370}],
+    })
+}
+
+#[test]
+fn a_sound_one_is_read() {
+    let config = SiteConfig::from_json(&sound().to_string()).expect("no faults");
+    assert_eq!(config.routes[0].deadline_ms, 30_000);
+}
+
+#[rstest]
+#[case("/routes/0/pool", json!("other"), "routes[0].pool")]
+#[case("/routes/0/priority", json!(10), "routes[0].priority")]
+#[case("/routes/0/deadline_ms", json!(0), "routes[0].deadline_ms")]
+#[case("/accounts/desk/key_sha256", json!("key"), "accounts.desk.key_sha256")]
+#[case("/accounts/desk/weight", json!(0.0), "accounts.desk.weight")]
+#[case("/accounts/desk/weight", json!("much"), "accounts.desk.weight")]
+#[case("/models/scribe/layers", json!(0), "models.scribe.layers")]
+#[case("/pools/main/selector", json!("model ="), "pools.main.selector")]
+#[case("/placement/0/layers/end", json!(13), "placement[0].layers")]
+#[case("/placement/0/model", json!("x"), "placement[0].model")]
+#[case("/objectives/0/target", json!(1.0), "objectives[0].target")]
+#[case("/objectives/0/limit_ms", json!(0), "objectives[0].limit_ms")]
+#[case("/objectives/0/route", json!("x"), "objectives[0].route")]
+#[case("/policy/overcommit", json!(0.0), "policy.overcommit")]
+#[case("/policy/queue_limit", json!(0), "policy.queue_limit")]
+#[case("/routes/0/pooll", json!("main"), "routes.0.pooll")]
+fn a_fault_is_named_with_its_path(
+    #[case] pointer: &str,
+    #[case] value: serde_json::Value,
+    #[case] path: &str,
+) {
+    let mut config = sound();
+    let (parent, key) = pointer.rsplit_once('/').expect("a pointer");
+    if parent == "/policy" {
+        config["policy"] = json!({});
+    }
+    config.pointer_mut(parent).expect("its parent")[key] = value;
+    let faults = SiteConfig::from_json(&config.to_string())
+        .expect_err("a fault")
+        .faults;
+    assert!(faults.iter().any(|fault| fault.path == path), "{faults:?}");
+}
+
+#[test]
+fn all_faults_are_named_at_once() {
+    let mut config = sound();
+    config["routes"][0]["pool"] = json!("other");
+    config["accounts"]["desk"]["weight"] = json!(-1);
+    let faults = SiteConfig::from_json(&config.to_string()).expect_err("faults");
+    assert_eq!(faults.faults.len(), 2, "{faults}");
+}
+
+#[test]
+fn two_accounts_cannot_share_a_key() {
+    let mut config = sound();
+    config["accounts"]["other"] = json!({"key_sha256": DIGEST.to_uppercase()});
+    assert!(SiteConfig::from_json(&config.to_string()).is_err());
+}
+
+#[test]
+fn only_a_higher_version_is_adopted() {
+    let body = sound().to_string();
+    let mut adopter = ConfigAdopter::new();
+    assert!(matches!(adopter.offer(7, &body), Adopted::InForce(_)));
+    assert!(matches!(adopter.offer(7, &body), Adopted::NotNewer));
+    assert!(matches!(adopter.offer(3, &body), Adopted::NotNewer));
+    assert_eq!(adopter.version(), 7);
+}
+
+#[test]
+fn a_bad_newer_one_leaves_the_old_in_force() {
+    let body = sound().to_string();
+    let mut adopter = ConfigAdopter::new();
+    assert!(matches!(adopter.offer(7, &body), Adopted::InForce(_)));
+    assert!(matches!(
+        adopter.offer(8, "{\"x\": 1}"),
+        Adopted::Invalid(_)
+    ));
+    assert_eq!((adopter.version(), adopter.seen()), (7, 8));
+    assert!(matches!(adopter.offer(9, &body), Adopted::InForce(_)));
+}
+
+#[test]
+fn a_conflict_shows_what_the_other_changed() {
+    let before = json!({"a": {"b": 1, "c": [1, 2]}, "d": 0});
+    let after = json!({"a": {"b": 2, "c": [1, 3]}, "e": 0});
+    assert_eq!(changed_paths(&before, &after), ["a.b", "a.c[1]", "d", "e"]);
+}
--- /dev/null
+++ b/crates/rookferry_ctl/src/apply.rs
@@ -0,0 +1,76 @@
+//! Writes a configuration by conditional update, and settles a lost answer.
+
+use rookferry_core::SiteConfig;
+use rookferry_core::changed_paths;
+use rookferry_net::Platform;
+use rookferry_net::PlatformError;
+use rookferry_wire::CONFIG_KIND;
+use rookferry_wire::CONFIG_NAME;
+use rookferry_wire::Object;
+use rookferry_wire::PutAnswer;
+use rookferry_wire::PutRequest;
+use serde_json::Value;
+
+use crate::error::CtlError;
+
+/// Applies a configuration; the message says which version it became.
+pub(crate) async fn apply(
+    platform: &dyn Platform,
+    text: &str,
+    expected: Option<u64>,
+) -> Result<String, CtlError> {
+    SiteConfig::from_json(text).map_err(|faults| CtlError::Faults { faults })?;
+    let value: Value = serde_json::from_str(text).unwrap_or_default();
+    let base = read(platform).await?;
+    let base_version = base.as_ref().map_or(0, |object| object.version);
+    let expected = expected.unwrap_or(base_version);
+    let request = PutRequest {
+        expected,
+        value: value.clone(),
+    };
+    match platform.put(CONFIG_KIND, CONFIG_NAME, request).await {
+        Ok(PutAnswer::Written { version }) => Ok(format!("accepted as version {version}")),
+        Ok(PutAnswer::Conflict { current }) => {
+            // Shown against what was there when the tool began, or, if that
+            // is what was in the way, against the file.
+            let before = base.filter(|object| object.version == expected);
+            let before = before.map_or_else(|| value.clone(), |object| object.value);
+            Err(conflict(expected, &before, current))
+        }
+        Err(PlatformError::Lost { .. }) => settle(platform, expected, &value).await,
+        Err(source) => Err(CtlError::Platform { source }),
+    }
+}
+
+/// The answer is lost: what the platform holds now tells.
+async fn settle(platform: &dyn Platform, expected: u64, value: &Value) -> Result<String, CtlError> {
+    let current = platform.get(CONFIG_KIND, CONFIG_NAME).await;
+    let current = current.map_err(|source| CtlError::Unknown { source })?;
+    match current {
+        Some(object) if object.value == *value && object.version > expected => Ok(format!(
+            "accepted as version {} (its answer was lost; read back)",
+            object.version
+        )),
+        Some(object) if object.version > expected => Err(conflict(expected, value, Some(object))),
+        _ => Err(CtlError::Platform {
+            source: PlatformError::Lost {
+                message: "read back: the write did not take effect; apply again".to_owned(),
+            },
+        }),
+    }
+}
+
+async fn read(platform: &dyn Platform) -> Result<Option<Object>, CtlError> {
+    let object = platform.get(CONFIG_KIND, CONFIG_NAME).await;
+    object.map_err(|source| CtlError::Platform { source })
+}
+
+fn conflict(expected: u64, before: &Value, current: Option<Object>) -> CtlError {
+    let version = current.as_ref().map_or(0, |object| object.version);
+    let after = current.map(|object| object.value).unwrap_or_default();
+    CtlError::Conflict {
+        expected,
+        version,
+        changed: changed_paths(before, &after),
+    }
+}
--- /dev/null
+++ b/crates/rookferry_ctl/src/args.rs
@@ -0,0 +1,57 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Parser;
+use clap::Subcommand;
+
+/// Operates a rookferry site.
+#[derive(Debug, Parser)]
+#[command(version)]
+pub(crate) struct Args {
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Checks a configuration and prints every fault.
+    Check {
+        /// The configuration, as JSON.
+        file: PathBuf,
+    },
+    /// Writes a configuration to the platform, unless another came first.
+    Apply {
+        /// The platform's object API.
+        #[arg(long)]
+        platform: SocketAddr,
+        /// The version that the file was made from; the current one if absent.
+        #[arg(long)]
+        expected: Option<u64>,
+        /// The configuration, as JSON.
+        file: PathBuf,
+    },
+    /// Prints the configuration that the platform holds.
+    Get {
+        /// The platform's object API.
+        #[arg(long)]
+        platform: SocketAddr,
+    },
+    /// Shows an instance, its engines, and the version in force on each node.
+    Status {
+        /// An instance's address for operators.
+        #[arg(long)]
+        entry: SocketAddr,
+    },
+    /// Tells why a request went where it did, or was refused.
+    Explain {
+        /// An instance's address for operators.
+        #[arg(long)]
+        entry: SocketAddr,
+        /// The request's id, from its `Rookferry-Request-Id` header.
+        request_id: String,
+    },
+    /// Reads an account's key from standard input and prints its digest.
+    Digest,
+}
--- /dev/null
+++ b/crates/rookferry_ctl/src/explain.rs
@@ -0,0 +1,83 @@
+//! Tells a decision in the terms that operators configure.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use rookferry_core::DecisionRecord;
+use rookferry_core::DecisionResult;
+use rookferry_net::ClientError;
+use rookferry_net::HttpClient;
+use serde_json::Value;
+
+use crate::error::CtlError;
+
+const WAIT: Duration = Duration::from_secs(5);
+
+pub(crate) async fn show(
+    client: &HttpClient,
+    entry: SocketAddr,
+    request_id: &str,
+) -> Result<(), CtlError> {
+    let path = format!("/v1/decisions/{request_id}");
+    let record: DecisionRecord = match client.get(entry, &path, WAIT).await {
+        Ok(record) => record,
+        Err(ClientError::Status { status, body, .. }) if status == StatusCode::NOT_FOUND => {
+            let body: Value = serde_json::from_str(&body).unwrap_or_default();
+            let explanation = body["explanation"]
+                .as_str()
+                .unwrap_or("no record")
+                .to_owned();
+            return Err(CtlError::NoRecord { explanation });
+        }
+        Err(source) => return Err(CtlError::Entry { source }),
+    };
+    print(&record);
+    Ok(())
+}
+
+fn print(record: &DecisionRecord) {
+    let id = record.request_id.as_deref().unwrap_or_default();
+    let instance = record.instance.as_deref().unwrap_or_default();
+    println!(
+        "request {id}, decided by {instance} under configuration {}",
+        record.config_version
+    );
+    let labels = record.labels.iter();
+    let labels: Vec<String> = labels
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    println!("labels: {}", labels.join(", "));
+    for trial in &record.routes {
+        let verdict = if trial.matched {
+            "matched"
+        } else {
+            "did not match"
+        };
+        println!("route {} [{}]: {verdict}", trial.route, trial.selector);
+    }
+    if let Some(pool) = &record.pool {
+        println!("pool {} [{}]", pool.pool, pool.selector);
+    }
+    for candidate in &record.candidates {
+        println!(
+            "  {}: {:?}, cost {} us",
+            candidate.engine, candidate.verdict, candidate.cost_us
+        );
+    }
+    println!("waited {} us", record.queued_us);
+    for (number, chain) in record.chains.iter().enumerate() {
+        let word = if number == 0 { "ran on" } else { "then on" };
+        println!("{word} {}", chain.join(" -> "));
+    }
+    match &record.result {
+        Some(DecisionResult::Answered { size }) => println!("answered, {size} tokens or bytes"),
+        Some(DecisionResult::Failed {
+            outcome,
+            reason,
+            detail,
+        }) => println!("no answer: {outcome:?}, {reason:?}: {detail}"),
+        Some(DecisionResult::CallerGone) => println!("the caller went away"),
+        None => println!("still under way"),
+    }
+}
--- /dev/null
+++ b/crates/rookferry_ctl/src/main.rs
@@ -0,0 +1,75 @@
+//! The operators' tool: applies configurations, shows what is in force, and
+//! asks why requests went where they did.
+#![forbid(unsafe_code)]
+
+mod apply;
+mod args;
+mod error;
+mod explain;
+mod status;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use rookferry_core::SiteConfig;
+use rookferry_net::HttpClient;
+use rookferry_net::HttpPlatform;
+use rookferry_net::Platform;
+use rookferry_wire::CONFIG_KIND;
+use rookferry_wire::CONFIG_NAME;
+
+use crate::args::Args;
+use crate::args::Command;
+use crate::error::CtlError;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(Args::parse()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("rookferryctl: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+async fn run(args: Args) -> Result<(), CtlError> {
+    let client = HttpClient::new();
+    match args.command {
+        Command::Check { file } => {
+            let text = error::read_file(&file)?;
+            SiteConfig::from_json(&text).map_err(|faults| CtlError::Faults { faults })?;
+            println!("{}: no faults", file.display());
+            Ok(())
+        }
+        Command::Apply {
+            platform,
+            expected,
+            file,
+        } => {
+            let text = error::read_file(&file)?;
+            let platform = HttpPlatform::new(client, platform);
+            let applied = apply::apply(&platform, &text, expected).await?;
+            println!("{applied}");
+            Ok(())
+        }
+        Command::Get { platform } => {
+            let platform = HttpPlatform::new(client, platform);
+            let object = platform.get(CONFIG_KIND, CONFIG_NAME).await;
+            let object = object.map_err(|source| CtlError::Platform { source })?;
+            let object = object.ok_or(CtlError::NoConfig)?;
+            println!(
+                "{}",
+                serde_json::to_string_pretty(&object.value).unwrap_or_default()
+            );
+            eprintln!("version {}", object.version);
+            Ok(())
+        }
+        Command::Status { entry } => status::show(&client, entry).await,
+        Command::Explain { entry, request_id } => explain::show(&client, entry, &request_id).await,
+        Command::Digest => {
+            println!("{}", error::digest_of_stdin()?);
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/answers.rs
@@ -0,0 +1,121 @@
+//! Answers of requests that may run once, kept for callers that come back.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use rookferry_wire::RequestId;
+
+/// A kept answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct KeptAnswer {
+    /// The request that ran.
+    pub(crate) request_id: RequestId,
+    /// Digest of its body.
+    pub(crate) body_digest: String,
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Content type.
+    pub(crate) content_type: String,
+    /// The body.
+    pub(crate) body: Vec<u8>,
+}
+
+/// What is known of a key's work on this instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum KeyState {
+    /// Nothing is known here; it may have run and its answer been dropped.
+    Absent,
+    /// It runs.
+    Running,
+    /// It was claimed here and proved not to have run.
+    NotRun,
+    /// It has ended.
+    Finished(KeptAnswer),
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    keys: HashMap<String, KeyState>,
+    finished: VecDeque<String>,
+}
+
+/// The keys of one run of an instance, by digest.
+#[derive(Debug)]
+pub(crate) struct Answers {
+    limit: usize,
+    inner: Mutex<Inner>,
+}
+
+impl Answers {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// What is known of a key.
+    pub(crate) fn state(&self, digest: &str) -> KeyState {
+        self.lock()
+            .keys
+            .get(digest)
+            .cloned()
+            .unwrap_or(KeyState::Absent)
+    }
+
+    /// Marks a key as running. `false` if it runs or has run here; then it
+    /// must not be dispatched.
+    pub(crate) fn begin(&self, digest: &str) -> bool {
+        let mut inner = self.lock();
+        let known = inner.keys.get(digest).unwrap_or(&KeyState::Absent);
+        let is_free = matches!(known, KeyState::Absent | KeyState::NotRun);
+        if is_free {
+            inner.keys.insert(digest.to_owned(), KeyState::Running);
+        }
+        is_free
+    }
+
+    /// Marks a key whose work proved not to have run; it may begin again
+    /// under the same claim.
+    pub(crate) fn not_run(&self, digest: &str) {
+        self.end(digest, KeyState::NotRun);
+    }
+
+    /// Keeps a key's answer.
+    pub(crate) fn finish(&self, digest: &str, answer: KeptAnswer) {
+        self.end(digest, KeyState::Finished(answer));
+    }
+
+    /// Keys whose work runs.
+    pub(crate) fn running(&self) -> usize {
+        let inner = self.lock();
+        let running = inner
+            .keys
+            .values()
+            .filter(|state| **state == KeyState::Running);
+        running.count()
+    }
+
+    /// The oldest ended key makes room. A dropped key is as unknown as one
+    /// never seen, so that absence here never allows a dispatch by itself;
+    /// only a fresh claim or ticket does.
+    fn end(&self, digest: &str, state: KeyState) {
+        let mut inner = self.lock();
+        inner.keys.insert(digest.to_owned(), state);
+        inner.finished.push_back(digest.to_owned());
+        while inner.finished.len() > self.limit {
+            let Some(oldest) = inner.finished.pop_front() else {
+                return;
+            };
+            if inner.keys.get(&oldest) != Some(&KeyState::Running) {
+                inner.keys.remove(&oldest);
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/entry.rs
@@ -0,0 +1,312 @@
+//! One instance: its parts, how they start, and how it leaves.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use arc_swap::ArcSwap;
+use metrics_exporter_prometheus::PrometheusHandle;
+use rookferry_core::PrefixIndex;
+use rookferry_core::RetryBudget;
+use rookferry_core::TicketBook;
+use rookferry_net::ConnectionLimits;
+use rookferry_net::EngineTransport;
+use rookferry_net::HttpClient;
+use rookferry_net::HttpEngines;
+use rookferry_net::HttpPlatform;
+use rookferry_net::Platform;
+use rookferry_net::Server;
+use rookferry_wire::DomainId;
+use rookferry_wire::Incarnation;
+use rookferry_wire::InstanceId;
+use rookferry_wire::RequestId;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use uuid::Uuid;
+
+use crate::EntrySettings;
+use crate::admission::Admission;
+use crate::answers::Answers;
+use crate::claims::Claims;
+use crate::config_sync;
+use crate::config_sync::ConfigStore;
+use crate::counters::Counters;
+use crate::decisions::Decisions;
+use crate::discovery;
+use crate::discovery::Known;
+use crate::http;
+use crate::peers;
+use crate::peers::PeerState;
+use crate::runner::StepSender;
+use crate::snapshot::Snapshot;
+
+/// Why an instance can't start.
+#[derive(Debug, Snafu)]
+pub enum EntryError {
+    /// An address can't be bound.
+    #[snafu(display(
+        "could not listen on {addr} for {purpose}: {source}; is another instance running there?"
+    ))]
+    Bind {
+        /// The address.
+        addr: SocketAddr,
+        /// What for.
+        purpose: &'static str,
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Where an instance listens.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct EntryAddrs {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For peers, over UDP and TCP.
+    pub peers: SocketAddr,
+}
+
+/// All that the parts of an instance share.
+pub(crate) struct EntryState {
+    pub(crate) settings: EntrySettings,
+    pub(crate) instance: InstanceId,
+    pub(crate) failure_domain: DomainId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) log: Logger,
+    pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
+    pub(crate) admission: Arc<Admission>,
+    pub(crate) engines: Arc<dyn EngineTransport>,
+    pub(crate) steps: StepSender,
+    pub(crate) client: HttpClient,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) config: ConfigStore,
+    pub(crate) known: Known,
+    pub(crate) prefixes: Mutex<PrefixIndex>,
+    pub(crate) claims: Claims,
+    pub(crate) tickets: Mutex<TicketBook>,
+    pub(crate) answers: Answers,
+    pub(crate) decisions: Decisions,
+    pub(crate) retries: RetryBudget,
+    pub(crate) peers: PeerState,
+    pub(crate) counters: Counters,
+    pub(crate) metrics: PrometheusHandle,
+    pub(crate) leaving: AtomicBool,
+}
+
+impl EntryState {
+    /// A new request's id and its number.
+    pub(crate) fn new_request(&self) -> (RequestId, Uuid) {
+        let number = Uuid::now_v7();
+        (format!("{}.{number}", self.instance).into(), number)
+    }
+
+    /// Whether it takes requests, and if not why.
+    pub(crate) fn readiness(&self) -> Result<(), String> {
+        if self.leaving.load(Ordering::SeqCst) {
+            return Err("leaving".to_owned());
+        }
+        if self.snapshot.load().table.version() == 0 {
+            return Err(
+                "no configuration: neither the platform nor a peer has given one".to_owned(),
+            );
+        }
+        Ok(())
+    }
+}
+
+/// Milliseconds since 1970.
+pub(crate) fn now_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// A running instance.
+pub struct Entry {
+    state: Arc<EntryState>,
+    addrs: EntryAddrs,
+    callers: rookferry_net::ConnectionTable,
+    stop: watch::Sender<bool>,
+}
+
+impl Entry {
+    /// Starts an instance; its parts run in tasks of their own.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound.
+    pub async fn start(settings: EntrySettings, log: Logger) -> Result<Self, EntryError> {
+        let limits = ConnectionLimits {
+            max_connections: settings.limits.connections,
+            head_timeout: settings.head_timeout(),
+        };
+        let callers = bind(settings.callers, "callers", limits).await?;
+        let operators = bind(settings.operators, "operators", limits).await?;
+        let (udp, tcp) = bind_peers(settings.peers).await?;
+        let addrs = EntryAddrs {
+            callers: local(callers.local_addr(), settings.callers)?,
+            operators: local(operators.local_addr(), settings.operators)?,
+            peers: local(tcp.local_addr(), settings.peers)?,
+        };
+        let state = Arc::new(build_state(settings, log));
+        let (stop, stopped) = watch::channel(false);
+        let connections = callers.connections().clone();
+        let caller_router = http::caller_router(&state, &connections);
+        let operator_router = http::operator_router(&state, operators.connections());
+        tokio::spawn(callers.serve(caller_router, wait_stop(stopped)));
+        tokio::spawn(operators.serve(operator_router, std::future::pending()));
+        peers::start(&state, udp, tcp, addrs.peers);
+        config_sync::start(&state);
+        discovery::start(&state);
+        info!(state.log, "entry: started";
+            "part" => "entry", "callers" => %addrs.callers, "operators" => %addrs.operators,
+            "peers" => %addrs.peers, "incarnation" => state.incarnation);
+        Ok(Self {
+            state,
+            addrs,
+            callers: connections,
+            stop,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn addrs(&self) -> EntryAddrs {
+        self.addrs
+    }
+
+    /// Leaves: `/readyz` turns off, the balancer is waited for, requests
+    /// under way finish, within the bounds of the settings.
+    ///
+    /// Returns whether all of them finished.
+    pub async fn leave(self) -> bool {
+        let limits = &self.state.settings.limits;
+        self.state.leaving.store(true, Ordering::SeqCst);
+        self.state.peers.wake.notify_waiters();
+        info!(self.state.log, "entry: leaving"; "part" => "entry", "requests" => self.callers.requests());
+        tokio::time::sleep(Duration::from_millis(limits.leave_wait_ms)).await;
+        let _ = self.stop.send(true);
+        let drain = Duration::from_millis(limits.drain_timeout_ms);
+        let is_drained = tokio::time::timeout(drain, self.drained()).await.is_ok();
+        if !is_drained {
+            warn!(self.state.log, "entry: left with requests under way";
+                "part" => "entry", "requests" => self.callers.requests());
+        }
+        is_drained
+    }
+
+    async fn drained(&self) {
+        self.callers.quiet().await;
+        while self.state.answers.running() > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn build_state(settings: EntrySettings, log: Logger) -> EntryState {
+    let instance: InstanceId = settings.instance.as_str().into();
+    let failure_domain: DomainId = settings.failure_domain.as_str().into();
+    // Later runs of an instance have higher numbers, as far as its clock goes
+    // forward; a number that repeats is refused by peers as stale.
+    let incarnation = now_ms();
+    let client = HttpClient::new();
+    let engines: Arc<dyn EngineTransport> = Arc::new(HttpEngines::new(client.clone()));
+    let platform: Arc<dyn Platform> =
+        Arc::new(HttpPlatform::new(client.clone(), settings.platform));
+    let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::empty()));
+    let secret = settings.site_secret.clone();
+    EntryState {
+        admission: Admission::new(snapshot.clone()),
+        steps: StepSender::new(engines.clone()),
+        config: ConfigStore::new(),
+        known: Known::default(),
+        prefixes: Mutex::new(PrefixIndex::new()),
+        claims: Claims::new(platform.clone(), log.clone()),
+        tickets: Mutex::new(TicketBook::new(instance.clone(), incarnation, secret)),
+        answers: Answers::new(settings.limits.answers),
+        decisions: Decisions::new(settings.limits.decisions),
+        retries: RetryBudget::new(),
+        peers: PeerState::new(
+            &settings,
+            instance.clone(),
+            incarnation,
+            failure_domain.clone(),
+        ),
+        counters: Counters::default(),
+        metrics: crate::counters::install_recorder(),
+        leaving: AtomicBool::new(false),
+        settings,
+        instance,
+        failure_domain,
+        incarnation,
+        log,
+        snapshot,
+        engines,
+        client,
+        platform,
+    }
+}
+
+async fn bind(
+    addr: SocketAddr,
+    purpose: &'static str,
+    limits: ConnectionLimits,
+) -> Result<Server, EntryError> {
+    Server::bind(addr, limits)
+        .await
+        .context(BindSnafu { addr, purpose })
+}
+
+/// UDP and TCP on the same port; with port 0 the TCP port that is given is
+/// tried for UDP until both are free.
+async fn bind_peers(addr: SocketAddr) -> Result<(UdpSocket, TcpListener), EntryError> {
+    const TRIES: u32 = 20;
+    let purpose = "peers";
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let tcp = TcpListener::bind(addr)
+            .await
+            .context(BindSnafu { addr, purpose })?;
+        let bound = tcp.local_addr().context(BindSnafu { addr, purpose })?;
+        match UdpSocket::bind(bound).await {
+            Ok(udp) => return Ok((udp, tcp)),
+            Err(_) if addr.port() == 0 && tries < TRIES => {}
+            Err(source) => {
+                return Err(EntryError::Bind {
+                    addr,
+                    purpose,
+                    source,
+                });
+            }
+        }
+    }
+}
+
+fn local(found: io::Result<SocketAddr>, addr: SocketAddr) -> Result<SocketAddr, EntryError> {
+    found.context(BindSnafu {
+        addr,
+        purpose: "its address",
+    })
+}
+
+async fn wait_stop(mut stopped: watch::Receiver<bool>) {
+    let _ = stopped.wait_for(|is_stopped| *is_stopped).await;
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/http/keyed.rs
@@ -0,0 +1,539 @@
+//! Calls that may run once: claims, tickets, and callers that come back.
+//!
+//! A call is dispatched only by the instance whose claim or ticket its key
+//! is. Any other instance passes it on to that one, or, when that one is
+//! gone, resumes what the engines still hold; it never starts the work.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use http_body_util::BodyExt;
+use rand::RngExt;
+use rookferry_core::Claim;
+use rookferry_core::ClaimKey;
+use rookferry_core::ClaimRefusal;
+use rookferry_core::KeyFault;
+use rookferry_core::MemberState;
+use rookferry_core::Stage;
+use rookferry_core::StreamDriver;
+use rookferry_core::TicketBook;
+use rookferry_core::TicketFault;
+use rookferry_core::TicketState;
+use rookferry_wire::CompletionResponse;
+use rookferry_wire::EngineId;
+use rookferry_wire::InstanceId;
+use rookferry_wire::KeyedCall;
+use rookferry_wire::PeerAnswer;
+use rookferry_wire::PeerRequest;
+use rookferry_wire::ReasonCode;
+use rookferry_wire::StreamId;
+use sha2::Digest;
+use sha2::Sha256;
+use slog::info;
+
+use super::call::Call;
+use super::call::log_refusal;
+use super::model;
+use super::model::ModelRun;
+use super::model::ModelWork;
+use super::refusal::Refusal;
+use super::respond;
+use super::service;
+use super::sse;
+use crate::admission::Placement;
+use crate::answers::KeptAnswer;
+use crate::answers::KeyState;
+use crate::claims::ClaimAnswer;
+use crate::entry::EntryState;
+use crate::entry::now_ms;
+use crate::peers;
+
+/// When a caller that couldn't claim its key should come back.
+const CLAIM_RETRY: Duration = Duration::from_secs(1);
+
+/// A key, where it is claimed, and the body it stands for.
+#[derive(Clone, Debug)]
+pub(super) struct KeyedBody {
+    pub(super) key: ClaimKey,
+    pub(super) body_digest: String,
+}
+
+/// What a key allows.
+pub(super) enum KeyVerdict {
+    /// Dispatch; the key is marked as running.
+    Dispatch(Box<Call>),
+    /// Answer with this.
+    Respond(Response<Body>),
+    /// Resume another instance's work.
+    Resume(Box<Call>, Claim),
+}
+
+/// What this instance knows of a key's work.
+enum KnownWork {
+    Nothing,
+    Running,
+    OtherBody,
+    Finished(KeptAnswer),
+}
+
+/// Serves a call that a peer passes on.
+pub(crate) async fn serve_keyed(entry: &Arc<EntryState>, keyed: KeyedCall) -> PeerAnswer {
+    let response = match Call::forwarded(entry, &keyed) {
+        Ok(call) => match &keyed.service {
+            Some((name, path)) => service::serve(entry, call, &keyed.method, name, path).await,
+            None => model::serve(entry, call).await,
+        },
+        Err(refusal) => {
+            log_refusal(entry, &refusal);
+            respond::refused(entry, &refusal)
+        }
+    };
+    let (head, body) = response.into_parts();
+    let Ok(body) = body.collect().await else {
+        return PeerAnswer::Nothing;
+    };
+    let header = |name: &str| {
+        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    PeerAnswer::Ran {
+        status: head.status.as_u16(),
+        content_type: header("content-type"),
+        request_id: header("rookferry-request-id").into(),
+        body: body.to_bytes().to_vec(),
+    }
+}
+
+/// Serves a model call with a key.
+pub(super) async fn serve_model(
+    entry: &Arc<EntryState>,
+    call: Call,
+    work: ModelWork,
+) -> Response<Body> {
+    let is_stream = work.request.stream;
+    let (call, keyed) = match check_key(entry, call, is_stream) {
+        Ok(checked) => checked,
+        Err(response) => return *response,
+    };
+    let placement = match entry.admission.place(work.need.clone()).await {
+        Ok(placement) => placement,
+        Err(no_place) => return model::refuse_place(entry, call, &work, no_place),
+    };
+    let stream = Some(call.number);
+    let chain = placement
+        .stages
+        .iter()
+        .map(|stage| stage.engine.clone())
+        .collect();
+    match settle_key(entry, call, &keyed, stream, chain, is_stream).await {
+        KeyVerdict::Respond(response) => response,
+        KeyVerdict::Dispatch(call) => {
+            let spec = work.spec(call.number, &placement);
+            let keep = Some((keyed.key.digest, keyed.body_digest));
+            let run = ModelRun::new(*call, work, placement, StreamDriver::new(spec), keep);
+            run.respond(entry).await
+        }
+        KeyVerdict::Resume(call, claim) => {
+            resume(entry, *call, work, placement, keyed, &claim).await
+        }
+    }
+}
+
+/// Reads a call's key; a caller that comes back is answered here, without a
+/// place on engines or a call to the platform.
+pub(super) fn check_key(
+    entry: &EntryState,
+    call: Call,
+    is_stream: bool,
+) -> Result<(Call, KeyedBody), Box<Response<Body>>> {
+    match KeyedBody::read(&call) {
+        Ok(keyed) => {
+            let call = respond_known(entry, call, &keyed, is_stream)?;
+            Ok((call, keyed))
+        }
+        Err(fault) => {
+            let reason = match fault {
+                KeyFault::Expired { .. } => ReasonCode::KeyExpired,
+                KeyFault::Length { .. } | KeyFault::Ahead { .. } => ReasonCode::BadRequest,
+            };
+            let refusal = call.refuse(entry, reason, fault.to_string());
+            Err(Box::new(respond::refused(entry, &refusal)))
+        }
+    }
+}
+
+/// Finds out whether a call may be dispatched, and claims its key if so.
+pub(super) async fn settle_key(
+    entry: &Arc<EntryState>,
+    call: Call,
+    keyed: &KeyedBody,
+    stream: Option<StreamId>,
+    chain: Vec<EngineId>,
+    is_stream: bool,
+) -> KeyVerdict {
+    let key = call.key.clone().unwrap_or_default();
+    if TicketBook::is_ticket(&key) {
+        return settle_ticket(entry, call, &key, keyed, is_stream).await;
+    }
+    let claim = Claim {
+        owner: entry.instance.clone(),
+        incarnation: entry.incarnation,
+        nonce: rand::rng().random(),
+        body_digest: keyed.body_digest.clone(),
+        stream,
+        chain,
+        at_ms: now_ms(),
+    };
+    let window_ms = call.snapshot.table.config().policy.key_window_ms;
+    match entry.claims.claim(&keyed.key, claim, window_ms).await {
+        ClaimAnswer::Granted => begin(entry, call, keyed, is_stream),
+        ClaimAnswer::Taken(claim) => settle_taken(entry, call, keyed, claim, is_stream).await,
+        ClaimAnswer::Refused(refusal) => KeyVerdict::Respond(refuse_claim(entry, call, refusal)),
+    }
+}
+
+/// The last gate before dispatch on this instance.
+fn begin(entry: &EntryState, call: Call, keyed: &KeyedBody, is_stream: bool) -> KeyVerdict {
+    if entry.answers.begin(&keyed.key.digest) {
+        return KeyVerdict::Dispatch(Box::new(call));
+    }
+    let known = respond_known(entry, call, keyed, is_stream);
+    KeyVerdict::Respond(known_or_unknown(
+        entry,
+        known,
+        "the key's work has ended here",
+    ))
+}
+
+async fn settle_taken(
+    entry: &Arc<EntryState>,
+    call: Call,
+    keyed: &KeyedBody,
+    claim: Claim,
+    is_stream: bool,
+) -> KeyVerdict {
+    if claim.body_digest != keyed.body_digest {
+        let detail = "the key was used for another body";
+        return KeyVerdict::Respond(refuse(entry, call, ReasonCode::KeyReused, detail));
+    }
+    if claim.owner == entry.instance && claim.incarnation == entry.incarnation {
+        return settle_own(
+            entry,
+            call,
+            keyed,
+            is_stream,
+            "the key's answer is no longer kept",
+        );
+    }
+    if let Some(addr) = owner_addr(entry, &claim.owner, claim.incarnation)
+        && !call.is_forwarded
+    {
+        return KeyVerdict::Respond(forward(entry, &call, addr, is_stream).await);
+    }
+    if claim.stream.is_none() {
+        let detail = "the instance that ran it is gone, and a service's call can't be resumed";
+        return KeyVerdict::Respond(unknown(entry, call, detail));
+    }
+    KeyVerdict::Resume(Box::new(call), claim)
+}
+
+/// A key that this run of the instance claimed or minted before.
+fn settle_own(
+    entry: &EntryState,
+    call: Call,
+    keyed: &KeyedBody,
+    is_stream: bool,
+    dropped: &str,
+) -> KeyVerdict {
+    if entry.answers.state(&keyed.key.digest) == KeyState::NotRun {
+        return begin(entry, call, keyed, is_stream);
+    }
+    let known = respond_known(entry, call, keyed, is_stream);
+    KeyVerdict::Respond(known_or_unknown(entry, known, dropped))
+}
+
+async fn settle_ticket(
+    entry: &Arc<EntryState>,
+    call: Call,
+    ticket: &str,
+    keyed: &KeyedBody,
+    is_stream: bool,
+) -> KeyVerdict {
+    let redeemed = {
+        let mut tickets = entry.tickets.lock().unwrap_or_else(PoisonError::into_inner);
+        tickets.redeem(Instant::now(), ticket, &keyed.body_digest)
+    };
+    let response = match redeemed {
+        Ok(TicketState::Dispatch) => return begin(entry, call, keyed, is_stream),
+        Ok(TicketState::Dispatched) => {
+            return settle_own(
+                entry,
+                call,
+                keyed,
+                is_stream,
+                "the ticket's answer is no longer kept",
+            );
+        }
+        Err(TicketFault::Elsewhere { instance }) => {
+            forward_ticket(entry, call, &instance, is_stream).await
+        }
+        Err(fault @ (TicketFault::EarlierRun | TicketFault::Expired)) => {
+            unknown(entry, call, &fault.to_string())
+        }
+        Err(fault @ TicketFault::OtherBody) => {
+            refuse(entry, call, ReasonCode::KeyReused, &fault.to_string())
+        }
+        Err(fault @ TicketFault::Foreign) => {
+            refuse(entry, call, ReasonCode::BadRequest, &fault.to_string())
+        }
+    };
+    KeyVerdict::Respond(response)
+}
+
+async fn forward_ticket(
+    entry: &Arc<EntryState>,
+    call: Call,
+    instance: &InstanceId,
+    is_stream: bool,
+) -> Response<Body> {
+    let addr = {
+        let members = entry.peers.lock();
+        members
+            .get(instance)
+            .map(|member| member.heartbeat.peer_addr)
+    };
+    match addr {
+        Some(addr) if !call.is_forwarded => forward(entry, &call, addr, is_stream).await,
+        _ => unknown(
+            entry,
+            call,
+            &format!("{instance}, which minted the ticket, is not known here"),
+        ),
+    }
+}
+
+/// Passes a call on to its key's owner.
+async fn forward(
+    entry: &Arc<EntryState>,
+    call: &Call,
+    addr: std::net::SocketAddr,
+    is_stream: bool,
+) -> Response<Body> {
+    let keyed = KeyedCall {
+        key: call.key.clone().unwrap_or_default(),
+        account: call.account.to_string(),
+        service: call.service.clone(),
+        method: call.method.clone(),
+        labels: call.raw_labels.clone(),
+        body: whole_body(call),
+    };
+    if let Ok(PeerAnswer::Ran {
+        status,
+        content_type,
+        request_id,
+        body,
+    }) = peers::ask(entry, addr, &PeerRequest::Run(keyed)).await
+    {
+        let answer = KeptAnswer {
+            request_id,
+            body_digest: String::new(),
+            status,
+            content_type,
+            body,
+        };
+        replay(entry, &answer, is_stream)
+    } else {
+        let refusal = Refusal::running(
+            &call.request,
+            "the key's owner did not answer; come back with the key",
+        );
+        log_refusal(entry, &refusal);
+        respond::refused(entry, &refusal)
+    }
+}
+
+/// A peer answers whole; the caller's wish for events is met here.
+fn whole_body(call: &Call) -> Vec<u8> {
+    let Ok(serde_json::Value::Object(mut body)) = serde_json::from_slice(&call.body) else {
+        return call.body.to_vec();
+    };
+    if call.service.is_none() && body.remove("stream").is_some() {
+        return serde_json::to_vec(&body).unwrap_or_default();
+    }
+    call.body.to_vec()
+}
+
+async fn resume(
+    entry: &Arc<EntryState>,
+    call: Call,
+    work: ModelWork,
+    mut placement: Placement,
+    keyed: KeyedBody,
+    claim: &Claim,
+) -> Response<Body> {
+    let stages = stages_of(entry, claim);
+    let (Some(stages), Some(stream)) = (stages, claim.stream) else {
+        return unknown(entry, call, "the engines that ran it are gone");
+    };
+    if !entry.answers.begin(&keyed.key.digest) {
+        let known = respond_known(entry, call, &keyed, work.request.stream);
+        return known_or_unknown(entry, known, "the key's work has ended here");
+    }
+    info!(entry.log, "request: resumes another instance's stream";
+        "part" => "request", "request_id" => %call.request.request_id(), "owner" => %claim.owner, "stream" => %stream);
+    let former: Vec<EngineId> = placement
+        .stages
+        .iter()
+        .map(|stage| stage.engine.clone())
+        .collect();
+    for engine in former {
+        placement.slots.remove(&engine);
+    }
+    placement.slots.add(&call.snapshot.fleet, &stages);
+    let driver = StreamDriver::resume(work.spec_on(stream, stages), 1);
+    let keep = Some((keyed.key.digest, keyed.body_digest));
+    let run = ModelRun::new(call, work, placement, driver, keep);
+    run.respond(entry).await
+}
+
+/// The claim's chain, if its engines are known and still fit together.
+fn stages_of(entry: &EntryState, claim: &Claim) -> Option<Vec<Stage>> {
+    let snapshot = entry.snapshot.load();
+    let mut stages: Vec<Stage> = Vec::new();
+    for name in &claim.chain {
+        let engine = snapshot.fleet.engine(name)?;
+        let expected = stages.last().map_or(0, |stage| stage.layers.end);
+        if engine.info.layers.start != expected {
+            return None;
+        }
+        stages.push(Stage {
+            engine: name.clone(),
+            layers: engine.info.layers,
+        });
+    }
+    (!stages.is_empty()).then_some(stages)
+}
+
+/// Where the owner of a claim is heard, if that run of it answers.
+fn owner_addr(
+    entry: &EntryState,
+    owner: &InstanceId,
+    incarnation: u64,
+) -> Option<std::net::SocketAddr> {
+    let members = entry.peers.lock();
+    let member = members.get(owner)?;
+    let is_owner =
+        member.heartbeat.incarnation == incarnation && member.state != MemberState::Suspect;
+    is_owner.then_some(member.heartbeat.peer_addr)
+}
+
+/// Answers from what this instance knows of a key; gives the call back if it
+/// knows nothing.
+fn respond_known(
+    entry: &EntryState,
+    call: Call,
+    keyed: &KeyedBody,
+    is_stream: bool,
+) -> Result<Call, Box<Response<Body>>> {
+    match known_work(entry, keyed) {
+        KnownWork::Nothing => Ok(call),
+        KnownWork::Running => {
+            let refusal = Refusal::running(
+                &call.request,
+                "the key's work is running here; come back with the key",
+            );
+            log_refusal(entry, &refusal);
+            Err(Box::new(respond::refused(entry, &refusal)))
+        }
+        KnownWork::OtherBody => {
+            let detail = "the key was used for another body";
+            Err(Box::new(refuse(entry, call, ReasonCode::KeyReused, detail)))
+        }
+        KnownWork::Finished(answer) => Err(Box::new(replay(entry, &answer, is_stream))),
+    }
+}
+
+fn known_work(entry: &EntryState, keyed: &KeyedBody) -> KnownWork {
+    match entry.answers.state(&keyed.key.digest) {
+        KeyState::Absent | KeyState::NotRun => KnownWork::Nothing,
+        KeyState::Running => KnownWork::Running,
+        KeyState::Finished(answer) if answer.body_digest != keyed.body_digest => {
+            KnownWork::OtherBody
+        }
+        KeyState::Finished(answer) => KnownWork::Finished(answer),
+    }
+}
+
+fn known_or_unknown(
+    entry: &EntryState,
+    known: Result<Call, Box<Response<Body>>>,
+    detail: &str,
+) -> Response<Body> {
+    match known {
+        Ok(call) => unknown(entry, call, detail),
+        Err(response) => *response,
+    }
+}
+
+fn replay(entry: &EntryState, answer: &KeptAnswer, is_stream: bool) -> Response<Body> {
+    if is_stream && let Ok(whole) = serde_json::from_slice::<CompletionResponse>(&answer.body) {
+        let response = sse::replay(&whole.id, &whole.tokens);
+        return respond::finished(entry, &whole.id, response);
+    }
+    respond::kept(entry, answer)
+}
+
+fn refuse_claim(entry: &EntryState, call: Call, refusal: ClaimRefusal) -> Response<Body> {
+    let (reason, detail) = match refusal {
+        ClaimRefusal::Unavailable => (
+            ReasonCode::ClaimUnavailable,
+            "the platform can't be reached to claim the key; come back, with the key or with this ticket as the key",
+        ),
+        ClaimRefusal::Full => (
+            ReasonCode::Overloaded,
+            "too many opaque keys within the window; use UUIDv7 keys",
+        ),
+        ClaimRefusal::Contended => (ReasonCode::Overloaded, "too many claims at once"),
+    };
+    let ticket = if refusal == ClaimRefusal::Unavailable {
+        let mut tickets = entry.tickets.lock().unwrap_or_else(PoisonError::into_inner);
+        tickets.mint(Instant::now())
+    } else {
+        None
+    };
+    let refusal = call.refuse(entry, reason, detail);
+    let refusal = refusal.retry_after(CLAIM_RETRY).ticket(ticket);
+    respond::refused(entry, &refusal)
+}
+
+fn refuse(entry: &EntryState, call: Call, reason: ReasonCode, detail: &str) -> Response<Body> {
+    let refusal = call.refuse(entry, reason, detail);
+    respond::refused(entry, &refusal)
+}
+
+/// What became of the key's earlier work can't be said.
+fn unknown(entry: &EntryState, call: Call, detail: &str) -> Response<Body> {
+    let refusal = call.unknown(entry, ReasonCode::OwnerGone, detail);
+    respond::refused(entry, &refusal)
+}
+
+impl KeyedBody {
+    /// Reads the key of a call and digests its body.
+    pub(super) fn read(call: &Call) -> Result<Self, KeyFault> {
+        let key = call.key.as_deref().unwrap_or_default();
+        let window_ms = call.snapshot.table.config().policy.key_window_ms;
+        let mut hash = Sha256::new();
+        if let Some((service, path)) = &call.service {
+            hash.update(format!("{}\0{service}\0{path}\0", call.method));
+        }
+        hash.update(whole_body(call));
+        Ok(Self {
+            key: ClaimKey::parse(&call.account, key, now_ms(), window_ms)?,
+            body_digest: hex::encode(hash.finalize()),
+        })
+    }
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/http/model.rs
@@ -0,0 +1,397 @@
+//! Model calls: from the body to a chain of engines and back.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use http::StatusCode;
+use rookferry_core::AbandonReason;
+use rookferry_core::Dispatched;
+use rookferry_core::PoolUse;
+use rookferry_core::StreamDriver;
+use rookferry_core::StreamSpec;
+use rookferry_core::Verdict;
+use rookferry_core::prefix_hash;
+use rookferry_net::Inbound;
+use rookferry_net::json_response;
+use rookferry_wire::CompletionRequest;
+use rookferry_wire::CompletionResponse;
+use rookferry_wire::ReasonCode;
+use rookferry_wire::RequestId;
+use rookferry_wire::StreamId;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::call::Call;
+use super::call::Ended;
+use super::call::log_refusal;
+use super::keyed;
+use super::refusal::Refusal;
+use super::respond;
+use super::sse;
+use super::sse::CancelOnDrop;
+use super::sse::TokenCollector;
+use crate::admission::NoPlace;
+use crate::admission::Placement;
+use crate::admission::StreamNeed;
+use crate::answers::KeptAnswer;
+use crate::entry::EntryState;
+use crate::runner::StreamEnd;
+use crate::runner::StreamRun;
+
+/// Most tokens of an answer.
+const MAX_TOKENS: u32 = 32_768;
+
+/// What a model call asks for, checked.
+pub(super) struct ModelWork {
+    pub(super) request: CompletionRequest,
+    pub(super) need: StreamNeed,
+    prompt: Vec<u64>,
+    stop_token: Option<u64>,
+    priority: u8,
+    pub(super) route: String,
+}
+
+/// A model call that is about to run.
+pub(super) struct ModelRun {
+    pub(super) request_id: RequestId,
+    pub(super) dispatched: Dispatched,
+    pub(super) driver: StreamDriver,
+    pub(super) placement: Placement,
+    pub(super) work: ModelWork,
+    pub(super) ended: Ended,
+    pub(super) received_at: Instant,
+    /// The key's digest and the body's, if its answer is to be kept.
+    pub(super) keep: Option<(String, String)>,
+}
+
+/// Serves `POST /v1/completions`.
+pub(super) async fn complete(entry: Arc<EntryState>, mut inbound: Inbound) -> Response<Body> {
+    let call = match Call::receive(&entry, &mut inbound).await {
+        Ok(call) => call,
+        Err(refusal) => {
+            log_refusal(&entry, &refusal);
+            return respond::refused(&entry, &refusal);
+        }
+    };
+    serve(&entry, call).await
+}
+
+/// Serves a call whose caller is known.
+pub(super) async fn serve(entry: &Arc<EntryState>, mut call: Call) -> Response<Body> {
+    let work = match ModelWork::read(entry, &mut call) {
+        Ok(work) => work,
+        Err((reason, detail)) => {
+            let refusal = call.refuse(entry, reason, detail);
+            return respond::refused(entry, &refusal);
+        }
+    };
+    entry
+        .retries
+        .earn(call.snapshot.table.config().policy.retry_share);
+    if call.key.is_some() {
+        return keyed::serve_model(entry, call, work).await;
+    }
+    let placement = match entry.admission.place(work.need.clone()).await {
+        Ok(placement) => placement,
+        Err(no_place) => return refuse_place(entry, call, &work, no_place),
+    };
+    let spec = work.spec(call.number, &placement);
+    let run = ModelRun::new(call, work, placement, StreamDriver::new(spec), None);
+    run.respond(entry).await
+}
+
+/// Turns a call without a place away, at once.
+pub(super) fn refuse_place(
+    entry: &EntryState,
+    mut call: Call,
+    work: &ModelWork,
+    no_place: NoPlace,
+) -> Response<Body> {
+    call.record.candidates = no_place.candidates;
+    let not_run = call.request.refuse(no_place.reason);
+    let refusal = Refusal::new(not_run, no_place.detail).retry_after(no_place.retry_after);
+    let ended = Ended {
+        record: call.record,
+        account: call.account,
+        route: work.route.clone(),
+    };
+    ended.refused(entry, &refusal);
+    respond::refused(entry, &refusal)
+}
+
+impl ModelWork {
+    /// Checks a call's body and finds its route.
+    pub(super) fn read(entry: &EntryState, call: &mut Call) -> Result<Self, (ReasonCode, String)> {
+        let request: CompletionRequest = serde_json::from_slice(&call.body).map_err(|error| {
+            (
+                ReasonCode::BadRequest,
+                format!("the body is no completion request: {error}"),
+            )
+        })?;
+        if request.prompt.is_empty() || request.max_tokens == 0 || request.max_tokens > MAX_TOKENS {
+            let detail = format!("prompt must not be empty, and max_tokens be 1 to {MAX_TOKENS}");
+            return Err((ReasonCode::BadRequest, detail));
+        }
+        let config = call.snapshot.table.config();
+        let Some(model) = config.models.get(&request.model) else {
+            return Err((
+                ReasonCode::NotFound,
+                format!("no model {:?}", request.model),
+            ));
+        };
+        call.labels
+            .insert("model".to_owned(), request.model.clone());
+        call.record.labels.clone_from(&call.labels);
+        let choice = call.snapshot.table.route(&call.labels);
+        call.record.routes = choice.trials;
+        let Some(route) = choice.route else {
+            let detail =
+                "no route's selector matches the request's labels; see `rookferryctl explain`";
+            return Err((ReasonCode::NoRoute, detail.to_owned()));
+        };
+        let pool = config.pools.get(&route.pool);
+        call.record.pool = pool.map(|pool| PoolUse {
+            pool: route.pool.clone(),
+            selector: pool.selector.text().to_owned(),
+        });
+        let prompt: Vec<u64> = request.prompt.bytes().map(u64::from).collect();
+        let cached = prefix_hash(&prompt).map(|prefix| {
+            let prefixes = entry
+                .prefixes
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            prefixes.holders(prefix).to_vec()
+        });
+        let need = StreamNeed {
+            pool: route.pool.clone(),
+            model: request.model.clone(),
+            account: call.account.clone(),
+            weight: call.weight * f64::from(1_u32 << route.priority.min(9)),
+            cost: f64::from(request.max_tokens),
+            seed: call.number.as_u64_pair().1,
+            cached: cached.unwrap_or_default(),
+            deadline: call.received_at + Duration::from_millis(route.deadline_ms),
+        };
+        Ok(Self {
+            need,
+            prompt,
+            stop_token: model.stop_token,
+            priority: route.priority,
+            route: route.name.clone(),
+            request,
+        })
+    }
+
+    /// A stream on the chain of a placement.
+    pub(super) fn spec(&self, stream: StreamId, placement: &Placement) -> StreamSpec {
+        self.spec_on(stream, placement.stages.clone())
+    }
+
+    /// A stream on a chain.
+    pub(super) fn spec_on(
+        &self,
+        stream: StreamId,
+        stages: Vec<rookferry_core::Stage>,
+    ) -> StreamSpec {
+        StreamSpec {
+            stream,
+            stages,
+            prompt: self.prompt.clone(),
+            max_tokens: self.request.max_tokens,
+            stop_token: self.stop_token,
+            priority: self.priority,
+        }
+    }
+}
+
+impl ModelRun {
+    /// Dispatches a call.
+    pub(super) fn new(
+        mut call: Call,
+        work: ModelWork,
+        mut placement: Placement,
+        driver: StreamDriver,
+        keep: Option<(String, String)>,
+    ) -> Self {
+        call.record.candidates = std::mem::take(&mut placement.candidates);
+        let queued = call.received_at.elapsed();
+        call.record.queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
+        placement.slots.hold(call.permit);
+        Self {
+            request_id: call.request.request_id().clone(),
+            dispatched: call.request.dispatch(),
+            driver,
+            placement,
+            ended: Ended {
+                record: call.record,
+                account: call.account,
+                route: work.route.clone(),
+            },
+            work,
+            received_at: call.received_at,
+            keep,
+        }
+    }
+
+    /// Runs it and answers, token by token or whole.
+    ///
+    /// It runs in a task of its own: one whose answer is kept goes on when
+    /// its caller goes away, any other is cancelled then.
+    pub(super) async fn respond(self, entry: &Arc<EntryState>) -> Response<Body> {
+        let request_id = self.request_id.clone();
+        let (cancel, cancelled) = watch::channel(false);
+        let cancel = CancelOnDrop(cancel);
+        let (kept_running, on_caller) = if self.keep.is_some() {
+            (Some(cancel), None)
+        } else {
+            (None, Some(cancel))
+        };
+        if self.work.request.stream {
+            let (events, receiver) = mpsc::unbounded_channel();
+            let entry_of_task = entry.clone();
+            tokio::spawn(async move {
+                let _kept_running = kept_running;
+                let _ = self.run(&entry_of_task, Some(events), cancelled).await;
+            });
+            return respond::finished(entry, &request_id, sse::live(receiver, on_caller));
+        }
+        let entry_of_task = entry.clone();
+        let task = tokio::spawn(async move {
+            let _kept_running = kept_running;
+            self.run(&entry_of_task, None, cancelled).await
+        });
+        let answer = task.await;
+        drop(on_caller);
+        match answer {
+            Ok(Ok(answer)) => {
+                respond::finished(entry, &request_id, json_response(StatusCode::OK, &answer))
+            }
+            Ok(Err(refusal)) => respond::refused(entry, &refusal),
+            Err(_) => respond::finished(
+                entry,
+                &request_id,
+                rookferry_net::text_response(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "request failed".to_owned(),
+                ),
+            ),
+        }
+    }
+
+    async fn run(
+        mut self,
+        entry: &Arc<EntryState>,
+        events: Option<mpsc::UnboundedSender<bytes::Bytes>>,
+        cancelled: watch::Receiver<bool>,
+    ) -> Result<CompletionResponse, Refusal> {
+        let mut collector = TokenCollector::new(self.request_id.clone(), self.received_at, events);
+        let run = StreamRun::new(
+            entry,
+            &mut self.driver,
+            &self.work.need,
+            self.placement.slots,
+            &mut collector,
+            cancelled,
+        );
+        let (result, chains) = run.run().await;
+        self.ended.record.chains = chains;
+        match result {
+            Ok(()) => {
+                let tokens = std::mem::take(&mut collector.tokens);
+                let answer = whole_answer(&self.request_id, &self.work, tokens);
+                if let Some((digest, body_digest)) = &self.keep {
+                    entry
+                        .answers
+                        .finish(digest, kept_answer(&self.request_id, body_digest, &answer));
+                }
+                collector.done();
+                let size = answer.tokens.len() as u64;
+                self.ended
+                    .answered(entry, size, collector.first_token, collector.gaps);
+                Ok(answer)
+            }
+            Err(end) => {
+                let refusal = settle(self.dispatched, &self.driver, end);
+                if let Some((digest, body_digest)) = &self.keep {
+                    keep_refusal(entry, digest, body_digest, &refusal);
+                }
+                collector.failed(&refusal.problem());
+                if end == StreamEnd::CallerGone {
+                    self.ended.caller_gone(entry);
+                } else {
+                    self.ended.refused(entry, &refusal);
+                }
+                Err(refusal)
+            }
+        }
+    }
+}
+
+fn settle(dispatched: Dispatched, driver: &StreamDriver, end: StreamEnd) -> Refusal {
+    if end == StreamEnd::Abandoned(AbandonReason::TakenOver) {
+        let request_id = dispatched.request_id().clone();
+        return Refusal::running_as(
+            request_id,
+            "another instance has taken the work over; come back with the key",
+        );
+    }
+    let (reason, detail) = match end {
+        StreamEnd::Deadline => (ReasonCode::DeadlinePassed, "the route's deadline passed"),
+        StreamEnd::CallerGone => (ReasonCode::EngineLost, "the caller went away"),
+        StreamEnd::Abandoned(AbandonReason::NotHeld) => {
+            (ReasonCode::OwnerGone, "the engines no longer hold the work")
+        }
+        StreamEnd::Abandoned(_) => (
+            ReasonCode::EngineLost,
+            "engines were lost and others could not go on",
+        ),
+    };
+    let verdict: Verdict = dispatched.settle(driver, reason);
+    Refusal::new(verdict, detail).retry_after(Duration::from_secs(1))
+}
+
+/// Keeps what was told, so that a caller that comes back is told the same.
+pub(super) fn keep_refusal(entry: &EntryState, digest: &str, body_digest: &str, refusal: &Refusal) {
+    if refusal.outcome() == rookferry_wire::Outcome::NotRun {
+        entry.answers.not_run(digest);
+        return;
+    }
+    let problem = refusal.problem();
+    let answer = KeptAnswer {
+        request_id: refusal.request_id().clone(),
+        body_digest: body_digest.to_owned(),
+        status: problem.status,
+        content_type: respond::PROBLEM_TYPE.to_owned(),
+        body: serde_json::to_vec(&problem).unwrap_or_default(),
+    };
+    entry.answers.finish(digest, answer);
+}
+
+fn whole_answer(request_id: &RequestId, work: &ModelWork, tokens: Vec<u64>) -> CompletionResponse {
+    let is_stopped = work.stop_token.is_some() && tokens.last().copied() == work.stop_token;
+    CompletionResponse {
+        id: request_id.clone(),
+        model: work.request.model.clone(),
+        text: tokens.iter().map(|token| sse::token_text(*token)).collect(),
+        finish_reason: if is_stopped { "stop" } else { "length" }.to_owned(),
+        tokens,
+    }
+}
+
+fn kept_answer(
+    request_id: &RequestId,
+    body_digest: &str,
+    answer: &CompletionResponse,
+) -> KeptAnswer {
+    KeptAnswer {
+        request_id: request_id.clone(),
+        body_digest: body_digest.to_owned(),
+        status: StatusCode::OK.as_u16(),
+        content_type: "application/json".to_owned(),
+        body: serde_json::to_vec(answer).unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/http/service.rs
@@ -0,0 +1,315 @@
+//! Calls of plain services.
+//!
+//! A call that may be repeated is tried on another instance when one fails. A
+//! call that may not is sent once: only a connection that was never made
+//! shows that nothing was taken.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use rookferry_core::Dispatched;
+use rookferry_core::PoolUse;
+use rookferry_core::ServiceConfig;
+use rookferry_core::ServiceInstance;
+use rookferry_core::Undispatched;
+use rookferry_core::Verdict;
+use rookferry_core::choose_service;
+use rookferry_net::ClientError;
+use rookferry_net::Inbound;
+use rookferry_wire::InstanceId;
+use rookferry_wire::ReasonCode;
+use rookferry_wire::RequestId;
+
+use super::call::Call;
+use super::call::Ended;
+use super::call::log_refusal;
+use super::keyed;
+use super::keyed::KeyVerdict;
+use super::keyed::KeyedBody;
+use super::refusal::Refusal;
+use super::respond;
+use crate::answers::KeptAnswer;
+use crate::entry::EntryState;
+
+/// Largest answer that is passed on.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Instances tried for a call that may be repeated.
+const MAX_TRIES: usize = 3;
+
+/// Serves `/apps/{service}/{path}`.
+pub(super) async fn call(entry: Arc<EntryState>, mut inbound: Inbound) -> Response<Body> {
+    let call = match Call::receive(&entry, &mut inbound).await {
+        Ok(call) => call,
+        Err(refusal) => {
+            log_refusal(&entry, &refusal);
+            return respond::refused(&entry, &refusal);
+        }
+    };
+    let Some((name, path)) = call.service.clone() else {
+        let refusal = call.refuse(&entry, ReasonCode::NotFound, "no service in the path");
+        return respond::refused(&entry, &refusal);
+    };
+    let method = call.method.clone();
+    serve(&entry, call, &method, &name, &path).await
+}
+
+/// Serves a call whose caller is known.
+pub(super) async fn serve(
+    entry: &Arc<EntryState>,
+    mut call: Call,
+    method: &str,
+    name: &str,
+    path: &str,
+) -> Response<Body> {
+    let snapshot = call.snapshot.clone();
+    let config = snapshot.table.config();
+    let Some(service) = config.services.get(name) else {
+        let refusal = call.refuse(entry, ReasonCode::NotFound, format!("no service {name:?}"));
+        return respond::refused(entry, &refusal);
+    };
+    call.labels.insert("service".to_owned(), name.to_owned());
+    call.record.labels.clone_from(&call.labels);
+    let pool = config.pools.get(&service.pool);
+    call.record.pool = pool.map(|pool| PoolUse {
+        pool: service.pool.clone(),
+        selector: pool.selector.text().to_owned(),
+    });
+    entry.retries.earn(config.policy.retry_share);
+    let Ok(method) = Method::from_bytes(method.as_bytes()) else {
+        let refusal = call.refuse(entry, ReasonCode::BadRequest, "unknown method");
+        return respond::refused(entry, &refusal);
+    };
+    let is_read = method == Method::GET || method == Method::HEAD;
+    let outgoing = Outgoing {
+        request_id: call.request.request_id().clone(),
+        is_repeatable: call
+            .repeatable
+            .unwrap_or(is_read && service.reads_repeatable)
+            && call.key.is_none(),
+        service: service.clone(),
+        method,
+        path: path.to_owned(),
+        body: call.body.clone(),
+    };
+    if call.key.is_none() {
+        return send_and_answer(entry, call, name, outgoing, None).await;
+    }
+    let (call, keyed) = match keyed::check_key(entry, call, false) {
+        Ok(checked) => checked,
+        Err(response) => return *response,
+    };
+    match keyed::settle_key(entry, call, &keyed, None, Vec::new(), false).await {
+        KeyVerdict::Respond(response) => response,
+        KeyVerdict::Dispatch(call) => {
+            send_and_answer(entry, *call, name, outgoing, Some(keyed)).await
+        }
+        // A claim without a stream is never resumed.
+        KeyVerdict::Resume(call, _) => {
+            let refusal = call.unknown(
+                entry,
+                ReasonCode::OwnerGone,
+                "a service's call can't be resumed",
+            );
+            respond::refused(entry, &refusal)
+        }
+    }
+}
+
+/// Sends it in a task of its own, so that a call whose answer is kept goes on
+/// when its caller goes away.
+async fn send_and_answer(
+    entry: &Arc<EntryState>,
+    call: Call,
+    name: &str,
+    outgoing: Outgoing,
+    keep: Option<KeyedBody>,
+) -> Response<Body> {
+    let entry_of_task = entry.clone();
+    let route = format!("service {name}");
+    let task = tokio::spawn(async move {
+        let entry = entry_of_task;
+        let mut ended = Ended {
+            record: call.record,
+            account: call.account,
+            route,
+        };
+        let result = outgoing.send(&entry, call.request, &mut ended).await;
+        drop(call.permit);
+        match result {
+            Ok(mut answer) => {
+                if let Some(keyed) = keep {
+                    answer.body_digest = keyed.body_digest;
+                    entry.answers.finish(&keyed.key.digest, answer.clone());
+                }
+                ended.answered(&entry, answer.body.len() as u64, None, Vec::new());
+                respond::kept(&entry, &answer)
+            }
+            Err(refusal) => {
+                if let Some(keyed) = keep {
+                    super::model::keep_refusal(
+                        &entry,
+                        &keyed.key.digest,
+                        &keyed.body_digest,
+                        &refusal,
+                    );
+                }
+                ended.refused(&entry, &refusal);
+                respond::refused(&entry, &refusal)
+            }
+        }
+    });
+    let failed = || {
+        rookferry_net::text_response(
+            http::StatusCode::INTERNAL_SERVER_ERROR,
+            "call failed".to_owned(),
+        )
+    };
+    task.await.unwrap_or_else(|_| failed())
+}
+
+/// A call on its way to a service.
+struct Outgoing {
+    request_id: RequestId,
+    is_repeatable: bool,
+    service: ServiceConfig,
+    method: Method,
+    path: String,
+    body: Bytes,
+}
+
+/// Whether any try so far may have run; one that may have stays so.
+enum Progress {
+    Undispatched(Undispatched),
+    Dispatched(Dispatched),
+}
+
+impl Progress {
+    /// Returns whether an earlier try was sent, with the proof of dispatch.
+    fn dispatch(self) -> (bool, Dispatched) {
+        match self {
+            Self::Undispatched(request) => (false, request.dispatch()),
+            Self::Dispatched(request) => (true, request),
+        }
+    }
+
+    fn give_up(self, reason: ReasonCode) -> Verdict {
+        match self {
+            Self::Undispatched(request) => request.refuse(reason).into(),
+            Self::Dispatched(request) => request.lost(reason).into(),
+        }
+    }
+}
+
+impl Outgoing {
+    async fn send(
+        &self,
+        entry: &EntryState,
+        request: Undispatched,
+        ended: &mut Ended,
+    ) -> Result<KeptAnswer, Refusal> {
+        let deadline = Instant::now() + Duration::from_millis(self.service.timeout_ms);
+        let mut progress = Progress::Undispatched(request);
+        let mut tried: Vec<InstanceId> = Vec::new();
+        loop {
+            let snapshot = entry.snapshot.load_full();
+            let instances = snapshot.services.get(&self.service.pool);
+            let instances = instances.map(Vec::as_slice).unwrap_or_default();
+            let (chosen, candidates) = choose_service(instances, &entry.failure_domain, &tried);
+            if tried.is_empty() {
+                ended.record.candidates = candidates;
+            }
+            let Some(instance) = chosen else {
+                let detail = format!("no live instance of pool {:?}", self.service.pool);
+                let refusal = Refusal::new(progress.give_up(ReasonCode::NoChain), detail);
+                return Err(refusal.retry_after(Duration::from_secs(1)));
+            };
+            tried.push(instance.instance.clone());
+            ended.record.chains.push(vec![instance.instance.clone()]);
+            let (was_sent, dispatched) = progress.dispatch();
+            let error = match self.try_on(entry, instance, deadline).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            instance.stats.step_lost();
+            progress = if error.is_unsent() && !was_sent {
+                Progress::Undispatched(dispatched.never_connected())
+            } else {
+                Progress::Dispatched(dispatched)
+            };
+            let may_retry = error.is_unsent() || self.is_repeatable;
+            let has_time = tried.len() < MAX_TRIES && Instant::now() < deadline;
+            if !(may_retry && has_time && entry.retries.spend()) {
+                let refusal =
+                    Refusal::new(progress.give_up(ReasonCode::EngineLost), error.to_string());
+                return Err(refusal.retry_after(Duration::from_secs(1)));
+            }
+        }
+    }
+
+    async fn try_on(
+        &self,
+        entry: &EntryState,
+        instance: &ServiceInstance,
+        deadline: Instant,
+    ) -> Result<KeptAnswer, ClientError> {
+        let sent_at = Instant::now();
+        instance.stats.stream_started(sent_at);
+        let wait = deadline.saturating_duration_since(sent_at);
+        let exchange = self.exchange(entry, instance, wait);
+        let answer = tokio::time::timeout(wait, exchange).await;
+        instance.stats.stream_ended(Instant::now());
+        let addr = instance.addr;
+        let answer = answer.unwrap_or(Err(ClientError::TimedOut { addr, wait }));
+        if answer.is_ok() {
+            instance.stats.step_returned(sent_at.elapsed());
+        }
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        entry: &EntryState,
+        instance: &ServiceInstance,
+        wait: Duration,
+    ) -> Result<KeptAnswer, ClientError> {
+        let addr = instance.addr;
+        let request = Request::builder()
+            .method(self.method.clone())
+            .uri(format!("http://{addr}{}", self.path))
+            .header("content-type", "application/json")
+            .header("rookferry-request-id", &*self.request_id)
+            .body(Full::new(self.body.clone()));
+        let request = request.map_err(|error| ClientError::NotConnected {
+            addr,
+            message: format!("the request could not be built: {error}"),
+        })?;
+        let response = entry.client.send(addr, request, wait).await?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| ClientError::Broken {
+            addr,
+            message: error.to_string(),
+        })?;
+        let content_type = head.headers.get("content-type").map(HeaderValue::to_str);
+        Ok(KeptAnswer {
+            request_id: self.request_id.clone(),
+            body_digest: String::new(),
+            status: head.status.as_u16(),
+            content_type: content_type
+                .and_then(Result::ok)
+                .unwrap_or_default()
+                .to_owned(),
+            body: body.to_bytes().to_vec(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/main.rs
@@ -0,0 +1,76 @@
+//! Runs one entry instance until it is told to stop.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use rookferry_entry::Entry;
+use rookferry_entry::EntryAddrs;
+use rookferry_entry::EntrySettings;
+use rookferry_net::root_logger;
+use slog::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// An entry instance of rookferry.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// The instance's settings, as JSON.
+    #[arg(long)]
+    config: PathBuf,
+    /// Where to write the addresses, as JSON, once everything listens.
+    #[arg(long)]
+    addresses: Option<PathBuf>,
+    /// Checks the settings, prints every fault, and exits.
+    #[arg(long)]
+    check: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(Args::parse()).await {
+        Ok(true) => ExitCode::SUCCESS,
+        // Requests were still under way when the bound passed.
+        Ok(false) => ExitCode::from(3),
+        Err(message) => {
+            eprintln!("rookferry-entry: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: Args) -> Result<bool, String> {
+    let text = fs::read_to_string(&args.config)
+        .map_err(|error| format!("{}: {error}", args.config.display()))?;
+    let settings = EntrySettings::from_json(&text).map_err(|faults| faults.to_string())?;
+    if args.check {
+        println!("{}: no faults", args.config.display());
+        return Ok(true);
+    }
+    let log = root_logger(settings.log_format, &settings.instance);
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let entry = Entry::start(settings, log.clone())
+        .await
+        .map_err(|error| error.to_string())?;
+    if let Some(path) = &args.addresses {
+        write_addresses(path, entry.addrs())?;
+    }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    let is_drained = entry.leave().await;
+    info!(log, "entry: stopped"; "part" => "entry", "drained" => is_drained);
+    Ok(is_drained)
+}
+
+/// Renamed into place, so that whoever waits for the file reads it whole.
+fn write_addresses(path: &Path, addrs: EntryAddrs) -> Result<(), String> {
+    let json = serde_json::to_string(&addrs).map_err(|error| error.to_string())?;
+    let partial = path.with_extension("partial");
+    fs::write(&partial, json).map_err(|error| error.to_string())?;
+    fs::rename(&partial, path).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/peers/heartbeat.rs
@@ -0,0 +1,104 @@
+//! Heartbeats: one datagram says who is there, and what is in force.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use metrics::counter;
+use rookferry_core::HeartbeatFault;
+use rookferry_core::HeartbeatPlan;
+use rookferry_wire::Heartbeat;
+use rookferry_wire::MAX_DATAGRAM_BYTES;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use tokio::net::UdpSocket;
+
+use crate::entry::EntryState;
+
+pub(super) async fn send(entry: Arc<EntryState>, udp: Arc<UdpSocket>, peer_addr: SocketAddr) {
+    let budget = entry.settings.limits.heartbeat_bytes_per_s;
+    let mut plan = HeartbeatPlan::new(entry.failure_domain.clone(), budget);
+    let mut seq = 0;
+    loop {
+        let wake = entry.peers.wake.notified();
+        seq += 1;
+        let heartbeat = own_heartbeat(&entry, seq, peer_addr);
+        let targets = entry
+            .peers
+            .targets(&entry.known.peers(), &entry.instance, peer_addr);
+        let round = plan.next_round(&targets);
+        let mut bytes = 0;
+        match entry.peers.key.seal(&heartbeat) {
+            Ok(datagram) => {
+                bytes = datagram.len();
+                for target in &round {
+                    // Lost datagrams are what heartbeats are made for.
+                    let _ = udp.send_to(&datagram, target.addr).await;
+                }
+                counter!("rookferry_heartbeat_bytes_total").increment((bytes * round.len()) as u64);
+            }
+            Err(error) => {
+                warn!(entry.log, "peers: heartbeat not sent"; "part" => "peers", "error" => %error);
+            }
+        }
+        suspect(&entry);
+        let interval = plan.interval(round.len(), bytes);
+        let _ = tokio::time::timeout(interval, wake).await;
+    }
+}
+
+pub(super) async fn receive(entry: Arc<EntryState>, udp: Arc<UdpSocket>) {
+    // One byte more than a datagram may have, so that longer ones are seen.
+    let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        let Ok((length, source)) = udp.recv_from(&mut buffer).await else {
+            // An earlier datagram was refused by its receiver's machine.
+            continue;
+        };
+        match entry.peers.key.open(&buffer[..length]) {
+            Ok(heartbeat) => take(&entry, heartbeat),
+            Err(error) => {
+                counter!("rookferry_datagrams_dropped_total", "why" => "malformed").increment(1);
+                debug!(entry.log, "heartbeat::receive: datagram dropped";
+                    "part" => "peers", "source" => %source, "error" => %error);
+            }
+        }
+    }
+}
+
+fn own_heartbeat(entry: &EntryState, seq: u64, peer_addr: SocketAddr) -> Heartbeat {
+    Heartbeat {
+        instance: entry.instance.clone(),
+        incarnation: entry.incarnation,
+        seq,
+        failure_domain: entry.failure_domain.clone(),
+        peer_addr,
+        config_version: entry.config.version(),
+        leaving: entry.leaving.load(Ordering::SeqCst),
+        pools: Vec::new(),
+    }
+}
+
+fn take(entry: &EntryState, heartbeat: Heartbeat) {
+    let taken = entry.peers.lock().on_heartbeat(Instant::now(), heartbeat);
+    match taken {
+        Ok(true) => entry.peers.news.notify_waiters(),
+        Ok(false) => {}
+        Err(fault @ HeartbeatFault::SameName { .. }) => {
+            warn!(entry.log, "peers: {}", fault; "part" => "peers");
+        }
+        Err(fault) => {
+            counter!("rookferry_datagrams_dropped_total", "why" => "stale").increment(1);
+            debug!(entry.log, "heartbeat::take: {}", fault; "part" => "peers");
+        }
+    }
+}
+
+fn suspect(entry: &EntryState) {
+    let suspected = entry.peers.lock().tick(Instant::now());
+    for instance in suspected {
+        info!(entry.log, "peers: not heard from"; "part" => "peers", "peer" => %instance);
+    }
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/peers/tcp.rs
@@ -0,0 +1,176 @@
+//! Requests between peers: one authenticated request a connection.
+//!
+//! The asked instance sends a random number; the asker proves with it that it
+//! holds the site's secret, and sends its request in the same message. The
+//! site's network is trusted for secrecy, not for who speaks.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rookferry_wire::PeerAnswer;
+use rookferry_wire::PeerRequest;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::debug;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+use crate::entry::EntryState;
+use crate::http::serve_keyed;
+
+const NONCE_BYTES: usize = 32;
+const PROOF_BYTES: usize = 32;
+/// Largest message, above the platform's largest object.
+const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+/// How long a peer may take for anything but running a request.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a peer may take to run a request.
+const RUN_TIMEOUT: Duration = Duration::from_mins(1);
+/// Peers served at once.
+const MAX_PEERS: usize = 256;
+
+/// Why a peer gave no answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum PeerError {
+    /// The connection failed.
+    #[snafu(display("peer connection: {source}"))]
+    Connection { source: io::Error },
+    /// It took too long.
+    #[snafu(display("peer did not answer in time"))]
+    TimedOut,
+    /// The message can't be read.
+    #[snafu(display("peer message: {source}"))]
+    Message { source: postcard::Error },
+}
+
+/// Asks a peer.
+pub(crate) async fn ask(
+    entry: &EntryState,
+    addr: SocketAddr,
+    request: &PeerRequest,
+) -> Result<PeerAnswer, PeerError> {
+    let wait = match request {
+        PeerRequest::Run(_) => RUN_TIMEOUT,
+        _ => ASK_TIMEOUT,
+    };
+    let Ok(answer) = tokio::time::timeout(wait, exchange(entry, addr, request)).await else {
+        return Err(PeerError::TimedOut);
+    };
+    answer
+}
+
+async fn exchange(
+    entry: &EntryState,
+    addr: SocketAddr,
+    request: &PeerRequest,
+) -> Result<PeerAnswer, PeerError> {
+    let mut stream = TcpStream::connect(addr).await.context(ConnectionSnafu)?;
+    let mut nonce = [0; NONCE_BYTES];
+    stream
+        .read_exact(&mut nonce)
+        .await
+        .context(ConnectionSnafu)?;
+    let proof = entry.peers.key.connection_proof(&nonce);
+    stream.write_all(&proof).await.context(ConnectionSnafu)?;
+    write_message(&mut stream, request).await?;
+    read_message(&mut stream).await
+}
+
+pub(super) async fn serve(entry: Arc<EntryState>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MAX_PEERS));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, source)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let entry = entry.clone();
+        tokio::spawn(async move {
+            let _permit = permit;
+            if let Err(error) = serve_one(&entry, stream).await {
+                debug!(entry.log, "tcp::serve: request dropped";
+                    "part" => "peers", "source" => %source, "error" => %error);
+            }
+        });
+    }
+}
+
+async fn serve_one(entry: &Arc<EntryState>, mut stream: TcpStream) -> Result<(), PeerError> {
+    let Ok(request) = tokio::time::timeout(ASK_TIMEOUT, receive(entry, &mut stream)).await else {
+        return Err(PeerError::TimedOut);
+    };
+    let answer = answer(entry, request?).await;
+    write_message(&mut stream, &answer).await
+}
+
+async fn receive(entry: &EntryState, stream: &mut TcpStream) -> Result<PeerRequest, PeerError> {
+    let nonce: [u8; NONCE_BYTES] = rand::rng().random();
+    stream.write_all(&nonce).await.context(ConnectionSnafu)?;
+    let mut proof = [0; PROOF_BYTES];
+    stream
+        .read_exact(&mut proof)
+        .await
+        .context(ConnectionSnafu)?;
+    if !entry.peers.key.is_proof(&nonce, &proof) {
+        let denied = io::Error::from(io::ErrorKind::PermissionDenied);
+        return Err(denied).context(ConnectionSnafu);
+    }
+    read_message(stream).await
+}
+
+async fn answer(entry: &Arc<EntryState>, request: PeerRequest) -> PeerAnswer {
+    match request {
+        PeerRequest::Config { above } => {
+            let (version, body) = entry.config.body();
+            if version <= above {
+                return PeerAnswer::Nothing;
+            }
+            PeerAnswer::Config {
+                version,
+                body: body.to_string(),
+            }
+        }
+        PeerRequest::Decision { request_id } => {
+            let record = entry.decisions.get(&request_id);
+            let record = record.and_then(|record| serde_json::to_string(&*record).ok());
+            record.map_or(PeerAnswer::Nothing, |record| PeerAnswer::Decision {
+                record,
+            })
+        }
+        PeerRequest::Run(call) => serve_keyed(entry, call).await,
+    }
+}
+
+async fn write_message<T: Serialize>(stream: &mut TcpStream, message: &T) -> Result<(), PeerError> {
+    let bytes = postcard::to_stdvec(message).context(MessageSnafu)?;
+    let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+    stream
+        .write_all(&length.to_be_bytes())
+        .await
+        .context(ConnectionSnafu)?;
+    stream.write_all(&bytes).await.context(ConnectionSnafu)
+}
+
+async fn read_message<T: DeserializeOwned>(stream: &mut TcpStream) -> Result<T, PeerError> {
+    let length = stream.read_u32().await.context(ConnectionSnafu)? as usize;
+    if length > MAX_MESSAGE_BYTES {
+        let too_large = io::Error::from(io::ErrorKind::InvalidData);
+        return Err(too_large).context(ConnectionSnafu);
+    }
+    let mut bytes = vec![0; length];
+    stream
+        .read_exact(&mut bytes)
+        .await
+        .context(ConnectionSnafu)?;
+    postcard::from_bytes(&bytes).context(MessageSnafu)
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/runner.rs
@@ -0,0 +1,339 @@
+//! Runs a stream: carries out what its driver asks for.
+//!
+//! The driver in the core decides; this part sends, waits, and reports back.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use rookferry_core::AbandonReason;
+use rookferry_core::ChainRequest;
+use rookferry_core::Stage;
+use rookferry_core::StageEvent;
+use rookferry_core::StreamAction;
+use rookferry_core::StreamDriver;
+use rookferry_wire::AttemptAnswer;
+use rookferry_wire::AttemptRequest;
+use rookferry_wire::CancelRequest;
+use rookferry_wire::EngineId;
+use rookferry_wire::LayerRange;
+use rookferry_wire::Step;
+use rookferry_wire::StepBatch;
+use rookferry_wire::StepResult;
+use slog::debug;
+use slog::info;
+use tokio::sync::watch;
+
+use crate::admission::StreamNeed;
+use crate::admission::StreamSlots;
+use crate::entry::EntryState;
+
+/// Pause before engines for a lost stage are looked for again.
+const REPLACE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes the tokens of a stream.
+pub(crate) trait TokenSink: Send + Sync {
+    /// The next token.
+    fn token(&mut self, index: u32, token: u64);
+}
+
+/// Why a stream didn't finish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamEnd {
+    /// The driver gave it up.
+    Abandoned(AbandonReason),
+    /// Its deadline passed.
+    Deadline,
+    /// Its caller went away.
+    CallerGone,
+}
+
+/// One stream under way.
+pub(crate) struct StreamRun<'a> {
+    pub(crate) entry: &'a Arc<EntryState>,
+    pub(crate) driver: &'a mut StreamDriver,
+    pub(crate) need: &'a StreamNeed,
+    pub(crate) slots: StreamSlots,
+    pub(crate) sink: &'a mut dyn TokenSink,
+    /// Turns true when nobody wants the stream any more.
+    pub(crate) cancelled: watch::Receiver<bool>,
+    lost: Vec<EngineId>,
+    used: Vec<EngineId>,
+    chains: Vec<Vec<EngineId>>,
+}
+
+impl<'a> StreamRun<'a> {
+    pub(crate) fn new(
+        entry: &'a Arc<EntryState>,
+        driver: &'a mut StreamDriver,
+        need: &'a StreamNeed,
+        slots: StreamSlots,
+        sink: &'a mut dyn TokenSink,
+        cancelled: watch::Receiver<bool>,
+    ) -> Self {
+        let used: Vec<EngineId> = driver
+            .stages()
+            .iter()
+            .map(|stage| stage.engine.clone())
+            .collect();
+        Self {
+            entry,
+            driver,
+            need,
+            slots,
+            sink,
+            cancelled,
+            lost: Vec::new(),
+            chains: vec![used.clone()],
+            used,
+        }
+    }
+
+    /// Runs the stream to its end and frees its engines; returns each chain
+    /// that it ran on.
+    pub(crate) async fn run(mut self) -> (Result<(), StreamEnd>, Vec<Vec<EngineId>>) {
+        let mut cancelled = self.cancelled.clone();
+        let deadline = self.need.deadline;
+        let result = tokio::select! {
+            result = self.drive() => result,
+            () = tokio::time::sleep_until(deadline.into()) => Err(StreamEnd::Deadline),
+            _ = cancelled.wait_for(|is_cancelled| *is_cancelled) => Err(StreamEnd::CallerGone),
+        };
+        // Whoever took the stream over still needs it on the engines.
+        if result != Err(StreamEnd::Abandoned(AbandonReason::TakenOver)) {
+            self.free_engines();
+        }
+        (result, self.chains)
+    }
+
+    async fn drive(&mut self) -> Result<(), StreamEnd> {
+        let mut actions = self.driver.start();
+        loop {
+            let mut opens = Vec::new();
+            let mut events = Vec::new();
+            for action in actions {
+                match action {
+                    StreamAction::Open { engine, request } => opens.push((engine, request)),
+                    StreamAction::Send { engine, step } => {
+                        events.push(self.send(engine, step).await);
+                    }
+                    StreamAction::Emit { index, token } => self.sink.token(index, token),
+                    StreamAction::Replace { layers, lost } => {
+                        events.push(self.replace(layers, lost).await);
+                    }
+                    StreamAction::Finish => return Ok(()),
+                    StreamAction::Abandon { reason } => return Err(StreamEnd::Abandoned(reason)),
+                }
+            }
+            events.extend(self.open_all(opens).await);
+            actions = Vec::new();
+            for event in events {
+                actions.extend(self.driver.on_event(event));
+            }
+            if actions.is_empty() {
+                // Each answer is awaited above, so that the driver always has
+                // something to do until it ends.
+                return Err(StreamEnd::Abandoned(AbandonReason::NotHeld));
+            }
+        }
+    }
+
+    async fn send(&mut self, engine: EngineId, step: Step) -> StageEvent {
+        let attempt = step.attempt;
+        let positions = u32::try_from(step.input.len()).unwrap_or(u32::MAX);
+        let Some(addr) = self.addr(&engine) else {
+            return StageEvent::Lost { engine, attempt };
+        };
+        let wait = self.step_timeout(&engine, positions);
+        let sent_at = Instant::now();
+        let answer = self.entry.steps.send(addr, step, wait).await;
+        let took = sent_at.elapsed();
+        let stats = self.slots.stats(&engine).cloned();
+        match answer {
+            Ok(StepResult::Done { output }) => {
+                if let Some(stats) = stats {
+                    if positions > 1 {
+                        stats.prefill_returned(took, positions);
+                    } else {
+                        stats.step_returned(took);
+                    }
+                }
+                StageEvent::Done {
+                    engine,
+                    attempt,
+                    output,
+                }
+            }
+            Ok(StepResult::Refused { refusal }) => {
+                debug!(self.entry.log, "StreamRun::send: step refused";
+                    "part" => "stream", "engine" => %engine, "refusal" => ?refusal);
+                StageEvent::Refused {
+                    engine,
+                    attempt,
+                    refusal,
+                }
+            }
+            Err(error) => {
+                if let Some(stats) = stats {
+                    stats.step_lost();
+                }
+                info!(self.entry.log, "stream: step lost";
+                    "part" => "stream", "stream" => %self.driver.stream(), "engine" => %engine, "error" => %error);
+                StageEvent::Lost { engine, attempt }
+            }
+        }
+    }
+
+    async fn open_all(&self, opens: Vec<(EngineId, AttemptRequest)>) -> Vec<StageEvent> {
+        let opens = opens
+            .into_iter()
+            .map(|(engine, request)| self.open(engine, request));
+        join_all(opens).await
+    }
+
+    async fn open(&self, engine: EngineId, request: AttemptRequest) -> StageEvent {
+        let attempt = request.attempt;
+        let Some(addr) = self.addr(&engine) else {
+            return StageEvent::Lost { engine, attempt };
+        };
+        let wait = self.step_timeout(&engine, 1);
+        match self.entry.engines.open(addr, request, wait).await {
+            Ok(AttemptAnswer::Opened { kept }) => StageEvent::Opened {
+                engine,
+                attempt,
+                kept,
+            },
+            Ok(AttemptAnswer::Refused { newest }) => StageEvent::OpenRefused {
+                engine,
+                attempt,
+                newest,
+            },
+            Err(error) => {
+                info!(self.entry.log, "stream: attempt not opened";
+                    "part" => "stream", "engine" => %engine, "error" => %error);
+                StageEvent::Lost { engine, attempt }
+            }
+        }
+    }
+
+    /// Looks for other engines until there are some or the time is over.
+    async fn replace(&mut self, layers: LayerRange, lost: EngineId) -> StageEvent {
+        self.slots.remove(&lost);
+        self.lost.push(lost);
+        loop {
+            let stages = self.other_engines(layers);
+            if !stages.is_empty() {
+                let snapshot = self.entry.snapshot.load_full();
+                self.slots.add(&snapshot.fleet, &stages);
+                self.used
+                    .extend(stages.iter().map(|stage| stage.engine.clone()));
+                self.note_chain(layers, &stages);
+                return StageEvent::Replaced { stages };
+            }
+            // An engine that was lost may have come back, empty.
+            self.lost.clear();
+            tokio::time::sleep(REPLACE_PAUSE).await;
+        }
+    }
+
+    fn other_engines(&self, layers: LayerRange) -> Vec<Stage> {
+        let snapshot = self.entry.snapshot.load();
+        let Some(graph) = snapshot.fleet.graph(&self.need.pool, &self.need.model) else {
+            return Vec::new();
+        };
+        let own = self
+            .driver
+            .stages()
+            .iter()
+            .map(|stage| stage.engine.clone());
+        let excluded: Vec<EngineId> = self.lost.iter().cloned().chain(own).collect();
+        let request = ChainRequest {
+            layers,
+            excluded: &excluded,
+            cached: &[],
+            seed: self.need.seed,
+            beyond_limit: true,
+        };
+        let policy = &snapshot.table.config().policy;
+        let chosen = snapshot
+            .chooser
+            .choose(policy, graph, snapshot.fleet.engines(), &request);
+        chosen.stages
+    }
+
+    fn note_chain(&mut self, layers: LayerRange, stages: &[Stage]) {
+        let kept = self.driver.stages().iter();
+        let kept = kept
+            .filter(|stage| stage.layers.end <= layers.start || stage.layers.start >= layers.end);
+        let mut chain: Vec<&Stage> = kept.chain(stages).collect();
+        chain.sort_by_key(|stage| stage.layers);
+        self.chains.push(
+            chain
+                .into_iter()
+                .map(|stage| stage.engine.clone())
+                .collect(),
+        );
+    }
+
+    fn step_timeout(&self, engine: &str, positions: u32) -> Duration {
+        let snapshot = self.entry.snapshot.load();
+        let policy = &snapshot.table.config().policy;
+        let floor = Duration::from_millis(policy.step_timeout_floor_ms);
+        let Some(stats) = self.slots.stats(engine) else {
+            return floor;
+        };
+        stats.step_timeout(policy.step_timeout_factor, floor, positions)
+    }
+
+    fn addr(&self, engine: &str) -> Option<std::net::SocketAddr> {
+        let snapshot = self.entry.snapshot.load();
+        snapshot.fleet.engine(engine).map(|engine| engine.addr)
+    }
+
+    /// Tells each engine that ever held the stream to drop it.
+    fn free_engines(&self) {
+        let request = CancelRequest {
+            stream: self.driver.stream(),
+            attempt: self.driver.attempt(),
+        };
+        for engine in &self.used {
+            let Some(addr) = self.addr(engine) else {
+                continue;
+            };
+            let entry = self.entry.clone();
+            tokio::spawn(async move {
+                // Engines drop streams that nobody steps, if this is lost.
+                let _ = entry.engines.cancel(addr, request).await;
+            });
+        }
+    }
+}
+
+/// Sends steps to engines; a border of its own, so that steps of many streams
+/// can share a message.
+pub(crate) struct StepSender {
+    engines: Arc<dyn rookferry_net::EngineTransport>,
+}
+
+impl StepSender {
+    pub(crate) fn new(engines: Arc<dyn rookferry_net::EngineTransport>) -> Self {
+        Self { engines }
+    }
+
+    /// Sends one step and waits for its result.
+    pub(crate) async fn send(
+        &self,
+        addr: std::net::SocketAddr,
+        step: Step,
+        wait: Duration,
+    ) -> Result<StepResult, rookferry_net::ClientError> {
+        let batch = StepBatch { steps: vec![step] };
+        let answer = self.engines.steps(addr, batch, wait).await?;
+        let result = answer.results.into_iter().next();
+        result.ok_or_else(|| rookferry_net::ClientError::Decode {
+            addr,
+            message: "no result for the step".to_owned(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/rookferry_entry/src/snapshot.rs
@@ -0,0 +1,135 @@
+//! What the path of a request reads: one immutable snapshot, replaced whole
+//! when configuration or fleet change.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use rookferry_core::ChainChooser;
+use rookferry_core::Engine;
+use rookferry_core::EngineState;
+use rookferry_core::Fleet;
+use rookferry_core::RoutingTable;
+use rookferry_core::ServiceInstance;
+use rookferry_core::SiteConfig;
+use rookferry_core::chooser_for;
+use rookferry_wire::AccountId;
+
+/// Requests of an account under way on this instance.
+#[derive(Debug, Default)]
+pub(crate) struct AccountGauge {
+    in_flight: AtomicU32,
+}
+
+/// Counts one request of an account until it is dropped.
+#[derive(Debug)]
+pub(crate) struct AccountPermit {
+    gauge: Arc<AccountGauge>,
+}
+
+impl AccountGauge {
+    /// Counts a request unless the account is at its limit.
+    pub(crate) fn enter(self: &Arc<Self>, limit: u32) -> Option<AccountPermit> {
+        let counted = self
+            .in_flight
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |count| {
+                (count < limit).then_some(count + 1)
+            });
+        counted.ok().map(|_| AccountPermit {
+            gauge: self.clone(),
+        })
+    }
+}
+
+impl Drop for AccountPermit {
+    fn drop(&mut self) {
+        self.gauge.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Configuration and fleet at one time.
+pub(crate) struct Snapshot {
+    /// The configuration in force.
+    pub(crate) table: RoutingTable,
+    /// The engines.
+    pub(crate) fleet: Fleet,
+    /// Instances of plain services by pool.
+    pub(crate) services: BTreeMap<String, Vec<ServiceInstance>>,
+    /// How chains are chosen.
+    pub(crate) chooser: Arc<dyn ChainChooser>,
+    accounts: BTreeMap<AccountId, Arc<AccountGauge>>,
+}
+
+impl Snapshot {
+    /// Nothing is configured and nothing known.
+    pub(crate) fn empty() -> Self {
+        let config = Arc::new(SiteConfig::default());
+        Self {
+            chooser: Arc::from(chooser_for(config.policy.chooser)),
+            table: RoutingTable::new(0, config),
+            fleet: Fleet::default(),
+            services: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+        }
+    }
+
+    /// The next snapshot; gauges and the chooser's memory go over.
+    pub(crate) fn next(
+        former: &Self,
+        table: RoutingTable,
+        mut engines: Vec<Engine>,
+        mut services: Vec<ServiceInstance>,
+    ) -> Self {
+        for engine in &mut engines {
+            if engine.state == EngineState::Live
+                && table.leaving_selector(&engine.labels()).is_some()
+            {
+                engine.state = EngineState::Leaving;
+            }
+        }
+        for service in &mut services {
+            if service.state == EngineState::Live
+                && table.leaving_selector(&service.selector_labels()).is_some()
+            {
+                service.state = EngineState::Leaving;
+            }
+        }
+        let is_same_policy = table.config().policy.chooser == former.table.config().policy.chooser;
+        let chooser = if is_same_policy {
+            former.chooser.clone()
+        } else {
+            Arc::from(chooser_for(table.config().policy.chooser))
+        };
+        let accounts = table.config().accounts.keys().map(|name| {
+            let name: AccountId = name.as_str().into();
+            let gauge = former.accounts.get(&name).cloned().unwrap_or_default();
+            (name, gauge)
+        });
+        Self {
+            accounts: accounts.collect(),
+            fleet: Fleet::new(table.config(), engines),
+            services: by_pool(table.config(), &services),
+            chooser,
+            table,
+        }
+    }
+
+    /// The gauge of a configured account.
+    pub(crate) fn gauge(&self, account: &str) -> Option<&Arc<AccountGauge>> {
+        self.accounts.get(account)
+    }
+}
+
+fn by_pool(
+    config: &SiteConfig,
+    services: &[ServiceInstance],
+) -> BTreeMap<String, Vec<ServiceInstance>> {
+    let pools = config.pools.iter().map(|(pool, pool_config)| {
+        let members = services
+            .iter()
+            .filter(|service| pool_config.selector.matches(&service.selector_labels()));
+        (pool.clone(), members.cloned().collect())
+    });
+    pools.collect()
+}
--- /dev/null
+++ b/crates/rookferry_net/src/engine.rs
@@ -0,0 +1,190 @@
+//! The engine protocol over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use rookferry_wire::AttemptAnswer;
+use rookferry_wire::AttemptRequest;
+use rookferry_wire::CacheEvents;
+use rookferry_wire::CancelRequest;
+use rookferry_wire::EngineInfo;
+use rookferry_wire::KvPages;
+use rookferry_wire::LoadReport;
+use rookferry_wire::OrderAnswer;
+use rookferry_wire::OrderRequest;
+use rookferry_wire::StepBatch;
+use rookferry_wire::StepBatchAnswer;
+
+use crate::ClientError;
+use crate::HttpClient;
+
+/// How long calls that run no step may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the daemons ask of engines.
+pub trait EngineTransport: Send + Sync {
+    /// What the engine says about itself.
+    fn info(&self, addr: SocketAddr) -> BoxFuture<'_, Result<EngineInfo, ClientError>>;
+
+    /// Its load, as it saw it some time ago.
+    fn load(&self, addr: SocketAddr) -> BoxFuture<'_, Result<LoadReport, ClientError>>;
+
+    /// Its cache events from a sequence number.
+    fn cache_events(
+        &self,
+        addr: SocketAddr,
+        from: u64,
+    ) -> BoxFuture<'_, Result<CacheEvents, ClientError>>;
+
+    /// Runs steps.
+    fn steps(
+        &self,
+        addr: SocketAddr,
+        batch: StepBatch,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<StepBatchAnswer, ClientError>>;
+
+    /// Opens an attempt.
+    fn open(
+        &self,
+        addr: SocketAddr,
+        request: AttemptRequest,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<AttemptAnswer, ClientError>>;
+
+    /// Ends a stream.
+    fn cancel(
+        &self,
+        addr: SocketAddr,
+        request: CancelRequest,
+    ) -> BoxFuture<'_, Result<(), ClientError>>;
+
+    /// Exports a stream's KV.
+    fn export(
+        &self,
+        addr: SocketAddr,
+        request: AttemptRequest,
+    ) -> BoxFuture<'_, Result<KvPages, ClientError>>;
+
+    /// Imports a stream's KV.
+    fn import(
+        &self,
+        addr: SocketAddr,
+        pages: KvPages,
+    ) -> BoxFuture<'_, Result<AttemptAnswer, ClientError>>;
+
+    /// Gives an order.
+    fn order(
+        &self,
+        addr: SocketAddr,
+        request: OrderRequest,
+    ) -> BoxFuture<'_, Result<OrderAnswer, ClientError>>;
+}
+
+/// Engines over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpEngines {
+    client: HttpClient,
+}
+
+impl HttpEngines {
+    /// Engines reached with a client.
+    #[must_use]
+    pub const fn new(client: HttpClient) -> Self {
+        Self { client }
+    }
+}
+
+impl EngineTransport for HttpEngines {
+    fn info(&self, addr: SocketAddr) -> BoxFuture<'_, Result<EngineInfo, ClientError>> {
+        self.client.get(addr, "/v1/info", CALL_TIMEOUT).boxed()
+    }
+
+    fn load(&self, addr: SocketAddr) -> BoxFuture<'_, Result<LoadReport, ClientError>> {
+        self.client.get(addr, "/v1/load", CALL_TIMEOUT).boxed()
+    }
+
+    fn cache_events(
+        &self,
+        addr: SocketAddr,
+        from: u64,
+    ) -> BoxFuture<'_, Result<CacheEvents, ClientError>> {
+        async move {
+            let path = format!("/v1/cache-events?from={from}");
+            self.client.get(addr, &path, CALL_TIMEOUT).await
+        }
+        .boxed()
+    }
+
+    fn steps(
+        &self,
+        addr: SocketAddr,
+        batch: StepBatch,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<StepBatchAnswer, ClientError>> {
+        async move { self.client.post(addr, "/v1/steps", &batch, wait).await }.boxed()
+    }
+
+    fn open(
+        &self,
+        addr: SocketAddr,
+        request: AttemptRequest,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<AttemptAnswer, ClientError>> {
+        async move { self.client.post(addr, "/v1/attempts", &request, wait).await }.boxed()
+    }
+
+    fn cancel(
+        &self,
+        addr: SocketAddr,
+        request: CancelRequest,
+    ) -> BoxFuture<'_, Result<(), ClientError>> {
+        async move {
+            self.client
+                .post(addr, "/v1/cancel", &request, CALL_TIMEOUT)
+                .await
+        }
+        .boxed()
+    }
+
+    fn export(
+        &self,
+        addr: SocketAddr,
+        request: AttemptRequest,
+    ) -> BoxFuture<'_, Result<KvPages, ClientError>> {
+        async move {
+            self.client
+                .post(addr, "/v1/kv/export", &request, CALL_TIMEOUT)
+                .await
+        }
+        .boxed()
+    }
+
+    fn import(
+        &self,
+        addr: SocketAddr,
+        pages: KvPages,
+    ) -> BoxFuture<'_, Result<AttemptAnswer, ClientError>> {
+        async move {
+            self.client
+                .post(addr, "/v1/kv/import", &pages, CALL_TIMEOUT)
+                .await
+        }
+        .boxed()
+    }
+
+    fn order(
+        &self,
+        addr: SocketAddr,
+        request: OrderRequest,
+    ) -> BoxFuture<'_, Result<OrderAnswer, ClientError>> {
+        async move {
+            self.client
+                .post(addr, "/v1/orders", &request, CALL_TIMEOUT)
+                .await
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/rookferry_net/src/lib.rs
@@ -0,0 +1,40 @@
+//! What rookferry's daemons share: listeners, HTTP clients, the platform's
+//! and the engines' protocols, and logs.
+//!
+//! Nothing here decides about requests. A listener bounds connections and
+//! slow callers; a client says whether any byte of a request can have left,
+//! which is what the outcome told to callers rests on.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod client;
+mod connection;
+mod endpoint;
+mod engine;
+mod inbound;
+mod log;
+mod platform;
+mod respond;
+mod server;
+
+pub use client::ClientError;
+pub use client::HttpClient;
+pub use connection::ConnectionGuard;
+pub use connection::ConnectionLimits;
+pub use connection::ConnectionTable;
+pub use endpoint::Endpoint;
+pub use endpoint::NotFound;
+pub use endpoint::endpoint;
+pub use engine::EngineTransport;
+pub use engine::HttpEngines;
+pub use inbound::BodyError;
+pub use inbound::Inbound;
+pub use log::LogFormat;
+pub use log::root_logger;
+pub use platform::HttpPlatform;
+pub use platform::Platform;
+pub use platform::PlatformError;
+pub use respond::json_response;
+pub use respond::json_response_as;
+pub use respond::text_response;
+pub use server::Server;
--- /dev/null
+++ b/crates/rookferry_standin/src/app.rs
@@ -0,0 +1,167 @@
+//! Application engines: plain services with a ledger of their calls.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use gotham::prelude::*;
+use gotham::router::Router;
+use gotham::router::build_simple_router;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use rookferry_net::ConnectionLimits;
+use rookferry_net::ConnectionTable;
+use rookferry_net::Inbound;
+use rookferry_net::Server;
+use rookferry_net::endpoint;
+use rookferry_net::json_response;
+use rookferry_net::text_response;
+use rookferry_wire::InstanceId;
+use rookferry_wire::Labels;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Fault;
+use crate::FaultState;
+use crate::admin::broken_connection;
+use crate::platform::server::read;
+
+const MAX_BODY_BYTES: usize = 1_000_000;
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// One application engine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AppConfig {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Time that a call takes.
+    pub call_us: u64,
+}
+
+struct App {
+    config: AppConfig,
+    faults: FaultState,
+    ledger: Mutex<BTreeMap<String, u32>>,
+}
+
+/// A running application engine.
+#[derive(Debug)]
+pub struct AppServer {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+/// Answer of an application engine.
+#[derive(Serialize, Deserialize)]
+struct AppAnswer {
+    served_by: InstanceId,
+    method: String,
+    path: String,
+    body: String,
+}
+
+impl AppServer {
+    /// Starts an application engine that runs until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// If its address can't be bound.
+    pub async fn start(config: AppConfig) -> io::Result<Self> {
+        let server = Server::bind(config.listen, ConnectionLimits::default()).await?;
+        let addr = server.local_addr()?;
+        let instance = config.instance.clone();
+        let app = Arc::new(App {
+            config,
+            faults: FaultState::default(),
+            ledger: Mutex::default(),
+        });
+        let router = router(&app, server.connections());
+        tokio::spawn(server.serve(router, std::future::pending()));
+        Ok(Self { instance, addr })
+    }
+}
+
+fn router(app: &Arc<App>, connections: &ConnectionTable) -> Router {
+    let methods = vec![
+        Method::GET,
+        Method::HEAD,
+        Method::POST,
+        Method::PUT,
+        Method::DELETE,
+    ];
+    build_simple_router(|route| {
+        route
+            .post("/admin/fault")
+            .to_new_handler(endpoint(app, connections, fault));
+        route
+            .get("/admin/ledger")
+            .to_new_handler(endpoint(app, connections, ledger));
+        route
+            .request(methods, "/*")
+            .to_new_handler(endpoint(app, connections, serve));
+    })
+}
+
+async fn serve(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let body = match inbound.read_body(MAX_BODY_BYTES, BODY_TIMEOUT).await {
+        Ok(body) => body,
+        Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    app.faults.pass().await;
+    if app.faults.is_dead() {
+        return broken_connection();
+    }
+    let call = inbound
+        .header("rookferry-request-id")
+        .unwrap_or("direct")
+        .to_owned();
+    {
+        let mut ledger = app.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        *ledger.entry(call).or_default() += 1;
+    }
+    tokio::time::sleep(Duration::from_micros(app.config.call_us)).await;
+    if app.faults.is_dead() || app.faults.loses_answer() {
+        return broken_connection();
+    }
+    let answer = AppAnswer {
+        served_by: app.config.instance.clone(),
+        method: inbound.method.to_string(),
+        path: inbound.uri.path().to_owned(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+    };
+    json_response(StatusCode::OK, &answer)
+}
+
+async fn fault(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let fault: Fault = match read(&mut inbound).await {
+        Ok(fault) => fault,
+        Err(refused) => return refused,
+    };
+    app.faults.apply(&fault);
+    json_response(StatusCode::OK, &())
+}
+
+async fn ledger(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
+    let ledger = app
+        .ledger
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    json_response(StatusCode::OK, &ledger)
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/bin/rookferry-load.rs
@@ -0,0 +1,76 @@
+//! Sends load at entry instances and reports figures.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use rookferry_core::read_json;
+use rookferry_standin::LoadPlan;
+use rookferry_standin::LoadRun;
+
+/// Open-loop load with whole answers compared with the reference.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// The plan, as JSON; see `LoadPlan`.
+    #[arg(long)]
+    plan: PathBuf,
+    /// Where to write the report as JSON.
+    #[arg(long)]
+    report: Option<PathBuf>,
+    /// Prints each request's answer.
+    #[arg(long)]
+    show: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(Args::parse()).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(2),
+        Err(message) => {
+            eprintln!("rookferry-load: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns whether every answer was the reference's and none was cut.
+async fn run(args: Args) -> Result<bool, String> {
+    let text = fs::read_to_string(&args.plan)
+        .map_err(|error| format!("{}: {error}", args.plan.display()))?;
+    let plan: LoadPlan = read_json(&text).map_err(|faults| faults.to_string())?;
+    if plan.targets.is_empty() || plan.accounts.is_empty() {
+        return Err("the plan needs at least one target and one account".to_owned());
+    }
+    let done = LoadRun::run(plan).await;
+    if args.show {
+        for request in &done.requests {
+            println!("{:?} {}", request.kind, show(&request.ending));
+        }
+    }
+    print!("{}", done.report.to_text());
+    if let Some(path) = args.report {
+        let json = serde_json::to_string_pretty(&done.report).map_err(|error| error.to_string())?;
+        fs::write(path, json).map_err(|error| error.to_string())?;
+    }
+    let is_sound = done
+        .report
+        .kinds
+        .values()
+        .all(|kind| kind.wrong == 0 && kind.cut == 0);
+    Ok(is_sound && !done.requests.is_empty())
+}
+
+fn show(ending: &rookferry_standin::Ending) -> String {
+    match ending {
+        rookferry_standin::Ending::Answered(answer) => {
+            format!("{} {:?} {}", answer.id, answer.tokens, answer.body)
+        }
+        rookferry_standin::Ending::Told(problem) => {
+            format!("{} {}", problem.request_id, problem.detail)
+        }
+        rookferry_standin::Ending::Cut(message) => format!("cut: {message}"),
+    }
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/engine/mod.rs
@@ -0,0 +1,12 @@
+//! Model engines: layer ranges, continuous batches, KV and prefix caches,
+//! priorities, attempts, export and import, late reports, fenced orders.
+
+mod cache;
+mod ledger;
+mod server;
+mod stage;
+
+pub use ledger::Ledger;
+pub use ledger::StreamRuns;
+pub use server::EngineConfig;
+pub use server::EngineServer;
--- /dev/null
+++ b/crates/rookferry_standin/src/engine/server.rs
@@ -0,0 +1,501 @@
+//! An engine's HTTP API, its batches and its faults.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use gotham::helpers::http::Body;
+use gotham::prelude::*;
+use gotham::router::Router;
+use gotham::router::build_simple_router;
+use http::Response;
+use http::StatusCode;
+use rookferry_core::prefix_hash;
+use rookferry_net::ConnectionLimits;
+use rookferry_net::ConnectionTable;
+use rookferry_net::Inbound;
+use rookferry_net::Server;
+use rookferry_net::endpoint;
+use rookferry_net::json_response;
+use rookferry_net::text_response;
+use rookferry_wire::AttemptRequest;
+use rookferry_wire::CancelRequest;
+use rookferry_wire::EngineId;
+use rookferry_wire::EngineInfo;
+use rookferry_wire::KvPages;
+use rookferry_wire::Labels;
+use rookferry_wire::LayerRange;
+use rookferry_wire::LoadReport;
+use rookferry_wire::Order;
+use rookferry_wire::OrderAnswer;
+use rookferry_wire::OrderRequest;
+use rookferry_wire::Refusal;
+use rookferry_wire::Step;
+use rookferry_wire::StepBatch;
+use rookferry_wire::StepBatchAnswer;
+use rookferry_wire::StepResult;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use super::Ledger;
+use super::cache::PrefixCache;
+use super::stage::StageState;
+use crate::Fault;
+use crate::FaultState;
+use crate::admin::broken_connection;
+use crate::platform::server::read;
+
+/// Load reports kept, so that an old one can be given out.
+const KEPT_REPORTS: usize = 64;
+/// How often the load is noted.
+const REPORT_STEP: Duration = Duration::from_millis(50);
+/// Prefixes that an engine's memory holds.
+const CACHED_PREFIXES: usize = 64;
+/// Positions of a cached prefix cost nothing.
+const CACHED_POSITIONS: u32 = 32;
+
+/// One engine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineConfig {
+    /// Its name.
+    pub engine: EngineId,
+    /// Where it listens.
+    #[serde(default = "any_port")]
+    pub listen: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Its accelerator's kind.
+    pub accelerator: String,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+    /// The model.
+    pub model: String,
+    /// The model's number of layers.
+    pub model_layers: u16,
+    /// The layers that it holds.
+    pub layers: LayerRange,
+    /// Streams in one step.
+    pub batch_slots: u32,
+    /// Time of a step.
+    pub step_us: u64,
+    /// Further time for each position beyond one a stream.
+    pub position_us: u64,
+    /// Delay of its link, one way.
+    pub link_us: u64,
+    /// Steps that may wait.
+    pub queue_limit: usize,
+    /// How late its load reports and cache events are.
+    pub report_lag_ms: u64,
+    /// Whether it compares fences.
+    pub checks_fences: bool,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+struct Queued {
+    step: Step,
+    answer: oneshot::Sender<StepResult>,
+}
+
+struct Inner {
+    info: EngineInfo,
+    stage: StageState,
+    cache: PrefixCache,
+    queue: VecDeque<Queued>,
+    reports: VecDeque<(Instant, LoadReport)>,
+    highest_fence: u64,
+    step_us: u64,
+}
+
+struct App {
+    config: EngineConfig,
+    inner: Mutex<Inner>,
+    faults: FaultState,
+    arrived: Notify,
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct EngineServer {
+    /// Its name.
+    pub engine: EngineId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+impl EngineServer {
+    /// Starts an engine that runs until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// If its address can't be bound.
+    pub async fn start(config: EngineConfig) -> io::Result<Self> {
+        let server = Server::bind(config.listen, ConnectionLimits::default()).await?;
+        let addr = server.local_addr()?;
+        let engine = config.engine.clone();
+        let ledger = Ledger::new(engine.clone(), config.layers);
+        let inner = Inner {
+            info: info(&config),
+            stage: StageState::new(config.layers, config.model_layers, ledger),
+            cache: PrefixCache::new(CACHED_PREFIXES, Duration::from_millis(config.report_lag_ms)),
+            queue: VecDeque::new(),
+            reports: VecDeque::new(),
+            highest_fence: 0,
+            step_us: 0,
+        };
+        let app = Arc::new(App {
+            config,
+            inner: Mutex::new(inner),
+            faults: FaultState::default(),
+            arrived: Notify::new(),
+        });
+        let router = router(&app, server.connections());
+        tokio::spawn(server.serve(router, std::future::pending()));
+        tokio::spawn(run_batches(app.clone()));
+        tokio::spawn(note_load(app));
+        Ok(Self { engine, addr })
+    }
+}
+
+fn info(config: &EngineConfig) -> EngineInfo {
+    EngineInfo {
+        engine: config.engine.clone(),
+        incarnation: 1,
+        model: config.model.as_str().into(),
+        model_version: "1".to_owned(),
+        layers: config.layers,
+        accelerator: config.accelerator.clone(),
+        labels: config.labels.clone(),
+        batch_slots: config.batch_slots,
+        checks_fences: config.checks_fences,
+        leaving: false,
+    }
+}
+
+fn router(app: &Arc<App>, connections: &ConnectionTable) -> Router {
+    build_simple_router(|route| {
+        route
+            .get("/v1/info")
+            .to_new_handler(endpoint(app, connections, get_info));
+        route
+            .get("/v1/load")
+            .to_new_handler(endpoint(app, connections, get_load));
+        route
+            .get("/v1/cache-events")
+            .to_new_handler(endpoint(app, connections, cache_events));
+        route
+            .post("/v1/steps")
+            .to_new_handler(endpoint(app, connections, steps));
+        route
+            .post("/v1/attempts")
+            .to_new_handler(endpoint(app, connections, open));
+        route
+            .post("/v1/cancel")
+            .to_new_handler(endpoint(app, connections, cancel));
+        route
+            .post("/v1/kv/export")
+            .to_new_handler(endpoint(app, connections, export));
+        route
+            .post("/v1/kv/import")
+            .to_new_handler(endpoint(app, connections, import));
+        route
+            .post("/v1/orders")
+            .to_new_handler(endpoint(app, connections, order));
+        route
+            .get("/admin/ledger")
+            .to_new_handler(endpoint(app, connections, ledger));
+        route
+            .post("/admin/fault")
+            .to_new_handler(endpoint(app, connections, fault));
+    })
+}
+
+async fn get_info(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
+    app.answer(|inner| inner.info.clone()).await
+}
+
+async fn get_load(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
+    let lag = Duration::from_millis(app.config.report_lag_ms);
+    app.answer(move |inner| {
+        let now = Instant::now();
+        let old_enough = inner.reports.iter().rev();
+        let mut old_enough = old_enough.filter(|(at, _)| now.saturating_duration_since(*at) >= lag);
+        let Some((at, report)) = old_enough.next() else {
+            return LoadReport::default();
+        };
+        LoadReport {
+            age_ms: u64::try_from(now.saturating_duration_since(*at).as_millis()).unwrap_or(0),
+            ..report.clone()
+        }
+    })
+    .await
+}
+
+async fn cache_events(app: Arc<App>, inbound: Inbound) -> Response<Body> {
+    let from = inbound
+        .query("from")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
+    app.answer(move |inner| inner.cache.events(Instant::now(), from))
+        .await
+}
+
+async fn steps(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let batch: StepBatch = match read(&mut inbound).await {
+        Ok(batch) => batch,
+        Err(refused) => return refused,
+    };
+    app.cross_link().await;
+    if app.faults.is_dead() {
+        return broken_connection();
+    }
+    let waiting: Vec<_> = batch
+        .steps
+        .into_iter()
+        .map(|step| app.enqueue(step))
+        .collect();
+    let mut results = Vec::with_capacity(waiting.len());
+    for answer in waiting {
+        // The sender is dropped only when the engine dies.
+        let Ok(result) = answer.await else {
+            return broken_connection();
+        };
+        results.push(result);
+    }
+    app.cross_link().await;
+    if app.faults.is_dead() || app.faults.loses_answer() {
+        return broken_connection();
+    }
+    json_response(StatusCode::OK, &StepBatchAnswer { results })
+}
+
+async fn open(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let request: AttemptRequest = match read(&mut inbound).await {
+        Ok(request) => request,
+        Err(refused) => return refused,
+    };
+    app.answer(move |inner| inner.stage.open(request)).await
+}
+
+async fn cancel(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let request: CancelRequest = match read(&mut inbound).await {
+        Ok(request) => request,
+        Err(refused) => return refused,
+    };
+    app.answer(move |inner| inner.stage.cancel(request)).await
+}
+
+async fn export(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let request: AttemptRequest = match read(&mut inbound).await {
+        Ok(request) => request,
+        Err(refused) => return refused,
+    };
+    app.faults.pass().await;
+    let pages = app.lock().stage.export(request.stream);
+    match pages {
+        Some(pages) if !app.faults.is_dead() => json_response(StatusCode::OK, &pages),
+        Some(_) => broken_connection(),
+        None => text_response(StatusCode::NOT_FOUND, "no such stream".to_owned()),
+    }
+}
+
+async fn import(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let pages: KvPages = match read(&mut inbound).await {
+        Ok(pages) => pages,
+        Err(refused) => return refused,
+    };
+    app.answer(move |inner| inner.stage.import(pages)).await
+}
+
+async fn order(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let request: OrderRequest = match read(&mut inbound).await {
+        Ok(request) => request,
+        Err(refused) => return refused,
+    };
+    let model_layers = app.config.model_layers;
+    app.answer(move |inner| inner.obey(request, model_layers))
+        .await
+}
+
+async fn ledger(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
+    let ledger = app.lock().stage.ledger.clone();
+    json_response(StatusCode::OK, &ledger)
+}
+
+async fn fault(app: Arc<App>, mut inbound: Inbound) -> Response<Body> {
+    let fault: Fault = match read(&mut inbound).await {
+        Ok(fault) => fault,
+        Err(refused) => return refused,
+    };
+    if fault.dead == Some(true) {
+        app.lock().die();
+    }
+    app.faults.apply(&fault);
+    app.lock().info.leaving = app.faults.is_leaving();
+    json_response(StatusCode::OK, &())
+}
+
+impl Inner {
+    fn die(&mut self) {
+        self.stage.wipe();
+        self.queue.clear();
+        self.info.incarnation += 1;
+        self.cache = PrefixCache::new(CACHED_PREFIXES, Duration::ZERO);
+    }
+
+    fn obey(&mut self, request: OrderRequest, model_layers: u16) -> OrderAnswer {
+        if self.info.checks_fences && request.fence < self.highest_fence {
+            return OrderAnswer::Fenced {
+                highest: self.highest_fence,
+            };
+        }
+        self.highest_fence = self.highest_fence.max(request.fence);
+        self.stage.ledger.fences.push(request.fence);
+        match request.order {
+            Order::Load {
+                model,
+                version,
+                layers,
+            } => {
+                let mut ledger = self.stage.ledger.clone();
+                ledger.layers = layers;
+                self.stage = StageState::new(layers, model_layers, ledger);
+                self.info.model = model;
+                self.info.model_version = version;
+                self.info.layers = layers;
+            }
+            Order::LoadAdapter { adapter } => {
+                self.info.labels.insert("adapter".to_owned(), adapter);
+            }
+            Order::SetRole { role } => {
+                self.info.labels.insert("role".to_owned(), role);
+            }
+        }
+        OrderAnswer::Accepted
+    }
+
+    /// Takes the next batch, highest priority first, in order of arrival.
+    fn take_batch(&mut self, slots: u32) -> Vec<Queued> {
+        let mut queue: Vec<Queued> = self.queue.drain(..).collect();
+        queue.sort_by_key(|queued| std::cmp::Reverse(queued.step.priority));
+        let rest = queue.split_off(queue.len().min(slots as usize));
+        self.queue.extend(rest);
+        queue
+    }
+
+    /// Positions beyond one a stream, without those of cached prefixes.
+    fn extra_positions(&mut self, batch: &[Queued]) -> u32 {
+        let mut extra = 0;
+        for queued in batch {
+            let mut positions = self.stage.positions_to_run(&queued.step);
+            let prefix = prefix_hash(&queued.step.input).filter(|_| queued.step.position == 0);
+            if let Some(prefix) = prefix
+                && self.cache.touch(Instant::now(), prefix)
+            {
+                positions = positions.saturating_sub(CACHED_POSITIONS);
+            }
+            extra += positions.saturating_sub(1);
+        }
+        extra
+    }
+}
+
+impl App {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn cross_link(&self) {
+        self.faults.pass().await;
+        if self.config.link_us > 0 {
+            tokio::time::sleep(Duration::from_micros(self.config.link_us)).await;
+        }
+    }
+
+    async fn answer<T: Serialize>(&self, call: impl FnOnce(&mut Inner) -> T) -> Response<Body> {
+        self.cross_link().await;
+        if self.faults.is_dead() {
+            return broken_connection();
+        }
+        let value = call(&mut self.lock());
+        self.cross_link().await;
+        if self.faults.is_dead() {
+            return broken_connection();
+        }
+        json_response(StatusCode::OK, &value)
+    }
+
+    fn enqueue(&self, step: Step) -> oneshot::Receiver<StepResult> {
+        let (answer, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        let is_new = step.position == 0 && !inner.stage.holds(step.stream);
+        let refusal = if self.faults.is_leaving() && is_new {
+            Some(Refusal::Leaving)
+        } else if inner.queue.len() >= self.config.queue_limit {
+            Some(Refusal::Overloaded)
+        } else {
+            None
+        };
+        if let Some(refusal) = refusal {
+            inner.stage.ledger.refused(step.stream);
+            let _ = answer.send(StepResult::Refused { refusal });
+        } else if inner.stage.positions_to_run(&step) == 0 {
+            let _ = answer.send(inner.stage.run(&step));
+        } else {
+            inner.queue.push_back(Queued { step, answer });
+            self.arrived.notify_one();
+        }
+        receiver
+    }
+}
+
+async fn run_batches(app: Arc<App>) {
+    loop {
+        let batch = app.lock().take_batch(app.config.batch_slots);
+        if batch.is_empty() {
+            app.arrived.notified().await;
+            continue;
+        }
+        let extra = app.lock().extra_positions(&batch);
+        let step_us = app.config.step_us + u64::from(extra) * app.config.position_us;
+        tokio::time::sleep(Duration::from_micros(step_us)).await;
+        app.faults.pass().await;
+        if app.faults.is_dead() {
+            continue;
+        }
+        let mut inner = app.lock();
+        inner.step_us = step_us;
+        for queued in batch {
+            let result = inner.stage.run(&queued.step);
+            let _ = queued.answer.send(result);
+        }
+    }
+}
+
+async fn note_load(app: Arc<App>) {
+    loop {
+        tokio::time::sleep(REPORT_STEP).await;
+        let mut inner = app.lock();
+        let report = LoadReport {
+            age_ms: 0,
+            queued_steps: u32::try_from(inner.queue.len()).unwrap_or(u32::MAX),
+            streams: u32::try_from(inner.stage.streams()).unwrap_or(u32::MAX),
+            step_us: inner.step_us,
+        };
+        inner.reports.push_back((Instant::now(), report));
+        if inner.reports.len() > KEPT_REPORTS {
+            inner.reports.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/engine/stage.rs
@@ -0,0 +1,202 @@
+//! The layers and KV of one engine, without any transport or time.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use rookferry_core::GateVerdict;
+use rookferry_core::StageGate;
+use rookferry_wire::AttemptAnswer;
+use rookferry_wire::AttemptRequest;
+use rookferry_wire::CancelRequest;
+use rookferry_wire::KvPages;
+use rookferry_wire::LayerRange;
+use rookferry_wire::Position;
+use rookferry_wire::Refusal;
+use rookferry_wire::Step;
+use rookferry_wire::StepResult;
+use rookferry_wire::StreamId;
+
+use super::Ledger;
+use crate::layers::final_token;
+use crate::layers::prompt_digest;
+use crate::layers::run_layer;
+
+#[derive(Debug, Default)]
+struct StreamState {
+    gate: StageGate,
+    /// Per position, one value a layer.
+    kv: Vec<Vec<u64>>,
+}
+
+/// What an engine holds.
+#[derive(Debug)]
+pub(super) struct StageState {
+    layers: LayerRange,
+    is_last: bool,
+    streams: HashMap<StreamId, StreamState>,
+    ended: HashSet<StreamId>,
+    pub(super) ledger: Ledger,
+}
+
+impl StageState {
+    pub(super) fn new(layers: LayerRange, model_layers: u16, ledger: Ledger) -> Self {
+        Self {
+            layers,
+            is_last: layers.end == model_layers,
+            streams: HashMap::new(),
+            ended: HashSet::new(),
+            ledger,
+        }
+    }
+
+    /// Loses everything but the ledger.
+    pub(super) fn wipe(&mut self) {
+        self.streams.clear();
+        self.ended.clear();
+    }
+
+    pub(super) fn streams(&self) -> usize {
+        self.streams.len()
+    }
+
+    pub(super) fn holds(&self, stream: StreamId) -> bool {
+        self.streams.contains_key(&stream)
+    }
+
+    /// Positions that the step would run; 0 for one that is answered from
+    /// what was recorded or refused.
+    pub(super) fn positions_to_run(&self, step: &Step) -> u32 {
+        let end = step.position + Position::try_from(step.input.len()).unwrap_or(0);
+        match self.verdict(step) {
+            GateVerdict::Run { from } => end - from,
+            GateVerdict::Recorded | GateVerdict::Refuse(_) => 0,
+        }
+    }
+
+    /// Runs what the gate allows of a step.
+    pub(super) fn run(&mut self, step: &Step) -> StepResult {
+        match self.verdict(step) {
+            GateVerdict::Refuse(refusal) => {
+                self.ledger.refused(step.stream);
+                return StepResult::Refused { refusal };
+            }
+            GateVerdict::Recorded => {}
+            GateVerdict::Run { from } => self.run_from(step, from),
+        }
+        let recorded = self.streams.get(&step.stream);
+        let output = recorded.map_or(&[][..], |state| {
+            state.gate.outputs(step.position, step.input.len())
+        });
+        StepResult::Done {
+            output: output.to_vec(),
+        }
+    }
+
+    pub(super) fn open(&mut self, request: AttemptRequest) -> AttemptAnswer {
+        if self.ended.contains(&request.stream) {
+            return AttemptAnswer::Refused { newest: 0 };
+        }
+        if request.must_exist && !self.streams.contains_key(&request.stream) {
+            return AttemptAnswer::Refused { newest: 0 };
+        }
+        let state = self.streams.entry(request.stream).or_default();
+        let answer = state.gate.open(request.attempt, request.keep);
+        if let AttemptAnswer::Opened { kept } = answer {
+            state.kv.truncate(kept as usize);
+        }
+        answer
+    }
+
+    pub(super) fn cancel(&mut self, request: CancelRequest) {
+        let is_stale = self
+            .streams
+            .get(&request.stream)
+            .is_some_and(|state| state.gate.attempt() > request.attempt);
+        if is_stale {
+            return;
+        }
+        self.streams.remove(&request.stream);
+        self.ended.insert(request.stream);
+        self.ledger.cancelled(request.stream);
+    }
+
+    pub(super) fn export(&self, stream: StreamId) -> Option<KvPages> {
+        let state = self.streams.get(&stream)?;
+        Some(KvPages {
+            stream,
+            attempt: state.gate.attempt(),
+            layers: self.layers,
+            positions: state.kv.clone(),
+        })
+    }
+
+    pub(super) fn import(&mut self, pages: KvPages) -> AttemptAnswer {
+        let newest = self
+            .streams
+            .get(&pages.stream)
+            .map_or(0, |state| state.gate.attempt());
+        if pages.layers != self.layers
+            || newest > pages.attempt
+            || self.ended.contains(&pages.stream)
+        {
+            return AttemptAnswer::Refused { newest };
+        }
+        let outputs = pages.positions.iter().filter_map(|values| values.last());
+        let outputs: Vec<u64> = outputs.map(|value| self.output(*value)).collect();
+        let kept = Position::try_from(outputs.len()).unwrap_or(0);
+        let state = StreamState {
+            gate: StageGate::imported(pages.attempt, outputs),
+            kv: pages.positions,
+        };
+        self.streams.insert(pages.stream, state);
+        AttemptAnswer::Opened { kept }
+    }
+
+    fn verdict(&self, step: &Step) -> GateVerdict {
+        if self.ended.contains(&step.stream) {
+            return GateVerdict::Refuse(Refusal::Cancelled);
+        }
+        let fresh = StageGate::new();
+        let gate = self
+            .streams
+            .get(&step.stream)
+            .map_or(&fresh, |state| &state.gate);
+        gate.check(step)
+    }
+
+    fn run_from(&mut self, step: &Step, from: Position) {
+        let layers = self.layers;
+        let is_last = self.is_last;
+        let state = self.streams.entry(step.stream).or_default();
+        if from == 0 && layers.start == 0 {
+            self.ledger.began(step.stream, prompt_digest(&step.input));
+        }
+        let skip = (from - step.position) as usize;
+        let zeros = vec![0; usize::from(layers.len())];
+        for (position, input) in (from..).zip(&step.input[skip..]) {
+            let before = state.kv.last().unwrap_or(&zeros);
+            let mut activation = *input;
+            let mut values = Vec::with_capacity(before.len());
+            for (layer, former) in (layers.start..layers.end).zip(before) {
+                activation = run_layer(*former, activation, layer, position);
+                values.push(activation);
+            }
+            state.kv.push(values);
+            let output = if is_last {
+                final_token(activation)
+            } else {
+                activation
+            };
+            state.gate.record(&[output]);
+            self.ledger.ran(step.stream, position);
+        }
+    }
+
+    const fn output(&self, value: u64) -> u64 {
+        if self.is_last {
+            final_token(value)
+        } else {
+            value
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/layers.rs
@@ -0,0 +1,63 @@
+//! A fake model whose answer shows a layer that was skipped, repeated, run out
+//! of order, or run on another stream's KV.
+//!
+//! A layer's KV is one number a position: it folds the layer's former number,
+//! the activation, the layer's index and the position. The activation that
+//! goes on is that number. A plain loop over all layers gives the reference.
+
+/// Number of different tokens.
+pub const TOKENS: u64 = 50_021;
+
+/// Runs one layer at one position; `before` is its KV at the position before.
+#[must_use]
+pub const fn run_layer(before: u64, activation: u64, layer: u16, position: u32) -> u64 {
+    let place = ((layer as u64) << 32) | position as u64;
+    mix(mix(before ^ place.wrapping_mul(0x9e37_79b9_7f4a_7c15)) ^ activation)
+}
+
+/// The token that the last layer's activation stands for.
+#[must_use]
+pub const fn final_token(activation: u64) -> u64 {
+    activation % TOKENS
+}
+
+/// The answer of a model with a number of layers, by a plain loop.
+#[must_use]
+pub fn reference_answer(layers: u16, prompt: &[u64], max_tokens: u32) -> Vec<u64> {
+    let mut kv = vec![0; usize::from(layers)];
+    let mut answer = Vec::new();
+    let mut position = 0;
+    let mut run = |token: u64, kv: &mut Vec<u64>| {
+        let mut activation = token;
+        for layer in 0..layers {
+            let slot = &mut kv[usize::from(layer)];
+            *slot = run_layer(*slot, activation, layer, position);
+            activation = *slot;
+        }
+        position += 1;
+        final_token(activation)
+    };
+    let mut next = 0;
+    for token in prompt {
+        next = run(*token, &mut kv);
+    }
+    for _ in 0..max_tokens {
+        answer.push(next);
+        next = run(next, &mut kv);
+    }
+    answer
+}
+
+/// Names a prompt in ledgers.
+#[must_use]
+pub fn prompt_digest(prompt: &[u64]) -> u64 {
+    prompt
+        .iter()
+        .fold(prompt.len() as u64, |digest, token| mix(digest ^ token))
+}
+
+const fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/load/arrivals.rs
@@ -0,0 +1,108 @@
+//! When requests are due.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use rand_distr::Distribution;
+use rand_distr::Exp;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The shape of the load over time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Arrivals {
+    /// Equal gaps.
+    Steady,
+    /// A Poisson process.
+    #[default]
+    Poisson,
+    /// A Poisson process that is a factor above its mean for a part of each
+    /// period, and below it for the rest.
+    Bursts {
+        /// The period.
+        period_ms: u64,
+        /// The part of the period, between 0 and 1.
+        part: f64,
+        /// The factor.
+        factor: f64,
+    },
+    /// A time-varying Poisson process whose rate follows a sine over a day.
+    Day {
+        /// The length of the day.
+        period_ms: u64,
+        /// The swing around the mean, between 0 and 1.
+        swing: f64,
+    },
+}
+
+impl Arrivals {
+    /// The times at which requests are due, for a mean rate.
+    #[must_use]
+    pub fn times(self, rng: &mut StdRng, rate_per_s: f64, duration: Duration) -> Vec<Duration> {
+        if self == Self::Steady {
+            return steady(rate_per_s, duration);
+        }
+        let peak_per_s = rate_per_s * self.peak();
+        let Ok(gaps) = Exp::new(peak_per_s) else {
+            return Vec::new();
+        };
+        let mut times = Vec::new();
+        let mut at_s = 0.0;
+        loop {
+            at_s += gaps.sample(rng);
+            if at_s >= duration.as_secs_f64() {
+                return times;
+            }
+            // Thinning: kept with the share that the rate has of its peak.
+            let is_kept = rng.random::<f64>() < self.factor(at_s) / self.peak();
+            if is_kept {
+                times.push(Duration::from_secs_f64(at_s));
+            }
+        }
+    }
+
+    fn peak(self) -> f64 {
+        match self {
+            Self::Steady | Self::Poisson => 1.0,
+            Self::Bursts { factor, .. } => factor.max(1.0),
+            Self::Day { swing, .. } => 1.0 + swing,
+        }
+    }
+
+    fn factor(self, at_s: f64) -> f64 {
+        match self {
+            Self::Steady | Self::Poisson => 1.0,
+            Self::Bursts {
+                period_ms,
+                part,
+                factor,
+            } => {
+                let phase = phase(at_s, period_ms);
+                let quiet = ((1.0 - factor * part) / (1.0 - part)).max(0.0);
+                if phase < part { factor } else { quiet }
+            }
+            Self::Day { period_ms, swing } => {
+                let phase = phase(at_s, period_ms);
+                1.0 + swing * (phase * std::f64::consts::TAU).sin()
+            }
+        }
+    }
+}
+
+fn phase(at_s: f64, period_ms: u64) -> f64 {
+    let period = Duration::from_millis(period_ms.max(1));
+    (at_s / period.as_secs_f64()).fract()
+}
+
+fn steady(rate_per_s: f64, duration: Duration) -> Vec<Duration> {
+    let gap_s = 1.0 / rate_per_s;
+    let mut times = Vec::new();
+    let mut at_s = 0.0;
+    while at_s < duration.as_secs_f64() {
+        times.push(Duration::from_secs_f64(at_s));
+        at_s += gap_s;
+    }
+    times
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/load/caller.rs
@@ -0,0 +1,272 @@
+//! One caller's view of one request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use rookferry_net::HttpClient;
+use rookferry_wire::CompletionRequest;
+use rookferry_wire::CompletionResponse;
+use rookferry_wire::Problem;
+use rookferry_wire::StreamEvent;
+use serde::Serialize;
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ending {
+    /// A whole answer.
+    Answered(Answer),
+    /// The site's own word that there is no answer.
+    Told(Problem),
+    /// The connection broke, or nothing came in time.
+    Cut(String),
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Answer {
+    /// The request's id.
+    pub id: String,
+    /// Tokens, for model calls.
+    pub tokens: Vec<u64>,
+    /// Body, for plain services.
+    pub body: String,
+    /// When the first token came, from the sending.
+    pub first_token: Option<Duration>,
+    /// Gaps between tokens.
+    pub gaps: Vec<Duration>,
+}
+
+/// A caller with an account's key.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: HttpClient,
+    key: String,
+    patience: Duration,
+}
+
+/// The stand-ins' tokens of a text: its bytes.
+#[must_use]
+pub fn tokens_of(text: &str) -> Vec<u64> {
+    text.bytes().map(u64::from).collect()
+}
+
+impl Caller {
+    /// A caller that waits for `patience`.
+    #[must_use]
+    pub const fn new(client: HttpClient, key: String, patience: Duration) -> Self {
+        Self {
+            client,
+            key,
+            patience,
+        }
+    }
+
+    /// Sends a model call; `once` is the key of a call that may run once.
+    pub async fn complete(
+        &self,
+        addr: SocketAddr,
+        body: &CompletionRequest,
+        once: Option<&str>,
+    ) -> Ending {
+        let json = serde_json::to_vec(body).unwrap_or_default();
+        let mut request = self.request(Method::POST, addr, "/v1/completions");
+        if let Some(key) = once {
+            request = request
+                .header("idempotency-key", key)
+                .header("rookferry-repeatable", "false");
+        }
+        self.exchange(addr, request, json.into(), body.stream).await
+    }
+
+    /// Calls a plain service.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &str,
+        once: Option<&str>,
+    ) -> Ending {
+        let mut request = self.request(method, addr, path);
+        if let Some(key) = once {
+            request = request
+                .header("idempotency-key", key)
+                .header("rookferry-repeatable", "false");
+        }
+        self.exchange(addr, request, body.to_owned().into(), false)
+            .await
+    }
+
+    fn request(&self, method: Method, addr: SocketAddr, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("content-type", "application/json")
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: http::request::Builder,
+        body: Bytes,
+        is_stream: bool,
+    ) -> Ending {
+        let Ok(request) = request.body(Full::new(body)) else {
+            return Ending::Cut("the request could not be built".to_owned());
+        };
+        let whole = self.read_ending(addr, request, is_stream);
+        match tokio::time::timeout(self.patience, whole).await {
+            Ok(ending) => ending,
+            Err(_) => Ending::Cut("no whole answer in time".to_owned()),
+        }
+    }
+
+    async fn read_ending(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        is_stream: bool,
+    ) -> Ending {
+        let sent_at = Instant::now();
+        let response = match self.client.send(addr, request, self.patience).await {
+            Ok(response) => response,
+            Err(error) => return Ending::Cut(error.to_string()),
+        };
+        let (head, mut body) = response.into_parts();
+        let id = head.headers.get("rookferry-request-id");
+        let id = id
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        let mut reader = StreamReader::new(sent_at, id.clone());
+        let mut bytes = Vec::new();
+        let is_events = is_stream && head.status.is_success();
+        while let Some(frame) = body.frame().await {
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(error) => return Ending::Cut(error.to_string()),
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if is_events {
+                reader.push(&data);
+            } else {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        if is_events {
+            return reader.finish();
+        }
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if !head.status.is_success() {
+            return match serde_json::from_str(&text) {
+                Ok(problem) => Ending::Told(problem),
+                Err(error) => {
+                    Ending::Cut(format!("{} without a problem body: {error}", head.status))
+                }
+            };
+        }
+        Ending::Answered(whole_answer(id, text))
+    }
+}
+
+fn whole_answer(id: String, text: String) -> Answer {
+    let tokens = serde_json::from_str::<CompletionResponse>(&text)
+        .map_or_else(|_| Vec::new(), |body| body.tokens);
+    Answer {
+        id,
+        tokens,
+        body: text,
+        ..Answer::default()
+    }
+}
+
+/// Reads server-sent events.
+struct StreamReader {
+    buffer: String,
+    last_at: Instant,
+    answer: Answer,
+    is_done: bool,
+    problem: Option<Problem>,
+    fault: Option<String>,
+}
+
+impl StreamReader {
+    fn new(sent_at: Instant, id: String) -> Self {
+        Self {
+            buffer: String::new(),
+            last_at: sent_at,
+            answer: Answer {
+                id,
+                ..Answer::default()
+            },
+            is_done: false,
+            problem: None,
+            fault: None,
+        }
+    }
+
+    fn push(&mut self, data: &[u8]) {
+        self.buffer.push_str(&String::from_utf8_lossy(data));
+        while let Some(end) = self.buffer.find("\n\n") {
+            let event: String = self.buffer.drain(..end + 2).collect();
+            self.on_event(event.trim_end());
+        }
+    }
+
+    fn on_event(&mut self, event: &str) {
+        let is_error = event.lines().any(|line| line == "event: error");
+        let Some(data) = event.lines().find_map(|line| line.strip_prefix("data: ")) else {
+            return;
+        };
+        if data == "[DONE]" {
+            self.is_done = true;
+            return;
+        }
+        if is_error {
+            self.problem = serde_json::from_str(data).ok();
+            return;
+        }
+        let Ok(token) = serde_json::from_str::<StreamEvent>(data) else {
+            self.fault = Some(format!("unreadable event {data}"));
+            return;
+        };
+        if token.index as usize != self.answer.tokens.len() || *token.id != *self.answer.id {
+            self.fault = Some(format!("event out of place: {data}"));
+        }
+        self.on_token(token.token);
+    }
+
+    fn on_token(&mut self, token: u64) {
+        let now = Instant::now();
+        let gap = now.saturating_duration_since(self.last_at);
+        if self.answer.first_token.is_none() {
+            self.answer.first_token = Some(gap);
+        } else {
+            self.answer.gaps.push(gap);
+        }
+        self.last_at = now;
+        self.answer.tokens.push(token);
+    }
+
+    fn finish(self) -> Ending {
+        if let Some(fault) = self.fault {
+            return Ending::Cut(fault);
+        }
+        if let Some(problem) = self.problem {
+            return Ending::Told(problem);
+        }
+        if !self.is_done {
+            return Ending::Cut("the stream ended without [DONE]".to_owned());
+        }
+        Ending::Answered(self.answer)
+    }
+}
