--- /dev/null
+++ b/crates/rookferry_standin/src/load/report.rs
@@ -0,0 +1,289 @@
+//! Figures of a run.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::CallKind;
+use super::Ending;
+
+/// Width of the buckets of the timeline.
+pub(super) const BUCKET: Duration = Duration::from_millis(100);
+
+/// Percentiles of a time.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Percentiles {
+    /// Number of samples.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95 in 100.
+    pub p95_ms: f64,
+    /// 99 in 100.
+    pub p99_ms: f64,
+    /// The longest.
+    pub max_ms: f64,
+}
+
+/// One kind of requests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct KindReport {
+    /// Sent.
+    pub sent: u64,
+    /// Answered whole and as the reference.
+    pub correct: u64,
+    /// Answered with something else.
+    pub wrong: u64,
+    /// Told that it did not run.
+    pub not_run: u64,
+    /// Told that its outcome is unknown, or that it still runs.
+    pub unknown: u64,
+    /// Cut without a word.
+    pub cut: u64,
+    /// Reasons that were told, and what cut requests.
+    pub reasons: BTreeMap<String, u64>,
+    /// From when it was due to its whole answer.
+    pub whole: Percentiles,
+    /// From when it was due to its first token.
+    pub first_token: Percentiles,
+    /// Between tokens.
+    pub gaps: Percentiles,
+}
+
+/// A run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LoadReportOut {
+    /// By kind.
+    pub kinds: BTreeMap<CallKind, KindReport>,
+    /// Correct answers by client account.
+    pub correct_by_account: BTreeMap<String, u64>,
+    /// Requests sent by client account.
+    pub sent_by_account: BTreeMap<String, u64>,
+    /// Not sent, since too many were under way.
+    pub not_sent: u64,
+    /// Tokens of correct answers a second, while requests were sent.
+    pub tokens_per_s: f64,
+    /// Correct answers a second, while requests were sent.
+    pub answers_per_s: f64,
+    /// Tokens of correct answers in each tenth of a second.
+    pub timeline: Vec<u64>,
+    /// What went wrong with the load itself.
+    pub notes: Vec<String>,
+}
+
+#[derive(Debug)]
+struct Times {
+    whole: Histogram<u64>,
+    first_token: Histogram<u64>,
+    gaps: Histogram<u64>,
+}
+
+/// Collects endings.
+#[derive(Debug, Default)]
+pub(super) struct Collector {
+    report: LoadReportOut,
+    times: BTreeMap<CallKind, Times>,
+    tokens: u64,
+    answers: u64,
+}
+
+/// What is known of a request beside its ending.
+pub(super) struct Measured<'a> {
+    pub(super) kind: CallKind,
+    pub(super) account: &'a str,
+    pub(super) late: Duration,
+    pub(super) took: Duration,
+    pub(super) ended_at: Duration,
+    pub(super) is_correct: bool,
+}
+
+impl Collector {
+    pub(super) fn not_sent(&mut self) {
+        self.report.not_sent += 1;
+    }
+
+    pub(super) fn note(&mut self, note: &str) {
+        self.report.notes.push(note.to_owned());
+    }
+
+    pub(super) fn add(&mut self, measured: &Measured<'_>, ending: &Ending) {
+        let sent = self
+            .report
+            .sent_by_account
+            .entry(measured.account.to_owned());
+        *sent.or_default() += 1;
+        let kind = self.report.kinds.entry(measured.kind).or_default();
+        kind.sent += 1;
+        match ending {
+            Ending::Answered(_) if measured.is_correct => kind.correct += 1,
+            Ending::Answered(_) => kind.wrong += 1,
+            Ending::Told(problem) => {
+                let reason = format!("{:?}", problem.reason);
+                *kind.reasons.entry(reason).or_default() += 1;
+                if problem.outcome == rookferry_wire::Outcome::NotRun {
+                    kind.not_run += 1;
+                } else {
+                    kind.unknown += 1;
+                }
+            }
+            Ending::Cut(message) => {
+                kind.cut += 1;
+                *kind.reasons.entry(format!("cut: {message}")).or_default() += 1;
+            }
+        }
+        if measured.is_correct {
+            self.add_times(measured, ending);
+        }
+    }
+
+    fn add_times(&mut self, measured: &Measured<'_>, ending: &Ending) {
+        let Ending::Answered(answer) = ending else {
+            return;
+        };
+        let correct = self
+            .report
+            .correct_by_account
+            .entry(measured.account.to_owned());
+        *correct.or_default() += 1;
+        let times = self.times.entry(measured.kind).or_insert_with(Times::new);
+        record(&mut times.whole, measured.late + measured.took);
+        if let Some(first_token) = answer.first_token {
+            record(&mut times.first_token, measured.late + first_token);
+        }
+        for gap in &answer.gaps {
+            record(&mut times.gaps, *gap);
+        }
+        let tokens = answer.tokens.len() as u64;
+        self.tokens += tokens;
+        self.answers += 1;
+        self.add_to_timeline(measured.ended_at, answer);
+    }
+
+    /// A streamed answer's tokens count when each came, others at the end.
+    fn add_to_timeline(&mut self, ended_at: Duration, answer: &super::Answer) {
+        let mut at = ended_at;
+        let mut gaps = answer.gaps.iter().rev();
+        for _ in &answer.tokens {
+            let bucket = usize::try_from(at.as_millis() / BUCKET.as_millis()).unwrap_or(0);
+            if self.report.timeline.len() <= bucket {
+                self.report.timeline.resize(bucket + 1, 0);
+            }
+            self.report.timeline[bucket] += 1;
+            at = at.saturating_sub(gaps.next().copied().unwrap_or_default());
+        }
+    }
+
+    pub(super) fn finish(mut self, duration: Duration) -> LoadReportOut {
+        let within = usize::try_from(duration.as_millis() / BUCKET.as_millis()).unwrap_or(0);
+        let in_time: u64 = self.report.timeline.iter().take(within).sum();
+        self.report.tokens_per_s = in_time as f64 / duration.as_secs_f64();
+        self.report.answers_per_s = self.answers as f64 / duration.as_secs_f64();
+        for (kind, times) in &self.times {
+            let report = self.report.kinds.entry(*kind).or_default();
+            report.whole = percentiles(&times.whole);
+            report.first_token = percentiles(&times.first_token);
+            report.gaps = percentiles(&times.gaps);
+        }
+        self.report
+    }
+}
+
+impl Times {
+    fn new() -> Self {
+        Self {
+            whole: histogram(),
+            first_token: histogram(),
+            gaps: histogram(),
+        }
+    }
+}
+
+impl LoadReportOut {
+    /// The run as text.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        for (kind, report) in &self.kinds {
+            let _ = writeln!(
+                text,
+                "{kind:?}: sent {}, correct {}, wrong {}, not run {}, unknown {}, cut {}",
+                report.sent,
+                report.correct,
+                report.wrong,
+                report.not_run,
+                report.unknown,
+                report.cut
+            );
+            for (name, times) in [
+                ("whole", &report.whole),
+                ("first token", &report.first_token),
+                ("between tokens", &report.gaps),
+            ] {
+                if times.count == 0 {
+                    continue;
+                }
+                let _ = writeln!(
+                    text,
+                    "  {name}: p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+                    times.p50_ms, times.p95_ms, times.p99_ms, times.max_ms
+                );
+            }
+            for (reason, count) in &report.reasons {
+                let _ = writeln!(text, "  {reason}: {count}");
+            }
+        }
+        for (account, sent) in &self.sent_by_account {
+            let correct = self.correct_by_account.get(account).unwrap_or(&0);
+            let _ = writeln!(text, "account {account}: sent {sent}, correct {correct}");
+        }
+        for note in &self.notes {
+            let _ = writeln!(text, "note: {note}");
+        }
+        let _ = writeln!(
+            text,
+            "{:.1} tokens/s, {:.1} answers/s, {} not sent",
+            self.tokens_per_s, self.answers_per_s, self.not_sent
+        );
+        text
+    }
+
+    /// Time from a fault until the tokens a second are back at `share` of
+    /// their mean before it, for a half second at least; `None` if never.
+    #[must_use]
+    pub fn recovery(&self, fault_at: Duration, share: f64) -> Option<Duration> {
+        let fault = usize::try_from(fault_at.as_millis() / BUCKET.as_millis()).ok()?;
+        let before = self.timeline.get(..fault)?;
+        let warm = before.get(before.len() / 3..)?;
+        let mean = warm.iter().sum::<u64>() as f64 / warm.len().max(1) as f64;
+        let after = self.timeline.get(fault..)?;
+        let held = after.windows(5).position(|window| {
+            let sum: u64 = window.iter().sum();
+            sum as f64 >= 5.0 * mean * share
+        })?;
+        u32::try_from(held).ok().map(|buckets| BUCKET * buckets)
+    }
+}
+
+/// Microseconds from 1 to 10 minutes, three digits.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3)
+        .unwrap_or_else(|_| unreachable!("the bounds are constant"))
+}
+
+fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX).max(1));
+}
+
+fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Percentiles {
+        count: histogram.len(),
+        p50_ms: at(0.5),
+        p95_ms: at(0.95),
+        p99_ms: at(0.99),
+        max_ms: histogram.max() as f64 / 1_000.0,
+    }
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/load/run.rs
@@ -0,0 +1,314 @@
+//! Sends the requests of a plan and compares each answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http::Method;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rookferry_net::HttpClient;
+use rookferry_wire::CompletionRequest;
+use rookferry_wire::Outcome;
+use rookferry_wire::ReasonCode;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use super::CallKind;
+use super::Caller;
+use super::Ending;
+use super::LoadPlan;
+use super::LoadReportOut;
+use super::report::Collector;
+use super::report::Measured;
+use super::tokens_of;
+use crate::layers::prompt_digest;
+use crate::layers::reference_answer;
+
+/// Tries of a call that may run once, with the same key.
+const MAX_TRIES: u32 = 20;
+/// Shortest and longest pause before coming back with a key.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+const FAULT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Length of the prefixes that prompts share.
+const PREFIX_CHARS: usize = 40;
+
+/// What one request was and how it ended, for checks against ledgers.
+#[derive(Clone, Debug)]
+pub struct RequestLog {
+    /// Its kind.
+    pub kind: CallKind,
+    /// Digest of its prompt.
+    pub prompt: u64,
+    /// How its last try ended.
+    pub ending: Ending,
+    /// Whether the answer is the reference's.
+    pub is_correct: bool,
+    /// Ids of the tries that were told "not run".
+    pub not_run_ids: Vec<String>,
+    /// Tries.
+    pub tries: u32,
+}
+
+/// A finished run.
+#[derive(Debug)]
+pub struct LoadRun {
+    /// The figures.
+    pub report: LoadReportOut,
+    /// Each request.
+    pub requests: Vec<RequestLog>,
+}
+
+#[derive(Debug)]
+struct Planned {
+    due: Duration,
+    account: usize,
+    kind: CallKind,
+    body: CompletionRequest,
+    target: usize,
+}
+
+struct Shared {
+    plan: LoadPlan,
+    callers: Vec<Caller>,
+    start: Instant,
+    collector: Mutex<Collector>,
+    requests: Mutex<Vec<RequestLog>>,
+}
+
+impl LoadRun {
+    /// Runs a plan to its end.
+    pub async fn run(plan: LoadPlan) -> Self {
+        let client = HttpClient::new();
+        let patience = Duration::from_millis(plan.patience_ms);
+        let accounts = plan.accounts.iter();
+        let callers = accounts
+            .map(|account| Caller::new(client.clone(), account.key.clone(), patience))
+            .collect();
+        let planned = plan_requests(&plan);
+        let duration = Duration::from_millis(plan.duration_ms);
+        let shared = Arc::new(Shared {
+            callers,
+            start: Instant::now(),
+            collector: Mutex::default(),
+            requests: Mutex::default(),
+            plan,
+        });
+        let faults = tokio::spawn(order_faults(client, shared.clone()));
+        send_all(&shared, planned).await;
+        faults.abort();
+        let collector = std::mem::take(&mut *lock(&shared.collector));
+        let requests = std::mem::take(&mut *lock(&shared.requests));
+        Self {
+            report: collector.finish(duration),
+            requests,
+        }
+    }
+}
+
+fn plan_requests(plan: &LoadPlan) -> Vec<Planned> {
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let duration = Duration::from_millis(plan.duration_ms);
+    let times = plan.arrivals.times(&mut rng, plan.rate_per_s, duration);
+    let shares: f64 = plan.accounts.iter().map(|account| account.share).sum();
+    let mut planned = Vec::with_capacity(times.len());
+    for (number, due) in times.into_iter().enumerate() {
+        let kind = plan.mix.kind_at(rng.random());
+        let account = account_at(plan, rng.random::<f64>() * shares);
+        let length = rng.random_range(plan.prompt_tokens.0..=plan.prompt_tokens.1);
+        let prefix = rng.random_range(0..plan.prefixes.max(1));
+        let body = CompletionRequest {
+            model: plan.model.clone(),
+            prompt: prompt(plan.seed, number, prefix, length),
+            max_tokens: rng.random_range(plan.answer_tokens.0..=plan.answer_tokens.1),
+            stream: kind == CallKind::Streamed,
+        };
+        planned.push(Planned {
+            due,
+            account,
+            kind,
+            body,
+            target: number % plan.targets.len(),
+        });
+    }
+    planned
+}
+
+fn account_at(plan: &LoadPlan, point: f64) -> usize {
+    let mut left = point;
+    for (index, account) in plan.accounts.iter().enumerate() {
+        left -= account.share;
+        if left < 0.0 {
+            return index;
+        }
+    }
+    plan.accounts.len() - 1
+}
+
+/// A prompt that shares a prefix with others and is its own otherwise.
+fn prompt(seed: u64, number: usize, prefix: u64, length: usize) -> String {
+    let shared = format!("prefix {prefix:>width$} ", width = PREFIX_CHARS - 8);
+    let own = format!("{shared}{seed}-{number} ");
+    let filler = ".".repeat(length.saturating_sub(own.len()));
+    own + &filler
+}
+
+async fn order_faults(client: HttpClient, shared: Arc<Shared>) {
+    let mut faults = shared.plan.faults.clone();
+    faults.sort_by_key(|fault| fault.at_ms);
+    for fault in faults {
+        tokio::time::sleep_until(shared.start + Duration::from_millis(fault.at_ms)).await;
+        let ordered: Result<(), _> = client
+            .post(fault.addr, "/admin/fault", &fault.fault, FAULT_TIMEOUT)
+            .await;
+        if let Err(error) = ordered {
+            let note = format!("fault not ordered: {error}");
+            lock(&shared.collector).note(&note);
+        }
+    }
+}
+
+async fn send_all(shared: &Arc<Shared>, planned: Vec<Planned>) {
+    let mut tasks = JoinSet::new();
+    for request in planned {
+        tokio::time::sleep_until(shared.start + request.due).await;
+        while tasks.try_join_next().is_some() {}
+        if tasks.len() >= shared.plan.max_in_flight {
+            lock(&shared.collector).not_sent();
+            continue;
+        }
+        tasks.spawn(send_one(shared.clone(), request));
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn send_one(shared: Arc<Shared>, request: Planned) {
+    let due_at = shared.start + request.due;
+    let sent_at = Instant::now();
+    let mut log = RequestLog {
+        kind: request.kind,
+        prompt: prompt_digest(&tokens_of(&request.body.prompt)),
+        ending: Ending::Cut("not sent".to_owned()),
+        is_correct: false,
+        not_run_ids: Vec::new(),
+        tries: 0,
+    };
+    let (ending, sent_last_at) = match request.kind {
+        CallKind::Once => try_until_told(&shared, &request, &mut log, sent_at).await,
+        _ => (
+            shared.try_once(&request, request.target, None).await,
+            sent_at,
+        ),
+    };
+    log.tries = log.tries.max(1);
+    note_not_run(&ending, &mut log);
+    log.is_correct = is_correct(&shared.plan, &request, &ending);
+    let ended_at = Instant::now();
+    let measured = Measured {
+        kind: request.kind,
+        account: &shared.plan.accounts[request.account].name,
+        late: sent_last_at.saturating_duration_since(due_at),
+        took: ended_at.saturating_duration_since(sent_last_at),
+        ended_at: ended_at.saturating_duration_since(shared.start),
+        is_correct: log.is_correct,
+    };
+    lock(&shared.collector).add(&measured, &ending);
+    log.ending = ending;
+    lock(&shared.requests).push(log);
+}
+
+/// Comes back with the same key while there is hope of an answer.
+async fn try_until_told(
+    shared: &Shared,
+    request: &Planned,
+    log: &mut RequestLog,
+    sent_at: Instant,
+) -> (Ending, Instant) {
+    let mut key = Uuid::now_v7().to_string();
+    let mut sent_at = sent_at;
+    loop {
+        log.tries += 1;
+        let target = request.target + log.tries as usize - 1;
+        let ending = shared.try_once(request, target, Some(&key)).await;
+        let pause = match &ending {
+            Ending::Cut(_) => MIN_PAUSE,
+            Ending::Told(problem) if is_worth_a_return(problem.outcome, problem.reason) => {
+                Duration::from_millis(problem.retry_after_ms.unwrap_or(100))
+            }
+            _ => return (ending, sent_at),
+        };
+        if log.tries >= MAX_TRIES {
+            return (ending, sent_at);
+        }
+        note_not_run(&ending, log);
+        if let Ending::Told(problem) = &ending
+            && let Some(ticket) = &problem.ticket
+        {
+            key.clone_from(ticket);
+        }
+        tokio::time::sleep(pause.clamp(MIN_PAUSE, MAX_PAUSE)).await;
+        sent_at = Instant::now();
+    }
+}
+
+const fn is_worth_a_return(outcome: Outcome, reason: ReasonCode) -> bool {
+    match outcome {
+        Outcome::Running => true,
+        Outcome::NotRun => !matches!(reason, ReasonCode::KeyReused | ReasonCode::KeyExpired),
+        Outcome::Unknown => false,
+    }
+}
+
+fn note_not_run(ending: &Ending, log: &mut RequestLog) {
+    if let Ending::Told(problem) = ending
+        && problem.outcome == Outcome::NotRun
+    {
+        log.not_run_ids.push(problem.request_id.to_string());
+    }
+}
+
+fn is_correct(plan: &LoadPlan, request: &Planned, ending: &Ending) -> bool {
+    let Ending::Answered(answer) = ending else {
+        return false;
+    };
+    match request.kind {
+        CallKind::Lookup | CallKind::Submit => answer.body.contains(&request.body.prompt),
+        CallKind::Whole | CallKind::Streamed | CallKind::Once => {
+            let prompt = tokens_of(&request.body.prompt);
+            answer.tokens == reference_answer(plan.layers, &prompt, request.body.max_tokens)
+        }
+    }
+}
+
+impl Shared {
+    async fn try_once(&self, request: &Planned, target: usize, key: Option<&str>) -> Ending {
+        let caller = &self.callers[request.account];
+        let addr: SocketAddr = self.plan.targets[target % self.plan.targets.len()];
+        let path = format!("/apps/{}/{}", self.plan.service, request.target);
+        match request.kind {
+            CallKind::Whole | CallKind::Streamed | CallKind::Once => {
+                caller.complete(addr, &request.body, key).await
+            }
+            CallKind::Lookup => {
+                caller
+                    .call(addr, Method::GET, &path, &request.body.prompt, None)
+                    .await
+            }
+            CallKind::Submit => {
+                let key = Uuid::now_v7().to_string();
+                caller
+                    .call(addr, Method::POST, &path, &request.body.prompt, Some(&key))
+                    .await
+            }
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/platform/store.rs
@@ -0,0 +1,110 @@
+//! The objects and the list, without any transport.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_wire::InstanceEntry;
+use rookferry_wire::InstanceId;
+use rookferry_wire::InstanceList;
+use rookferry_wire::Object;
+use rookferry_wire::ObjectVersion;
+use rookferry_wire::PutAnswer;
+use rookferry_wire::PutRequest;
+use rookferry_wire::WatchAnswer;
+
+/// What the platform keeps.
+#[derive(Debug, Default)]
+pub struct Store {
+    version: ObjectVersion,
+    objects: BTreeMap<(String, String), Object>,
+    instances: BTreeMap<InstanceId, Listed>,
+}
+
+#[derive(Debug)]
+struct Listed {
+    entry: Option<InstanceEntry>,
+    former: Option<InstanceEntry>,
+    since: Instant,
+}
+
+impl Store {
+    /// Reads an object.
+    #[must_use]
+    pub fn get(&self, kind: &str, name: &str) -> Option<&Object> {
+        let object = self.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        (!object.value.is_null()).then_some(object)
+    }
+
+    /// Writes an object if its version is the expected one.
+    pub fn put(&mut self, kind: &str, name: &str, request: PutRequest) -> PutAnswer {
+        let current = self.get(kind, name).cloned();
+        let current_version = current.as_ref().map_or(0, |object| object.version);
+        if current_version != request.expected {
+            return PutAnswer::Conflict { current };
+        }
+        self.version += 1;
+        let object = Object {
+            name: name.to_owned(),
+            version: self.version,
+            value: request.value,
+        };
+        self.objects
+            .insert((kind.to_owned(), name.to_owned()), object);
+        PutAnswer::Written {
+            version: self.version,
+        }
+    }
+
+    /// Objects of a kind that changed after a version.
+    #[must_use]
+    pub fn changes(&self, kind: &str, after: ObjectVersion) -> WatchAnswer {
+        let all = self
+            .objects
+            .iter()
+            .filter(|((of_kind, _), _)| of_kind == kind);
+        let mut objects: Vec<Object> = all
+            .map(|(_, object)| object.clone())
+            .filter(|object| object.version > after)
+            .collect();
+        objects.sort_by_key(|object| object.version);
+        let version = objects.last().map_or(after, |object| object.version);
+        WatchAnswer { objects, version }
+    }
+
+    /// How many objects of a kind exist.
+    #[must_use]
+    pub fn count(&self, kind: &str) -> usize {
+        let all = self.objects.iter();
+        all.filter(|((of_kind, _), object)| of_kind == kind && !object.value.is_null())
+            .count()
+    }
+
+    /// Sets or removes an instance; the list shows it after its lag.
+    pub fn set_instance(&mut self, now: Instant, name: InstanceId, entry: Option<InstanceEntry>) {
+        let former = self.instances.remove(&name).and_then(|listed| listed.entry);
+        let listed = Listed {
+            entry,
+            former,
+            since: now,
+        };
+        self.instances.insert(name, listed);
+    }
+
+    /// The list as it was a lag ago.
+    #[must_use]
+    pub fn list(&self, now: Instant, lag: Duration) -> InstanceList {
+        let shown = self.instances.values().filter_map(|listed| {
+            let is_shown = now.saturating_duration_since(listed.since) >= lag;
+            let entry = if is_shown {
+                &listed.entry
+            } else {
+                &listed.former
+            };
+            entry.clone()
+        });
+        InstanceList {
+            instances: shown.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_standin/src/site.rs
@@ -0,0 +1,135 @@
+//! A whole site of stand-ins in one process.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use rookferry_net::HttpClient;
+use rookferry_wire::InstanceEntry;
+use rookferry_wire::InstanceKind;
+use rookferry_wire::InstanceState;
+use rookferry_wire::Labels;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::AppConfig;
+use crate::AppServer;
+use crate::EngineConfig;
+use crate::EngineServer;
+use crate::PlatformConfig;
+use crate::PlatformServer;
+
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What to start.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SiteSpec {
+    /// A platform of its own, or none.
+    pub platform: Option<PlatformConfig>,
+    /// A platform that runs elsewhere, to register with.
+    pub platform_addr: Option<SocketAddr>,
+    /// Model engines.
+    pub engines: Vec<EngineConfig>,
+    /// Application engines.
+    pub apps: Vec<AppConfig>,
+}
+
+/// Where everything listens.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct SiteAddrs {
+    /// The platform.
+    pub platform: Option<SocketAddr>,
+    /// Engines by name.
+    pub engines: BTreeMap<String, SocketAddr>,
+    /// Application engines by name.
+    pub apps: BTreeMap<String, SocketAddr>,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct Site {
+    /// Where everything listens.
+    pub addrs: SiteAddrs,
+}
+
+impl Site {
+    /// Starts everything and registers it with the platform.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be bound or the platform doesn't answer.
+    pub async fn start(spec: SiteSpec) -> io::Result<Self> {
+        let mut addrs = SiteAddrs {
+            platform: spec.platform_addr,
+            ..SiteAddrs::default()
+        };
+        if let Some(config) = spec.platform {
+            addrs.platform = Some(PlatformServer::start(config).await?.addr);
+        }
+        let client = HttpClient::new();
+        for config in spec.engines {
+            let domain = config.failure_domain.clone();
+            let labels = config.labels.clone();
+            let server = EngineServer::start(config).await?;
+            let entry = listed(
+                &server.engine,
+                InstanceKind::ModelEngine,
+                server.addr,
+                &domain,
+                labels,
+            );
+            register(&client, addrs.platform, &entry).await?;
+            addrs.engines.insert(server.engine.to_string(), server.addr);
+        }
+        for config in spec.apps {
+            let domain = config.failure_domain.clone();
+            let labels = config.labels.clone();
+            let server = AppServer::start(config).await?;
+            let entry = listed(
+                &server.instance,
+                InstanceKind::AppEngine,
+                server.addr,
+                &domain,
+                labels,
+            );
+            register(&client, addrs.platform, &entry).await?;
+            addrs.apps.insert(server.instance.to_string(), server.addr);
+        }
+        Ok(Self { addrs })
+    }
+}
+
+fn listed(
+    name: &str,
+    kind: InstanceKind,
+    addr: SocketAddr,
+    domain: &str,
+    labels: Labels,
+) -> InstanceEntry {
+    InstanceEntry {
+        name: name.into(),
+        kind,
+        addr,
+        failure_domain: domain.into(),
+        labels,
+        state: InstanceState::Live,
+    }
+}
+
+async fn register(
+    client: &HttpClient,
+    platform: Option<SocketAddr>,
+    entry: &InstanceEntry,
+) -> io::Result<()> {
+    let Some(addr) = platform else {
+        return Ok(());
+    };
+    let path = format!("/admin/instances/{}", entry.name);
+    let registered: Result<(), _> = client
+        .call(Method::PUT, addr, &path, Some(entry), REGISTER_TIMEOUT)
+        .await;
+    registered.map_err(io::Error::other)
+}
