fix(core): a resume that meets a newer attempt underflowed

Cause: `reopen_above` set the count's base one above the newest attempt, and the count was taken from the attempt before it was raised. It shows when the owner had already moved to a newer attempt before it vanished.

Found by `any_two_drivers_in_turn_run_nothing_twice` (red: "attempt to subtract with overflow", two lost answers at exchanges 1 and 8); kept as `a_resume_that_meets_a_newer_attempt_opens_above_it`.

Also the first fault matrix on the pure parts: eight faults at each of twelve exchanges, pairs of faults, resumes after each exchange, claims under lost, late and rejected writes (2,000 schedules), leases (2,000 schedules), tickets.

Ruled out: a fault of the stage's gate (its own schedules pass).

--- a/crates/rookferry_core/src/stream/driver.rs
+++ b/crates/rookferry_core/src/stream/driver.rs
@@ -438,7 +438,7 @@
 
     fn reopen_above(&mut self, newest: Attempt) -> Vec<StreamAction> {
         self.attempt = newest;
-        self.first_attempt = newest + 1;
+        self.first_attempt = newest;
         self.reopen()
     }
 
--- /dev/null
+++ b/crates/rookferry_core/tests/claims.rs
@@ -0,0 +1,383 @@
+//! At most once: several instances claim the same keys while the platform
+//! loses requests and answers, delays writes and has outages.
+
+use std::collections::BTreeMap;
+
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prop_oneof;
+use proptest::proptest;
+use rookferry_core::AskId;
+use rookferry_core::Claim;
+use rookferry_core::ClaimAction;
+use rookferry_core::ClaimEvent;
+use rookferry_core::ClaimKey;
+use rookferry_core::ClaimObject;
+use rookferry_core::ClaimRefusal;
+use rookferry_core::ClaimWriter;
+use rookferry_core::KeyFault;
+use rookferry_wire::Object;
+use rookferry_wire::ObjectVersion;
+use rstest::rstest;
+use serde_json::Value;
+use uuid::NoContext;
+use uuid::Timestamp;
+use uuid::Uuid;
+
+const WRITERS: usize = 3;
+const WINDOW_MS: u64 = 1_000_000;
+const NOW_MS: u64 = 5_000_000;
+
+/// What becomes of a call to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// It is taken and answered.
+    Delivered,
+    /// It never arrives, and nobody can tell.
+    RequestLost,
+    /// It takes effect and its answer is lost.
+    AnswerLost,
+    /// Its answer is lost, and it takes effect only at the next call.
+    Late,
+    /// The platform turns it away.
+    Rejected,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Ask { writer: usize, key: usize },
+    Call { writer: usize, fate: Fate },
+}
+
+#[derive(Default)]
+struct Platform {
+    version: ObjectVersion,
+    value: Option<Value>,
+    late: Vec<(ObjectVersion, Value)>,
+}
+
+impl Platform {
+    fn object(&self) -> Option<Object> {
+        let value = self.value.clone()?;
+        Some(Object {
+            name: "shard".to_owned(),
+            version: self.version,
+            value,
+        })
+    }
+
+    fn put(&mut self, expected: ObjectVersion, value: Value) -> bool {
+        if expected != self.version {
+            return false;
+        }
+        self.version += 1;
+        self.value = Some(value);
+        true
+    }
+
+    fn land_late(&mut self) {
+        for (expected, value) in std::mem::take(&mut self.late) {
+            let _ = self.put(expected, value);
+        }
+    }
+}
+
+struct Instance {
+    writer: ClaimWriter,
+    call: Option<ClaimAction>,
+}
+
+struct World {
+    platform: Platform,
+    instances: Vec<Instance>,
+    next_ask: AskId,
+    keys: BTreeMap<AskId, usize>,
+    answered: BTreeMap<AskId, &'static str>,
+    granted: BTreeMap<usize, Vec<AskId>>,
+}
+
+impl World {
+    fn new() -> Self {
+        let instance = |_| Instance {
+            writer: ClaimWriter::new(WINDOW_MS),
+            call: None,
+        };
+        Self {
+            platform: Platform::default(),
+            instances: (0..WRITERS).map(instance).collect(),
+            next_ask: 0,
+            keys: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            granted: BTreeMap::new(),
+        }
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Ask { writer, key } => self.ask(writer, key),
+            Op::Call { writer, fate } => self.call(writer, fate),
+        }
+    }
+
+    fn ask(&mut self, writer: usize, key: usize) {
+        let ask = self.next_ask;
+        self.next_ask += 1;
+        self.keys.insert(ask, key);
+        let event = ClaimEvent::Ask {
+            ask,
+            digest: format!("key-{key}"),
+            claim: claim(writer, ask),
+        };
+        self.tell(writer, event);
+    }
+
+    fn call(&mut self, writer: usize, fate: Fate) {
+        let Some(call) = self.instances[writer].call.take() else {
+            return;
+        };
+        self.platform.land_late();
+        let event = match call {
+            ClaimAction::Put { expected, value } => self.put(expected, value, fate),
+            _ => match fate {
+                Fate::Delivered => ClaimEvent::Read {
+                    current: self.platform.object(),
+                },
+                _ => ClaimEvent::ReadFailed,
+            },
+        };
+        self.tell(writer, event);
+    }
+
+    fn put(&mut self, expected: ObjectVersion, value: Value, fate: Fate) -> ClaimEvent {
+        match fate {
+            Fate::Delivered if self.platform.put(expected, value.clone()) => ClaimEvent::Written {
+                version: self.platform.version,
+            },
+            Fate::Delivered => ClaimEvent::Conflict {
+                current: self.platform.object(),
+            },
+            Fate::AnswerLost => {
+                let _ = self.platform.put(expected, value);
+                ClaimEvent::WriteLost
+            }
+            Fate::Late => {
+                self.platform.late.push((expected, value));
+                ClaimEvent::WriteLost
+            }
+            Fate::RequestLost => ClaimEvent::WriteLost,
+            Fate::Rejected => ClaimEvent::WriteRejected,
+        }
+    }
+
+    fn tell(&mut self, writer: usize, event: ClaimEvent) {
+        let actions = self.instances[writer].writer.on_event(NOW_MS, event);
+        for action in actions {
+            let (ask, word) = match action {
+                ClaimAction::Put { .. } | ClaimAction::Get => {
+                    let former = self.instances[writer].call.replace(action);
+                    assert_eq!(former, None, "one call is under way at a time");
+                    continue;
+                }
+                ClaimAction::Granted { ask } => (ask, "granted"),
+                ClaimAction::Taken { ask, .. } => (ask, "taken"),
+                ClaimAction::Refused { ask, .. } => (ask, "refused"),
+            };
+            let former = self.answered.insert(ask, word);
+            assert_eq!(former, None, "an ask is answered once");
+            if word == "granted" {
+                self.granted.entry(self.keys[&ask]).or_default().push(ask);
+            }
+        }
+    }
+
+    /// The platform recovers and all calls are answered.
+    fn settle(&mut self) {
+        while self
+            .instances
+            .iter()
+            .any(|instance| instance.call.is_some())
+        {
+            for writer in 0..WRITERS {
+                self.call(writer, Fate::Delivered);
+            }
+        }
+        self.platform.land_late();
+    }
+
+    fn check(&self) {
+        for (key, grants) in &self.granted {
+            assert!(grants.len() <= 1, "key {key} was granted to {grants:?}");
+        }
+        for ask in self.keys.keys() {
+            assert!(self.answered.contains_key(ask), "ask {ask} waits for ever");
+        }
+        let value = self.platform.value.clone().unwrap_or_default();
+        let object: ClaimObject = serde_json::from_value(value).unwrap_or_default();
+        for (key, grants) in &self.granted {
+            let kept = object.claims.get(&format!("key-{key}"));
+            let nonces: Vec<AskId> = grants.clone();
+            let kept = kept.expect("a granted claim stays");
+            assert!(nonces.contains(&kept.nonce), "key {key} is held by another");
+        }
+    }
+}
+
+fn claim(writer: usize, ask: AskId) -> Claim {
+    Claim {
+        owner: format!("entry-{writer}").into(),
+        incarnation: 1,
+        nonce: ask,
+        body_digest: String::new(),
+        stream: None,
+        chain: Vec::new(),
+        at_ms: NOW_MS,
+    }
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let fate = prop_oneof![
+        4 => Just(Fate::Delivered),
+        1 => Just(Fate::RequestLost),
+        2 => Just(Fate::AnswerLost),
+        2 => Just(Fate::Late),
+        1 => Just(Fate::Rejected),
+    ];
+    prop_oneof![
+        (0..WRITERS, 0_usize..3).prop_map(|(writer, key)| Op::Ask { writer, key }),
+        (0..WRITERS, fate).prop_map(|(writer, fate)| Op::Call { writer, fate }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig { cases: 2_000, ..Default::default() })]
+
+    #[test]
+    fn no_schedule_grants_a_key_twice(ops in vec(op(), 1..60)) {
+        let mut world = World::new();
+        for op in ops {
+            world.apply(op);
+        }
+        world.settle();
+        world.check();
+    }
+}
+
+/// Each fate of the first write, and of the read that settles it.
+#[rstest]
+fn a_write_is_settled_whatever_becomes_of_it(
+    #[values(
+        Fate::Delivered,
+        Fate::RequestLost,
+        Fate::AnswerLost,
+        Fate::Late,
+        Fate::Rejected
+    )]
+    write: Fate,
+    #[values(Fate::Delivered, Fate::RequestLost)] read: Fate,
+) {
+    let mut world = World::new();
+    world.ask(0, 0);
+    world.call(0, Fate::Delivered);
+    world.call(0, write);
+    world.call(0, read);
+    world.ask(1, 0);
+    world.settle();
+    world.check();
+    let first = world.answered[&0];
+    let is_settled = write != Fate::Rejected && read == Fate::Delivered;
+    let expected = if write == Fate::Delivered || is_settled {
+        "granted"
+    } else {
+        "refused"
+    };
+    assert_eq!(first, expected);
+}
+
+/// Many asks that wait for one object share one write.
+#[test]
+fn asks_that_wait_share_a_write() {
+    let mut world = World::new();
+    for key in 0..50 {
+        world.ask(0, key);
+    }
+    world.call(0, Fate::Delivered);
+    world.call(0, Fate::Delivered);
+    assert_eq!(world.platform.version, 1);
+    assert_eq!(world.granted.len(), 50);
+}
+
+/// A key that was refused for an outage can be claimed once it is over.
+#[test]
+fn a_refused_key_is_free_after_the_outage() {
+    let mut world = World::new();
+    world.ask(0, 0);
+    world.call(0, Fate::Delivered);
+    world.call(0, Fate::AnswerLost);
+    world.call(0, Fate::RequestLost);
+    assert_eq!(world.answered[&0], "refused");
+    world.ask(0, 0);
+    world.settle();
+    assert_eq!(world.answered[&1], "granted");
+    world.check();
+}
+
+#[test]
+fn a_full_object_takes_no_more() {
+    let mut writer = ClaimWriter::new(WINDOW_MS);
+    let mut object = ClaimObject::default();
+    for number in 0..2_000 {
+        object
+            .claims
+            .insert(format!("old-{number}"), claim(1, number));
+    }
+    let ask = ClaimEvent::Ask {
+        ask: 9_000,
+        digest: "key".to_owned(),
+        claim: claim(0, 9_000),
+    };
+    assert_eq!(writer.on_event(NOW_MS, ask), [ClaimAction::Get]);
+    let current = Some(Object {
+        name: "shard".to_owned(),
+        version: 7,
+        value: serde_json::to_value(object).expect("JSON"),
+    });
+    let refused = ClaimAction::Refused {
+        ask: 9_000,
+        refusal: ClaimRefusal::Full,
+    };
+    assert_eq!(
+        writer.on_event(NOW_MS, ClaimEvent::Read { current }),
+        [refused]
+    );
+}
+
+fn uuid_at(ms: u64) -> String {
+    Uuid::new_v7(Timestamp::from_unix(NoContext, ms / 1_000, 0)).to_string()
+}
+
+#[test]
+fn a_timed_key_lives_in_its_times_object_for_everyone() {
+    let key = uuid_at(NOW_MS);
+    let one = ClaimKey::parse("desk", &key, NOW_MS, WINDOW_MS).expect("a key");
+    let other = ClaimKey::parse("desk", &key, NOW_MS + 900_000, WINDOW_MS).expect("a key");
+    assert_eq!(one, other);
+    assert!(!ClaimKey::is_object_expired(&one.object, NOW_MS, WINDOW_MS));
+    assert!(ClaimKey::is_object_expired(
+        &one.object,
+        NOW_MS + 3_000_000,
+        WINDOW_MS
+    ));
+    let another_account = ClaimKey::parse("other", &key, NOW_MS, WINDOW_MS).expect("a key");
+    assert_ne!(one.digest, another_account.digest);
+}
+
+#[rstest]
+#[case(uuid_at(NOW_MS - WINDOW_MS - 2_000), KeyFault::Expired { age_ms: WINDOW_MS + 2_000, window_ms: WINDOW_MS })]
+#[case(uuid_at(NOW_MS + 120_000), KeyFault::Ahead { ahead_ms: 120_000 })]
+#[case(String::new(), KeyFault::Length { bytes: 0 })]
+#[case("x".repeat(300), KeyFault::Length { bytes: 300 })]
+fn a_bad_key_is_refused(#[case] key: String, #[case] expected: KeyFault) {
+    let fault = ClaimKey::parse("desk", &key, NOW_MS, WINDOW_MS);
+    assert_eq!(fault, Err(expected));
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/lease.rs
@@ -0,0 +1,159 @@
+//! Leases: never two holders that may order an engine at once.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::proptest;
+use rookferry_core::Lease;
+use rookferry_core::LeaseAction;
+use rookferry_core::LeaseObject;
+use rookferry_core::LeaseTiming;
+use rookferry_wire::Object;
+
+const TIMING: LeaseTiming = LeaseTiming {
+    duration: Duration::from_secs(10),
+    pause_bound: Duration::from_secs(5),
+};
+
+#[derive(Default)]
+struct Platform {
+    object: Option<Object>,
+}
+
+impl Platform {
+    fn put(&mut self, expected: u64, object: &LeaseObject) -> Result<u64, ()> {
+        let version = self.object.as_ref().map_or(0, |object| object.version);
+        if version != expected {
+            return Err(());
+        }
+        self.object = Some(Object {
+            name: "lease".to_owned(),
+            version: version + 1,
+            value: serde_json::to_value(object).expect("JSON"),
+        });
+        Ok(version + 1)
+    }
+}
+
+fn lease(name: &str) -> Lease {
+    Lease::new(name.into(), 1, TIMING)
+}
+
+/// One turn of an instance: it reads, and writes what its lease asks for.
+fn turn(lease: &mut Lease, platform: &mut Platform, now: Instant, is_answer_lost: bool) {
+    lease.observed(now, platform.object.as_ref());
+    let LeaseAction::Write { expected, object } = lease.next(now) else {
+        return;
+    };
+    match platform.put(expected, &object) {
+        Ok(version) if !is_answer_lost => lease.written(now, version, object),
+        _ => {}
+    }
+}
+
+#[test]
+fn the_first_takes_it_and_another_waits_it_out() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let (mut one, mut two) = (lease("one"), lease("two"));
+    turn(&mut one, &mut platform, start, false);
+    assert_eq!(one.fence_for(start, true), Some(1));
+    turn(&mut two, &mut platform, start, false);
+    let later = start + TIMING.duration;
+    assert_eq!(two.fence_for(later, true), None);
+    turn(&mut two, &mut platform, later, false);
+    assert_eq!(two.fence_for(later, true), Some(2));
+    assert_eq!(one.fence_for(later, true), None);
+}
+
+#[test]
+fn engines_that_check_no_fences_are_waited_for() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut one = lease("one");
+    turn(&mut one, &mut platform, start, false);
+    assert_eq!(one.fence_for(start, false), None);
+    let mut now = start;
+    while now < start + TIMING.duration + TIMING.pause_bound {
+        now += Duration::from_secs(3);
+        turn(&mut one, &mut platform, now, false);
+    }
+    assert_eq!(one.fence_for(now, false), Some(1));
+}
+
+#[test]
+fn a_holder_that_was_paused_sends_nothing() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut one = lease("one");
+    turn(&mut one, &mut platform, start, false);
+    assert_eq!(one.fence_for(start + Duration::from_secs(8), true), None);
+}
+
+#[test]
+fn a_later_run_of_the_holder_takes_a_new_fence() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    turn(&mut lease("one"), &mut platform, start, false);
+    let mut rerun = Lease::new("one".into(), 2, TIMING);
+    turn(&mut rerun, &mut platform, start, false);
+    assert_eq!(
+        rerun.fence_for(start, true),
+        None,
+        "the former run may still send"
+    );
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Turn { who: usize, is_answer_lost: bool },
+    Pass { ms: u64 },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        (0_usize..3, any::<bool>()).prop_map(|(who, is_answer_lost)| Op::Turn {
+            who,
+            is_answer_lost
+        }),
+        (1_u64..6_000).prop_map(|ms| Op::Pass { ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig { cases: 2_000, ..Default::default() })]
+
+    /// An order checked by one holder may leave up to the pause bound later;
+    /// no other holder's order to an engine without fences may come before.
+    #[test]
+    fn no_two_holders_order_an_unfenced_engine(ops in vec(op(), 1..80)) {
+        let mut now = Instant::now();
+        let mut platform = Platform::default();
+        let mut leases = [lease("one"), lease("two"), lease("three")];
+        let mut last_order: Option<(usize, Instant)> = None;
+        for op in ops {
+            match op {
+                Op::Turn { who, is_answer_lost } => {
+                    turn(&mut leases[who], &mut platform, now, is_answer_lost);
+                }
+                Op::Pass { ms } => now += Duration::from_millis(ms),
+            }
+            let holders: Vec<usize> = (0..3).filter(|who| leases[*who].fence_for(now, false).is_some()).collect();
+            assert!(holders.len() <= 1, "{holders:?} hold it at once");
+            if let Some(holder) = holders.first() {
+                if let Some((former, at)) = last_order && former != *holder {
+                    assert!(now >= at + TIMING.pause_bound, "{former} may still be sending");
+                }
+                last_order = Some((*holder, now));
+            }
+            let fences: Vec<u64> = leases.iter().filter_map(|lease| lease.fence_for(now, true)).collect();
+            let mut distinct = fences.clone();
+            distinct.dedup();
+            assert_eq!(fences.len(), distinct.len(), "two holders share a fence");
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/stream.rs
@@ -0,0 +1,243 @@
+//! Exactly once for each token and layer: every fault at every exchange of a
+//! stream, pairs of faults, and another instance that takes over.
+
+mod support;
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::sample::select;
+use rookferry_core::AbandonReason;
+use rookferry_core::StageEvent;
+use rookferry_core::StreamDriver;
+use rstest::rstest;
+
+use support::Ending;
+use support::Fault;
+use support::Pipeline;
+use support::TOKENS;
+use support::reference;
+
+const ALL_FAULTS: [Fault; 8] = [
+    Fault::DiesBefore,
+    Fault::DiesAfter,
+    Fault::AnswerLost,
+    Fault::Frozen,
+    Fault::Leaving,
+    Fault::Overloaded,
+    Fault::Evicted,
+    Fault::Twice,
+];
+
+/// Exchanges of a stream without faults: three stages for each token.
+const EXCHANGES: usize = 3 * TOKENS as usize;
+
+fn run(faults: Vec<(usize, Fault)>) -> (Pipeline, StreamDriver, Ending) {
+    let mut pipeline = Pipeline::new(faults);
+    let mut driver = StreamDriver::new(pipeline.spec());
+    let ending = pipeline.run(&mut driver, None).expect("it ends");
+    pipeline.wake();
+    (pipeline, driver, ending)
+}
+
+#[test]
+fn without_faults_each_layer_runs_once() {
+    let (pipeline, _, ending) = run(Vec::new());
+    assert_eq!(ending, Ending::Finished);
+    assert_eq!(pipeline.shown, reference());
+    for start in [0, 2, 4] {
+        for position in 0..5 {
+            assert_eq!(pipeline.runs_at(start, position), 1);
+        }
+    }
+}
+
+/// Each fault at each exchange: prefill, each stage, between tokens, the last
+/// token.
+#[rstest]
+fn a_fault_at_any_exchange_changes_nothing_for_the_caller(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] fault: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] exchange: usize,
+) {
+    let (pipeline, _, ending) = run(vec![(exchange, ALL_FAULTS[fault])]);
+    assert_eq!(ending, Ending::Finished);
+    assert_eq!(pipeline.shown, reference());
+    pipeline.assert_no_repeats();
+}
+
+/// Stages that weren't lost run nothing again, wherever another one was.
+#[rstest]
+fn only_the_lost_stage_runs_its_prefix_again(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] exchange: usize,
+) {
+    let (pipeline, ..) = run(vec![(exchange, Fault::DiesBefore)]);
+    let lost = ((exchange - 1) % 3) * 2;
+    for start in [0, 2, 4]
+        .into_iter()
+        .filter(|start| usize::from(*start) != lost)
+    {
+        for position in 0..5 {
+            assert_eq!(
+                pipeline.runs_at(start, position),
+                1,
+                "stage {start}, position {position}"
+            );
+        }
+    }
+}
+
+/// The second fault hits the recovery from the first.
+#[rstest]
+fn a_second_fault_during_recovery_changes_nothing_for_the_caller(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] first: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] second: usize,
+    #[values(2, 6, 10)] exchange: usize,
+) {
+    for gap in 1..=5 {
+        let faults = vec![
+            (exchange, ALL_FAULTS[first]),
+            (exchange + gap, ALL_FAULTS[second]),
+        ];
+        let (pipeline, _, ending) = run(faults);
+        assert_eq!(ending, Ending::Finished, "gap {gap}");
+        assert_eq!(pipeline.shown, reference(), "gap {gap}");
+        pipeline.assert_no_repeats();
+    }
+}
+
+/// Another instance resumes after the first one vanished at any exchange.
+#[rstest]
+fn a_resumed_stream_gives_the_whole_answer_and_runs_nothing_twice(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] vanished_after: usize,
+) {
+    let mut pipeline = Pipeline::new(Vec::new());
+    let mut first = StreamDriver::new(pipeline.spec());
+    assert_eq!(pipeline.run(&mut first, Some(vanished_after)), None);
+    pipeline.shown.clear();
+    let mut second = StreamDriver::resume(pipeline.spec(), 1);
+    assert_eq!(pipeline.run(&mut second, None), Some(Ending::Finished));
+    assert_eq!(pipeline.shown, reference());
+    for start in [0, 2, 4] {
+        for position in 0..5 {
+            assert_eq!(pipeline.runs_at(start, position), 1);
+        }
+    }
+}
+
+/// An owner that wakes up after it was taken over for dead is refused.
+#[test]
+fn a_paused_owner_is_fenced_by_who_took_over() {
+    let mut pipeline = Pipeline::new(Vec::new());
+    let mut paused = StreamDriver::new(pipeline.spec());
+    assert_eq!(pipeline.run(&mut paused, Some(5)), None);
+    pipeline.shown.clear();
+    let mut resumed = StreamDriver::resume(pipeline.spec(), 1);
+    assert_eq!(pipeline.run(&mut resumed, None), Some(Ending::Finished));
+    let stale = StageEvent::Refused {
+        engine: "c1".into(),
+        attempt: paused.attempt(),
+        refusal: rookferry_wire::Refusal::StaleAttempt {
+            newest: resumed.attempt(),
+        },
+    };
+    let actions = paused.on_event(stale);
+    let taken_over = rookferry_core::StreamAction::Abandon {
+        reason: AbandonReason::TakenOver,
+    };
+    assert_eq!(actions, [taken_over]);
+    assert!(!paused.nothing_ran());
+}
+
+/// Work that the engines don't hold is never begun by a resume.
+#[test]
+fn a_resume_never_begins_work() {
+    let mut pipeline = Pipeline::new(Vec::new());
+    let mut driver = StreamDriver::resume(pipeline.spec(), 1);
+    let ending = pipeline.run(&mut driver, None);
+    assert_eq!(ending, Some(Ending::Abandoned(AbandonReason::NotHeld)));
+    assert_eq!(pipeline.runs_at(0, 0), 0);
+    assert!(!driver.nothing_ran(), "another instance may have run it");
+}
+
+/// "Not run" is claimed only while each step was refused before it ran.
+#[rstest]
+#[case(Fault::Leaving, true)]
+#[case(Fault::Overloaded, true)]
+#[case(Fault::DiesBefore, false)]
+#[case(Fault::Frozen, false)]
+fn not_run_needs_the_engines_own_refusal(#[case] fault: Fault, #[case] expected: bool) {
+    let mut pipeline = Pipeline::new([(1, fault)]);
+    let mut driver = StreamDriver::new(pipeline.spec());
+    assert_eq!(pipeline.run(&mut driver, Some(1)), None);
+    let actions = driver.on_event(StageEvent::NoReplacement);
+    assert!(!actions.is_empty());
+    assert_eq!(driver.nothing_ran(), expected);
+}
+
+/// Answers of another attempt, engine or moment reach nobody.
+#[test]
+fn late_and_crossed_answers_are_dropped() {
+    let pipeline = Pipeline::new(Vec::new());
+    let mut driver = StreamDriver::new(pipeline.spec());
+    let _ = driver.start();
+    for (engine, attempt) in [("b1", 1), ("a1", 2), ("a2", 1)] {
+        let event = StageEvent::Done {
+            engine: engine.into(),
+            attempt,
+            output: vec![1, 2, 3],
+        };
+        assert!(driver.on_event(event).is_empty());
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_schedule_of_faults_gives_the_reference_or_none(
+        faults in vec((1_usize..EXCHANGES * 3, select(ALL_FAULTS.to_vec())), 0..8),
+    ) {
+        let (pipeline, _, ending) = run(faults);
+        if ending == Ending::Finished {
+            prop_assert_eq!(&pipeline.shown, &reference());
+        }
+        let shown = pipeline.shown.len();
+        prop_assert_eq!(&pipeline.shown[..], &reference()[..shown]);
+        pipeline.assert_no_repeats();
+    }
+
+    #[test]
+    fn any_two_drivers_in_turn_run_nothing_twice(
+        vanished_after in 1_usize..EXCHANGES,
+        faults in vec((1_usize..EXCHANGES * 2, select(vec![Fault::AnswerLost, Fault::Frozen, Fault::Twice])), 0..4),
+        also_wakes in any::<bool>(),
+    ) {
+        let mut pipeline = Pipeline::new(faults);
+        let mut first = StreamDriver::new(pipeline.spec());
+        let _ = pipeline.run(&mut first, Some(vanished_after));
+        pipeline.shown.clear();
+        let mut second = StreamDriver::resume(pipeline.spec(), 1);
+        let ending = pipeline.run(&mut second, None);
+        if also_wakes {
+            pipeline.wake();
+        }
+        if ending == Some(Ending::Finished) {
+            prop_assert_eq!(&pipeline.shown, &reference());
+        }
+        pipeline.assert_no_repeats();
+    }
+}
+
+/// Found by the schedules above: the owner had moved to a newer attempt before
+/// it vanished, and the resume counted its own attempts from above that one.
+#[test]
+fn a_resume_that_meets_a_newer_attempt_opens_above_it() {
+    let faults = [(1, Fault::AnswerLost), (8, Fault::AnswerLost)];
+    let mut pipeline = Pipeline::new(faults);
+    let mut first = StreamDriver::new(pipeline.spec());
+    assert_eq!(pipeline.run(&mut first, Some(9)), None);
+    pipeline.shown.clear();
+    let mut second = StreamDriver::resume(pipeline.spec(), 1);
+    assert_eq!(pipeline.run(&mut second, None), Some(Ending::Finished));
+    assert!(second.attempt() > first.attempt());
+    assert_eq!(pipeline.shown, reference());
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/support/mod.rs
@@ -0,0 +1,358 @@
+//! A pipeline of fake stages in memory, for tests of streams.
+//!
+//! A layer folds its own former value, the activation, its index and the
+//! position, so that a skipped, repeated or swapped layer changes the answer.
+
+use std::collections::BTreeMap;
+
+use rookferry_core::GateVerdict;
+use rookferry_core::Stage;
+use rookferry_core::StageEvent;
+use rookferry_core::StageGate;
+use rookferry_core::StreamAction;
+use rookferry_core::StreamDriver;
+use rookferry_core::StreamSpec;
+use rookferry_wire::AttemptAnswer;
+use rookferry_wire::AttemptRequest;
+use rookferry_wire::EngineId;
+use rookferry_wire::LayerRange;
+use rookferry_wire::Refusal;
+use rookferry_wire::Step;
+use uuid::Uuid;
+
+pub const LAYERS: u16 = 6;
+pub const PROMPT: [u64; 3] = [11, 12, 13];
+pub const TOKENS: u32 = 4;
+
+/// What goes wrong with one exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The engine dies before it runs the step.
+    DiesBefore,
+    /// The engine dies after it ran the step; its answer is lost.
+    DiesAfter,
+    /// The step runs and only its answer is lost.
+    AnswerLost,
+    /// The engine is frozen; it runs the step when it wakes, at the end.
+    Frozen,
+    /// The engine says that it leaves.
+    Leaving,
+    /// The engine is full.
+    Overloaded,
+    /// The engine has dropped the stream's KV.
+    Evicted,
+    /// The answer arrives twice.
+    Twice,
+}
+
+fn fold(former: u64, activation: u64, layer: u16, position: u32) -> u64 {
+    let mixed = former
+        .wrapping_mul(31)
+        .wrapping_add(activation)
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed.rotate_left(u32::from(layer) + 7) ^ u64::from(position)
+}
+
+/// The answer of a plain loop over all layers.
+pub fn reference() -> Vec<u64> {
+    let mut kv = vec![0; usize::from(LAYERS)];
+    let mut answer = Vec::new();
+    let mut input = PROMPT.to_vec();
+    let mut position = 0;
+    while answer.len() < TOKENS as usize {
+        let mut token = 0;
+        for activation in input {
+            token = activation;
+            for layer in 0..LAYERS {
+                let slot = &mut kv[usize::from(layer)];
+                *slot = fold(*slot, token, layer, position);
+                token = *slot;
+            }
+            position += 1;
+        }
+        answer.push(token);
+        input = vec![token];
+    }
+    answer
+}
+
+#[derive(Clone, Default)]
+struct Held {
+    gate: StageGate,
+    kv: Vec<Vec<u64>>,
+}
+
+/// One engine; a dead one comes back empty.
+#[derive(Clone)]
+pub struct FakeEngine {
+    layers: LayerRange,
+    held: Option<Held>,
+    life: u32,
+    /// Runs by (life, position).
+    pub runs: BTreeMap<(u32, u32), u32>,
+}
+
+impl FakeEngine {
+    fn new(start: u16, end: u16) -> Self {
+        Self {
+            layers: LayerRange { start, end },
+            held: None,
+            life: 0,
+            runs: BTreeMap::new(),
+        }
+    }
+
+    fn die(&mut self) {
+        self.held = None;
+        self.life += 1;
+    }
+
+    fn step(&mut self, step: &Step) -> Result<Vec<u64>, Refusal> {
+        let held = self.held.get_or_insert_default();
+        match held.gate.check(step) {
+            GateVerdict::Refuse(refusal) => return Err(refusal),
+            GateVerdict::Recorded => {}
+            GateVerdict::Run { from } => {
+                let skip = (from - step.position) as usize;
+                for (position, input) in (from..).zip(&step.input[skip..]) {
+                    let zeros = vec![0; usize::from(self.layers.len())];
+                    let before = held.kv.last().unwrap_or(&zeros).clone();
+                    let mut activation = *input;
+                    let mut values = Vec::new();
+                    for (layer, former) in (self.layers.start..self.layers.end).zip(before) {
+                        activation = fold(former, activation, layer, position);
+                        values.push(activation);
+                    }
+                    held.kv.push(values);
+                    held.gate.record(&[activation]);
+                    *self.runs.entry((self.life, position)).or_default() += 1;
+                }
+            }
+        }
+        Ok(held.gate.outputs(step.position, step.input.len()).to_vec())
+    }
+
+    fn open(&mut self, request: AttemptRequest) -> AttemptAnswer {
+        if request.must_exist && self.held.is_none() {
+            return AttemptAnswer::Refused { newest: 0 };
+        }
+        let held = self.held.get_or_insert_default();
+        let answer = held.gate.open(request.attempt, request.keep);
+        if let AttemptAnswer::Opened { kept } = answer {
+            held.kv.truncate(kept as usize);
+        }
+        answer
+    }
+}
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Finished,
+    Abandoned(rookferry_core::AbandonReason),
+}
+
+/// Engines, two for each third of the layers, and what the caller was shown.
+pub struct Pipeline {
+    pub engines: BTreeMap<EngineId, FakeEngine>,
+    pub shown: Vec<u64>,
+    /// Steps that a frozen engine will run when it wakes.
+    asleep: Vec<(EngineId, Step)>,
+    sends: usize,
+    /// Faults by the number of the exchange that they hit.
+    pub faults: BTreeMap<usize, Fault>,
+}
+
+impl Pipeline {
+    pub fn new(faults: impl IntoIterator<Item = (usize, Fault)>) -> Self {
+        let mut engines = BTreeMap::new();
+        for (third, letter) in [(0, 'a'), (1, 'b'), (2, 'c')] {
+            for copy in 1..=2 {
+                let engine = FakeEngine::new(third * 2, third * 2 + 2);
+                engines.insert(format!("{letter}{copy}").into(), engine);
+            }
+        }
+        Self {
+            engines,
+            shown: Vec::new(),
+            asleep: Vec::new(),
+            sends: 0,
+            faults: faults.into_iter().collect(),
+        }
+    }
+
+    pub fn spec(&self) -> StreamSpec {
+        StreamSpec {
+            stream: Uuid::nil(),
+            stages: ["a1", "b1", "c1"]
+                .into_iter()
+                .map(|name| self.stage(name))
+                .collect(),
+            prompt: PROMPT.to_vec(),
+            max_tokens: TOKENS,
+            stop_token: None,
+            priority: 0,
+        }
+    }
+
+    fn stage(&self, name: &str) -> Stage {
+        Stage {
+            engine: name.into(),
+            layers: self.engines[name].layers,
+        }
+    }
+
+    /// Runs a driver to its end, or until `stop_after` exchanges.
+    pub fn run(&mut self, driver: &mut StreamDriver, stop_after: Option<usize>) -> Option<Ending> {
+        let mut actions = driver.start();
+        loop {
+            let mut events = Vec::new();
+            for action in std::mem::take(&mut actions) {
+                if stop_after.is_some_and(|limit| self.sends >= limit) {
+                    return None;
+                }
+                match action {
+                    StreamAction::Emit { index, token } => {
+                        assert_eq!(index as usize, self.shown.len(), "a position is shown once");
+                        self.shown.push(token);
+                    }
+                    StreamAction::Finish => return Some(Ending::Finished),
+                    StreamAction::Abandon { reason } => return Some(Ending::Abandoned(reason)),
+                    other => events.extend(self.carry_out(other)),
+                }
+            }
+            for event in events {
+                actions.extend(driver.on_event(event));
+            }
+            assert!(!actions.is_empty(), "the driver waits for nothing");
+        }
+    }
+
+    /// Frozen engines wake and run what they had been sent.
+    pub fn wake(&mut self) {
+        for (name, step) in std::mem::take(&mut self.asleep) {
+            if let Some(engine) = self.engines.get_mut(&name) {
+                let _ = engine.step(&step);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: StreamAction) -> Vec<StageEvent> {
+        match action {
+            StreamAction::Open { engine, request } => vec![self.open(engine, request)],
+            StreamAction::Send { engine, step } => self.send(engine, &step),
+            StreamAction::Replace { layers, lost } => {
+                let other = self
+                    .engines
+                    .iter()
+                    .find(|(name, engine)| **name != lost && engine.layers == layers);
+                let stages = other.map(|(name, _)| vec![self.stage(name)]);
+                vec![StageEvent::Replaced {
+                    stages: stages.expect("each range has two engines"),
+                }]
+            }
+            StreamAction::Emit { .. } | StreamAction::Finish | StreamAction::Abandon { .. } => {
+                Vec::new()
+            }
+        }
+    }
+
+    fn open(&mut self, engine: EngineId, request: AttemptRequest) -> StageEvent {
+        let attempt = request.attempt;
+        self.sends += 1;
+        let fault = self.faults.remove(&self.sends);
+        let held = self.engines.get_mut(&engine).expect("a known engine");
+        if matches!(fault, Some(Fault::DiesBefore | Fault::DiesAfter)) {
+            held.die();
+            return StageEvent::Lost { engine, attempt };
+        }
+        let answer = held.open(request);
+        if matches!(fault, Some(Fault::AnswerLost | Fault::Frozen)) {
+            return StageEvent::Lost { engine, attempt };
+        }
+        match answer {
+            AttemptAnswer::Opened { kept } => StageEvent::Opened {
+                engine,
+                attempt,
+                kept,
+            },
+            AttemptAnswer::Refused { newest } => StageEvent::OpenRefused {
+                engine,
+                attempt,
+                newest,
+            },
+        }
+    }
+
+    fn send(&mut self, engine: EngineId, step: &Step) -> Vec<StageEvent> {
+        let attempt = step.attempt;
+        self.sends += 1;
+        let fault = self.faults.remove(&self.sends);
+        let held = self.engines.get_mut(&engine).expect("a known engine");
+        let lost = StageEvent::Lost {
+            engine: engine.clone(),
+            attempt,
+        };
+        let refused = |refusal| StageEvent::Refused {
+            engine: engine.clone(),
+            attempt,
+            refusal,
+        };
+        match fault {
+            Some(Fault::DiesBefore) => {
+                held.die();
+                return vec![lost];
+            }
+            Some(Fault::DiesAfter) => {
+                let _ = held.step(step);
+                held.die();
+                return vec![lost];
+            }
+            Some(Fault::AnswerLost) => {
+                let _ = held.step(step);
+                return vec![lost];
+            }
+            Some(Fault::Frozen) => {
+                self.asleep.push((engine, step.clone()));
+                return vec![lost];
+            }
+            Some(Fault::Leaving) => return vec![refused(Refusal::Leaving)],
+            Some(Fault::Overloaded) => return vec![refused(Refusal::Overloaded)],
+            Some(Fault::Evicted) => held.die(),
+            Some(Fault::Twice) | None => {}
+        }
+        let event = match held.step(step) {
+            Ok(output) => StageEvent::Done {
+                engine,
+                attempt,
+                output,
+            },
+            Err(refusal) => refused(refusal),
+        };
+        if fault == Some(Fault::Twice) {
+            return vec![event.clone(), event];
+        }
+        vec![event]
+    }
+
+    /// No engine ran a position twice within one of its lives.
+    pub fn assert_no_repeats(&self) {
+        for (name, engine) in &self.engines {
+            for ((life, position), runs) in &engine.runs {
+                assert_eq!(*runs, 1, "{name}, life {life}, position {position}");
+            }
+        }
+    }
+
+    /// Runs of a position on all engines of the stage that begins at a layer.
+    pub fn runs_at(&self, start: u16, position: u32) -> u32 {
+        let engines = self
+            .engines
+            .values()
+            .filter(|engine| engine.layers.start == start);
+        let runs = engines.flat_map(|engine| &engine.runs);
+        runs.filter(|((_, at), _)| *at == position)
+            .map(|(_, runs)| runs)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/tickets.rs
@@ -0,0 +1,77 @@
+//! Tickets: only the run that minted one dispatches it, and once.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::TicketBook;
+use rookferry_core::TicketFault;
+use rookferry_core::TicketState;
+
+fn book(instance: &str, incarnation: u64) -> TicketBook {
+    TicketBook::new(
+        instance.into(),
+        incarnation,
+        "secret of the site".to_owned(),
+    )
+}
+
+#[test]
+fn a_ticket_is_dispatched_once() {
+    let now = Instant::now();
+    let mut own = book("entry-1", 5);
+    let ticket = own.mint(now).expect("a ticket");
+    assert!(TicketBook::is_ticket(&ticket));
+    assert_eq!(own.redeem(now, &ticket, "body"), Ok(TicketState::Dispatch));
+    assert_eq!(
+        own.redeem(now, &ticket, "body"),
+        Ok(TicketState::Dispatched)
+    );
+    assert_eq!(
+        own.redeem(now, &ticket, "other"),
+        Err(TicketFault::OtherBody)
+    );
+}
+
+#[test]
+fn nobody_else_dispatches_it() {
+    let now = Instant::now();
+    let ticket = book("entry-1", 5).mint(now).expect("a ticket");
+    let elsewhere = TicketFault::Elsewhere {
+        instance: "entry-1".into(),
+    };
+    assert_eq!(
+        book("entry-2", 5).redeem(now, &ticket, "body"),
+        Err(elsewhere)
+    );
+    assert_eq!(
+        book("entry-1", 6).redeem(now, &ticket, "body"),
+        Err(TicketFault::EarlierRun)
+    );
+}
+
+#[test]
+fn a_changed_or_foreign_one_is_refused() {
+    let now = Instant::now();
+    let mut own = book("entry-1", 5);
+    let ticket = own.mint(now).expect("a ticket");
+    let changed = ticket.replacen(".1.", ".2.", 1);
+    assert_eq!(own.redeem(now, &changed, "body"), Err(TicketFault::Foreign));
+    let mut foreign = TicketBook::new("entry-1".into(), 5, "another secret".to_owned());
+    assert_eq!(
+        foreign.redeem(now, &ticket, "body"),
+        Err(TicketFault::Foreign)
+    );
+    assert_eq!(own.redeem(now, "rft1", "body"), Err(TicketFault::Foreign));
+}
+
+#[test]
+fn an_old_one_never_runs() {
+    let now = Instant::now();
+    let mut own = book("entry-1", 5);
+    let ticket = own.mint(now).expect("a ticket");
+    let later = now + Duration::from_hours(2);
+    assert_eq!(
+        own.redeem(later, &ticket, "body"),
+        Err(TicketFault::Expired)
+    );
+}
