fix(entry): two untruths under failure, found by tests with real processes

Stream that never got its stage back. Cause: the search for other engines excluded every engine of the driver's stages, the lost stage's own among them, so that a stage whose last engine was the only one to come back was waited for in vain until the deadline. Ruled out: discovery (the engine was listed as live), the cost penalty (an excluded engine has no cost). "Unknown" told for work that was about to run. Cause: a call passed on to the owner could arrive between the claim's write on the platform and the owner's hearing of it; the owner then knew nothing of its own claim. Keys are now marked while they are claimed.

--- a/crates/rookferry_entry/src/answers.rs
+++ b/crates/rookferry_entry/src/answers.rs
@@ -39,6 +39,27 @@
 struct Inner {
     keys: HashMap<String, KeyState>,
     finished: VecDeque<String>,
+    /// How many calls of a key are being claimed.
+    claiming: HashMap<String, usize>,
+}
+
+/// Marks a key as being claimed until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Claiming<'a> {
+    answers: &'a Answers,
+    digest: String,
+}
+
+impl Drop for Claiming<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.answers.lock();
+        if let Some(count) = inner.claiming.get_mut(&self.digest) {
+            *count -= 1;
+            if *count == 0 {
+                inner.claiming.remove(&self.digest);
+            }
+        }
+    }
 }
 
 /// The keys of one run of an instance, by digest.
@@ -56,13 +77,25 @@
         }
     }
 
-    /// What is known of a key.
+    /// What is known of a key. One that another call is claiming counts as
+    /// running: its claim may be written before this instance hears of it.
     pub(crate) fn state(&self, digest: &str) -> KeyState {
-        self.lock()
-            .keys
-            .get(digest)
-            .cloned()
-            .unwrap_or(KeyState::Absent)
+        let inner = self.lock();
+        match inner.keys.get(digest) {
+            Some(state) => state.clone(),
+            None if inner.claiming.contains_key(digest) => KeyState::Running,
+            None => KeyState::Absent,
+        }
+    }
+
+    /// Marks a key as being claimed.
+    pub(crate) fn claiming(&self, digest: &str) -> Claiming<'_> {
+        let mut inner = self.lock();
+        *inner.claiming.entry(digest.to_owned()).or_default() += 1;
+        Claiming {
+            answers: self,
+            digest: digest.to_owned(),
+        }
     }
 
     /// Marks a key as running. `false` if it runs or has run here; then it
--- a/crates/rookferry_entry/src/http/keyed.rs
+++ b/crates/rookferry_entry/src/http/keyed.rs
@@ -189,9 +189,15 @@
         at_ms: now_ms(),
     };
     let window_ms = call.snapshot.table.config().policy.key_window_ms;
-    match entry.claims.claim(&keyed.key, claim, window_ms).await {
+    let claiming = entry.answers.claiming(&keyed.key.digest);
+    let answer = entry.claims.claim(&keyed.key, claim, window_ms).await;
+    match answer {
+        // Begun before the mark goes, so that the key is never seen as absent.
         ClaimAnswer::Granted => begin(entry, call, keyed, is_stream),
-        ClaimAnswer::Taken(claim) => settle_taken(entry, call, keyed, claim, is_stream).await,
+        ClaimAnswer::Taken(claim) => {
+            drop(claiming);
+            settle_taken(entry, call, keyed, claim, is_stream).await
+        }
         ClaimAnswer::Refused(refusal) => KeyVerdict::Respond(refuse_claim(entry, call, refusal)),
     }
 }
--- a/crates/rookferry_entry/src/runner.rs
+++ b/crates/rookferry_entry/src/runner.rs
@@ -242,12 +242,10 @@
         let Some(graph) = snapshot.fleet.graph(&self.need.pool, &self.need.model) else {
             return Vec::new();
         };
-        let own = self
-            .driver
-            .stages()
-            .iter()
-            .map(|stage| stage.engine.clone());
-        let excluded: Vec<EngineId> = self.lost.iter().cloned().chain(own).collect();
+        // The stage that is replaced may go to its own engine again, once that
+        // is no longer excluded: it may be the only one to come back.
+        let kept = self.kept_stages(layers).map(|stage| stage.engine.clone());
+        let excluded: Vec<EngineId> = self.lost.iter().cloned().chain(kept).collect();
         let request = ChainRequest {
             layers,
             excluded: &excluded,
@@ -263,9 +261,7 @@
     }
 
     fn note_chain(&mut self, layers: LayerRange, stages: &[Stage]) {
-        let kept = self.driver.stages().iter();
-        let kept = kept
-            .filter(|stage| stage.layers.end <= layers.start || stage.layers.start >= layers.end);
+        let kept = self.kept_stages(layers);
         let mut chain: Vec<&Stage> = kept.chain(stages).collect();
         chain.sort_by_key(|stage| stage.layers);
         self.chains.push(
@@ -276,6 +272,14 @@
         );
     }
 
+    /// The stages beside those that hold the given layers.
+    fn kept_stages(&self, layers: LayerRange) -> impl Iterator<Item = &Stage> {
+        let stages = self.driver.stages().iter();
+        stages.filter(move |stage| {
+            stage.layers.end <= layers.start || stage.layers.start >= layers.end
+        })
+    }
+
     fn step_timeout(&self, engine: &str, positions: u32) -> Duration {
         let snapshot = self.entry.snapshot.load();
         let policy = &snapshot.table.config().policy;
