feat(controller): fenced orders under a lease, and a rollout that cuts nothing

Cause: placement rules had no one to carry them out, and a load order on an engine with streams would cut them off.

What it is: a controller beside each entry instance; the holder of a failure domain's lease drains a few engines at a time, only while the others cover all layers, loads them and puts them back. It reads configuration and engines from the entry instance beside it, so that it costs the platform the lease alone.

A test of the planner first expected the load at 30 s; it counts from when the engine says that it drains, so 31 s is right. The test was wrong, and is as strict now.

--- /dev/null
+++ b/crates/rookferry_controller/src/controller.rs
@@ -0,0 +1,209 @@
+//! Holds the lease and sends what the planner finds due.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use rand::RngExt;
+use rookferry_core::Engine;
+use rookferry_core::EngineState;
+use rookferry_core::EngineStats;
+use rookferry_core::Lease;
+use rookferry_core::LeaseAction;
+use rookferry_core::NeededOrder;
+use rookferry_core::PlacementPlanner;
+use rookferry_core::SiteConfig;
+use rookferry_net::EngineTransport;
+use rookferry_net::HttpClient;
+use rookferry_net::HttpEngines;
+use rookferry_net::HttpPlatform;
+use rookferry_net::Platform;
+use rookferry_wire::FleetEngine;
+use rookferry_wire::LEASES_KIND;
+use rookferry_wire::LoadReport;
+use rookferry_wire::OrderAnswer;
+use rookferry_wire::OrderRequest;
+use rookferry_wire::PutAnswer;
+use rookferry_wire::PutRequest;
+use serde::Deserialize;
+use slog::Logger;
+use slog::debug;
+use slog::info;
+use slog::warn;
+
+use crate::ControllerSettings;
+
+/// How long the entry instance may take to answer.
+const ENTRY_WAIT: Duration = Duration::from_secs(2);
+/// Looks at the lease in its duration.
+const LOOKS_PER_LEASE: u32 = 6;
+
+/// What `/v1/config` of an entry instance gives.
+#[derive(Deserialize)]
+struct InForce {
+    value: serde_json::Value,
+}
+
+/// One controller.
+pub struct Controller {
+    settings: ControllerSettings,
+    log: Logger,
+    client: HttpClient,
+    platform: Arc<dyn Platform>,
+    engines: Arc<dyn EngineTransport>,
+    lease: Lease,
+    planner: PlacementPlanner,
+    next_look: Instant,
+}
+
+impl Controller {
+    /// A controller that holds nothing.
+    #[must_use]
+    pub fn new(settings: ControllerSettings, log: Logger) -> Self {
+        let client = HttpClient::new();
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let incarnation = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            platform: Arc::new(HttpPlatform::new(client.clone(), settings.platform)),
+            engines: Arc::new(HttpEngines::new(client.clone())),
+            lease: Lease::new(
+                settings.instance.as_str().into(),
+                incarnation,
+                settings.timing(),
+            ),
+            planner: PlacementPlanner::new(settings.limits()),
+            next_look: Instant::now(),
+            client,
+            log,
+            settings,
+        }
+    }
+
+    /// Runs until the task is dropped.
+    pub async fn run(mut self) {
+        let interval = Duration::from_millis(self.settings.interval_ms);
+        loop {
+            if Instant::now() >= self.next_look {
+                self.look_at_lease().await;
+            }
+            if self.lease.fence_for(Instant::now(), true).is_some() {
+                self.give_orders().await;
+            }
+            tokio::time::sleep(interval).await;
+        }
+    }
+
+    async fn look_at_lease(&mut self) {
+        let part = self.settings.timing().duration / LOOKS_PER_LEASE;
+        self.next_look = Instant::now() + part.mul_f64(rand::rng().random_range(0.7..1.0));
+        let asked_at = Instant::now();
+        let domain = self.settings.failure_domain.clone();
+        match self.platform.get(LEASES_KIND, &domain).await {
+            Ok(current) => self.lease.observed(asked_at, current.as_ref()),
+            Err(error) => {
+                debug!(self.log, "Controller::look_at_lease: not read"; "part" => "lease", "error" => %error);
+                return;
+            }
+        }
+        let LeaseAction::Write { expected, object } = self.lease.next(Instant::now()) else {
+            return;
+        };
+        let value = serde_json::to_value(&object).unwrap_or_default();
+        let sent_at = Instant::now();
+        match self
+            .platform
+            .put(LEASES_KIND, &domain, PutRequest { expected, value })
+            .await
+        {
+            Ok(PutAnswer::Written { version }) => {
+                debug!(self.log, "Controller::look_at_lease: held"; "part" => "lease", "fence" => object.fence);
+                self.lease.written(sent_at, version, object);
+            }
+            Ok(PutAnswer::Conflict { current }) => self.lease.observed(sent_at, current.as_ref()),
+            // A write that took effect unheard is seen at the next look.
+            Err(error) => {
+                info!(self.log, "lease: not written"; "part" => "lease", "error" => %error);
+            }
+        }
+    }
+
+    async fn give_orders(&mut self) {
+        let Some((config, engines)) = self.read_entry().await else {
+            return;
+        };
+        let orders = self.planner.plan(Instant::now(), &config, &engines);
+        for order in orders {
+            let engine = engines
+                .iter()
+                .find(|engine| engine.info.engine == order.engine);
+            if let Some(engine) = engine {
+                self.send(engine, order).await;
+            }
+        }
+    }
+
+    async fn send(&self, engine: &Engine, needed: NeededOrder) {
+        let name = needed.engine;
+        let rule = needed.rule;
+        // Looked at just before the sending: the lease may have lapsed while
+        // this process was paused or an earlier order took long.
+        let Some(fence) = self
+            .lease
+            .fence_for(Instant::now(), engine.info.checks_fences)
+        else {
+            return;
+        };
+        let request = OrderRequest {
+            fence,
+            order: needed.order.clone(),
+        };
+        match self.engines.order(engine.addr, request).await {
+            Ok(OrderAnswer::Accepted) => info!(self.log, "orders: accepted";
+                "part" => "orders", "engine" => %name, "rule" => rule, "order" => ?needed.order, "fence" => fence),
+            Ok(OrderAnswer::Fenced { highest }) => warn!(self.log, "orders: fenced off";
+                "part" => "orders", "engine" => %name, "fence" => fence, "highest" => highest),
+            Err(error) => warn!(self.log, "orders: no answer";
+                "part" => "orders", "engine" => %name, "error" => %error),
+        }
+    }
+
+    /// Configuration and own engines from the entry instance beside.
+    async fn read_entry(&self) -> Option<(SiteConfig, Vec<Engine>)> {
+        let entry = self.settings.entry;
+        let in_force: InForce = self
+            .client
+            .get(entry, "/v1/config", ENTRY_WAIT)
+            .await
+            .ok()?;
+        let config = SiteConfig::from_json(&in_force.value.to_string()).ok()?;
+        let fleet: Vec<FleetEngine> = self.client.get(entry, "/v1/fleet", ENTRY_WAIT).await.ok()?;
+        let own = fleet
+            .into_iter()
+            .filter(|engine| *engine.failure_domain == *self.settings.failure_domain);
+        Some((config, own.map(engine_of).collect()))
+    }
+}
+
+fn engine_of(engine: FleetEngine) -> Engine {
+    let stats = EngineStats::new();
+    let report = LoadReport {
+        streams: engine.streams,
+        ..LoadReport::default()
+    };
+    stats.reported(Instant::now(), &report);
+    Engine {
+        info: engine.info,
+        addr: engine.addr,
+        failure_domain: engine.failure_domain,
+        state: if engine.is_lost {
+            EngineState::Lost
+        } else {
+            EngineState::Live
+        },
+        stats: Arc::new(stats),
+    }
+}
--- a/crates/rookferry_controller/src/main.rs
+++ b/crates/rookferry_controller/src/main.rs
@@ -1,3 +1,56 @@
-//! Fenced orders to engines under a lease; begins with the next change.
+//! Runs one controller until it is told to stop.
 
-fn main() {}
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use rookferry_controller::Controller;
+use rookferry_controller::ControllerSettings;
+use rookferry_net::root_logger;
+use slog::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Gives engines fenced orders under the lease of a failure domain.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// The controller's settings, as JSON.
+    #[arg(long)]
+    config: PathBuf,
+    /// Checks the settings, prints every fault, and exits.
+    #[arg(long)]
+    check: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(Args::parse()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("rookferry-controller: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: Args) -> Result<(), String> {
+    let text = fs::read_to_string(&args.config)
+        .map_err(|error| format!("{}: {error}", args.config.display()))?;
+    let settings = ControllerSettings::from_json(&text).map_err(|faults| faults.to_string())?;
+    if args.check {
+        println!("{}: no faults", args.config.display());
+        return Ok(());
+    }
+    let log = root_logger(settings.log_format, &settings.instance);
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    info!(log, "controller: started"; "part" => "controller");
+    tokio::select! {
+        () = Controller::new(settings, log.clone()).run() => {}
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    info!(log, "controller: stopped"; "part" => "controller");
+    Ok(())
+}
--- a/crates/rookferry_core/src/placement.rs
+++ b/crates/rookferry_core/src/placement.rs
@@ -1,14 +1,37 @@
 //! Which orders engines need so that the placement rules hold.
+//!
+//! An engine that is to load something else is first told to drain: its role
+//! becomes [`DRAINING_ROLE`], instances give it no new work, and its streams
+//! finish. Only then is it told to load, and after that to serve. Engines are
+//! taken out a few at a time, and only while the others cover every layer, so
+//! that a change of version cuts off no request. All of it is read from what
+//! engines say of themselves, so that another holder of the lease can go on.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
 
 use rookferry_wire::EngineId;
-use rookferry_wire::EngineInfo;
 use rookferry_wire::Order;
 
 use crate::Engine;
 use crate::EngineState;
+use crate::LayerGraph;
 use crate::PlacementRule;
 use crate::SiteConfig;
 
+/// Role of an engine that gets no new work.
+pub const DRAINING_ROLE: &str = "draining";
+/// Role of an engine whose rule names none.
+pub const SERVING_ROLE: &str = "serving";
+
+/// Label that holds an engine's role.
+const ROLE_LABEL: &str = "role";
+/// How long instances may take to hear that an engine drains.
+const HEARD_AFTER: Duration = Duration::from_secs(2);
+/// How long an order may take to show before it is given again.
+const ORDER_PATIENCE: Duration = Duration::from_secs(5);
+
 /// An order that an engine needs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NeededOrder {
@@ -20,46 +43,188 @@
     pub order: Order,
 }
 
-/// The orders that are missing, at most `limit`, so that loads stay within
-/// the weight store's rate.
-///
-/// The first rule whose selector matches an engine counts.
-#[must_use]
-pub fn needed_orders(config: &SiteConfig, engines: &[Engine], limit: usize) -> Vec<NeededOrder> {
-    let live = engines
-        .iter()
-        .filter(|engine| engine.state == EngineState::Live);
-    live.filter_map(|engine| {
-        let labels = engine.labels();
-        let rule = config
-            .placement
-            .iter()
-            .find(|rule| rule.selector.matches(&labels))?;
-        let order = order_for(rule, &engine.info)?;
-        Some(NeededOrder {
-            engine: engine.info.engine.clone(),
-            rule: rule.name.clone(),
-            order,
-        })
-    })
-    .take(limit)
-    .collect()
+/// Bounds on what is ordered.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementLimits {
+    /// Engines that drain or load at once.
+    pub at_once: usize,
+    /// The least time between two loads, for the weight store's rate.
+    pub load_interval: Duration,
+    /// How long streams may take to finish; then they go on elsewhere.
+    pub drain_timeout: Duration,
+}
+
+/// Plans orders for the engines of one failure domain.
+#[derive(Debug)]
+pub struct PlacementPlanner {
+    limits: PlacementLimits,
+    last_load: Option<Instant>,
+    draining_since: BTreeMap<EngineId, Instant>,
+    ordered: BTreeMap<EngineId, (Instant, Order)>,
 }
 
-fn order_for(rule: &PlacementRule, info: &EngineInfo) -> Option<Order> {
-    let is_loaded = *info.model == *rule.model
-        && info.model_version == rule.version
-        && info.layers == rule.layers;
-    if !is_loaded {
-        return Some(Order::Load {
+impl PlacementPlanner {
+    /// A planner that has ordered nothing.
+    #[must_use]
+    pub const fn new(limits: PlacementLimits) -> Self {
+        Self {
+            limits,
+            last_load: None,
+            draining_since: BTreeMap::new(),
+            ordered: BTreeMap::new(),
+        }
+    }
+
+    /// The orders that are due.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        config: &SiteConfig,
+        engines: &[Engine],
+    ) -> Vec<NeededOrder> {
+        self.note_draining(now, engines);
+        let mut out: Vec<usize> = Vec::new();
+        let mut orders = Vec::new();
+        for (index, engine) in engines.iter().enumerate() {
+            let labels = engine.labels();
+            let rule = config
+                .placement
+                .iter()
+                .find(|rule| rule.selector.matches(&labels));
+            let Some(rule) = rule.filter(|_| engine.state != EngineState::Lost) else {
+                continue;
+            };
+            let Some(order) = self.next_order(now, config, engines, index, rule, &mut out) else {
+                continue;
+            };
+            if self.is_pending(now, &engine.info.engine, &order) {
+                continue;
+            }
+            if matches!(order, Order::Load { .. }) {
+                self.last_load = Some(now);
+            }
+            self.ordered
+                .insert(engine.info.engine.clone(), (now, order.clone()));
+            orders.push(NeededOrder {
+                engine: engine.info.engine.clone(),
+                rule: rule.name.clone(),
+                order,
+            });
+        }
+        orders
+    }
+
+    fn next_order(
+        &self,
+        now: Instant,
+        config: &SiteConfig,
+        engines: &[Engine],
+        index: usize,
+        rule: &PlacementRule,
+        out: &mut Vec<usize>,
+    ) -> Option<Order> {
+        let engine = &engines[index];
+        if is_loaded(rule, engine) {
+            let wanted = rule.role.as_deref().unwrap_or(SERVING_ROLE);
+            let current = role_of(engine);
+            let is_right = current == Some(wanted) || (current.is_none() && rule.role.is_none());
+            return (!is_right).then(|| set_role(wanted));
+        }
+        if role_of(engine) != Some(DRAINING_ROLE) {
+            let may_drain = self.draining(engines) + out.len() < self.limits.at_once
+                && is_covered_without(config, engines, index, out);
+            if !may_drain {
+                return None;
+            }
+            out.push(index);
+            return Some(set_role(DRAINING_ROLE));
+        }
+        let since = self.draining_since.get(&engine.info.engine)?;
+        let drained_for = now.saturating_duration_since(*since);
+        let is_empty = drained_for >= HEARD_AFTER && engine.stats.streams() == 0;
+        let may_load = self
+            .last_load
+            .is_none_or(|last| now.saturating_duration_since(last) >= self.limits.load_interval);
+        if !may_load || !(is_empty || drained_for >= self.limits.drain_timeout) {
+            return None;
+        }
+        Some(Order::Load {
             model: rule.model.as_str().into(),
             version: rule.version.clone(),
             layers: rule.layers,
-        });
+        })
     }
-    let wanted = rule.role.as_ref()?;
-    let is_set = info.labels.get("role") == Some(wanted);
-    (!is_set).then(|| Order::SetRole {
-        role: wanted.clone(),
-    })
+
+    fn note_draining(&mut self, now: Instant, engines: &[Engine]) {
+        let draining: Vec<EngineId> = engines
+            .iter()
+            .filter(|engine| role_of(engine) == Some(DRAINING_ROLE))
+            .map(|engine| engine.info.engine.clone())
+            .collect();
+        self.draining_since
+            .retain(|engine, _| draining.contains(engine));
+        for engine in draining {
+            self.draining_since.entry(engine).or_insert(now);
+        }
+    }
+
+    fn draining(&self, engines: &[Engine]) -> usize {
+        let known = engines.iter().map(|engine| &engine.info.engine);
+        known
+            .filter(|engine| self.draining_since.contains_key(*engine))
+            .count()
+    }
+
+    /// Whether the same order was given a moment ago.
+    fn is_pending(&self, now: Instant, engine: &EngineId, order: &Order) -> bool {
+        let given = self.ordered.get(engine);
+        given.is_some_and(|(at, given)| {
+            given == order && now.saturating_duration_since(*at) < ORDER_PATIENCE
+        })
+    }
+}
+
+/// Whether an engine says that it gets no new work.
+#[must_use]
+pub fn is_draining(engine: &Engine) -> bool {
+    role_of(engine) == Some(DRAINING_ROLE)
+}
+
+fn is_loaded(rule: &PlacementRule, engine: &Engine) -> bool {
+    let info = &engine.info;
+    *info.model == *rule.model && info.model_version == rule.version && info.layers == rule.layers
+}
+
+fn role_of(engine: &Engine) -> Option<&str> {
+    engine.info.labels.get(ROLE_LABEL).map(String::as_str)
+}
+
+fn set_role(role: &str) -> Order {
+    Order::SetRole {
+        role: role.to_owned(),
+    }
+}
+
+/// Whether the model that an engine serves stays covered when it goes, or
+/// wasn't covered anyway.
+fn is_covered_without(
+    config: &SiteConfig,
+    engines: &[Engine],
+    index: usize,
+    out: &[usize],
+) -> bool {
+    let model = &engines[index].info.model;
+    let Some(model_config) = config.models.get(&**model) else {
+        return true;
+    };
+    let serving = |engine: &Engine| {
+        engine.info.model == *model && engine.state == EngineState::Live && !is_draining(engine)
+    };
+    let all: Vec<usize> = (0..engines.len())
+        .filter(|other| serving(&engines[*other]) && !out.contains(other))
+        .collect();
+    let rest = all.iter().copied().filter(|other| *other != index);
+    let with = LayerGraph::new(model_config.layers, engines, all.iter().copied());
+    let without = LayerGraph::new(model_config.layers, engines, rest);
+    without.is_covered(engines) || !with.is_covered(engines)
 }
--- /dev/null
+++ b/crates/rookferry_core/tests/members.rs
@@ -0,0 +1,191 @@
+//! Heartbeats: replays, restarts, suspicion, plans, and authenticated bytes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+use rookferry_core::HeartbeatFault;
+use rookferry_core::HeartbeatPlan;
+use rookferry_core::MemberState;
+use rookferry_core::MemberTable;
+use rookferry_core::PeerTarget;
+use rookferry_core::home_of;
+use rookferry_wire::DatagramKey;
+use rookferry_wire::Heartbeat;
+use rookferry_wire::InstanceId;
+use rookferry_wire::MAX_DATAGRAM_BYTES;
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn heartbeat(instance: &str, incarnation: u64, seq: u64) -> Heartbeat {
+    Heartbeat {
+        instance: instance.into(),
+        incarnation,
+        seq,
+        failure_domain: "domain-1".into(),
+        peer_addr: addr(1),
+        config_version: 1,
+        leaving: false,
+        pools: Vec::new(),
+    }
+}
+
+fn table() -> MemberTable {
+    MemberTable::new("own".into(), 9, "domain-1".into())
+}
+
+#[test]
+fn replayed_and_older_heartbeats_are_dropped() {
+    let now = Instant::now();
+    let mut table = table();
+    assert_eq!(table.on_heartbeat(now, heartbeat("a", 5, 7)), Ok(true));
+    assert_eq!(table.on_heartbeat(now, heartbeat("a", 5, 8)), Ok(false));
+    for (incarnation, seq) in [(5, 8), (5, 2), (4, 100)] {
+        let stale = table.on_heartbeat(now, heartbeat("a", incarnation, seq));
+        assert!(matches!(stale, Err(HeartbeatFault::Stale { .. })));
+    }
+    assert_eq!(table.on_heartbeat(now, heartbeat("a", 6, 1)), Ok(true));
+}
+
+#[test]
+fn another_run_under_the_own_name_is_seen() {
+    let mut table = table();
+    let now = Instant::now();
+    assert_eq!(
+        table.on_heartbeat(now, heartbeat("own", 9, 1)),
+        Err(HeartbeatFault::Own)
+    );
+    let other = table.on_heartbeat(now, heartbeat("own", 10, 1));
+    assert_eq!(other, Err(HeartbeatFault::SameName { incarnation: 10 }));
+}
+
+#[test]
+fn silence_is_suspected_and_then_forgotten() {
+    let start = Instant::now();
+    let mut table = table();
+    assert!(table.on_heartbeat(start, heartbeat("a", 5, 1)).is_ok());
+    assert!(table.tick(start + Duration::from_secs(1)).is_empty());
+    let suspected = table.tick(start + Duration::from_secs(2));
+    assert_eq!(suspected, [InstanceId::from("a")]);
+    assert!(
+        table.tick(start + Duration::from_secs(3)).is_empty(),
+        "told once"
+    );
+    assert_eq!(table.live_near(), [InstanceId::from("own")]);
+    let later = start + Duration::from_secs(4);
+    assert_eq!(table.on_heartbeat(later, heartbeat("a", 5, 2)), Ok(true));
+    assert_eq!(
+        table.get("a").map(|member| member.state),
+        Some(MemberState::Live)
+    );
+    let _ = table.tick(later + Duration::from_mins(3));
+    assert!(table.get("a").is_none());
+}
+
+#[test]
+fn a_flood_of_names_is_bounded() {
+    let now = Instant::now();
+    let mut table = table();
+    let taken = (0..2_000).filter(|number| {
+        let name = format!("name-{number}");
+        table.on_heartbeat(now, heartbeat(&name, 1, 1)).is_ok()
+    });
+    assert!(taken.count() < 2_000);
+}
+
+fn peers(domains: u16, each: u16) -> Vec<PeerTarget> {
+    let mut peers = Vec::new();
+    for domain in 0..domains {
+        for number in 0..each {
+            peers.push(PeerTarget {
+                instance: format!("entry-{domain}-{number}").into(),
+                failure_domain: format!("domain-{domain}").into(),
+                addr: addr(domain * 100 + number + 1),
+            });
+        }
+    }
+    peers
+}
+
+/// At the size of the letter: 14 domains of 26 or 27 instances.
+#[test]
+fn the_plan_stays_within_its_bytes_at_full_size() {
+    const BUDGET: u32 = 8_000;
+    const DATAGRAM: usize = 110;
+    let mut plan = HeartbeatPlan::new("domain-0".into(), BUDGET);
+    let peers = peers(14, 26);
+    let round = plan.next_round(&peers);
+    let near = round
+        .iter()
+        .filter(|peer| *peer.failure_domain == *"domain-0");
+    assert_eq!(near.count(), 26, "its own domain in full");
+    assert_eq!(round.len(), 26 + 13, "one of each other domain");
+    let interval = plan.interval(round.len(), DATAGRAM);
+    let per_s = (round.len() * DATAGRAM) as f64 / interval.as_secs_f64();
+    assert!(per_s <= f64::from(BUDGET) * 1.01, "{per_s}");
+}
+
+#[test]
+fn every_far_peer_gets_its_turn() {
+    let mut plan = HeartbeatPlan::new("domain-0".into(), 8_000);
+    let peers = peers(3, 5);
+    let mut told: Vec<String> = Vec::new();
+    for _ in 0..5 {
+        told.extend(
+            plan.next_round(&peers)
+                .iter()
+                .map(|peer| peer.instance.to_string()),
+        );
+    }
+    assert!(
+        peers
+            .iter()
+            .all(|peer| told.contains(&peer.instance.to_string()))
+    );
+}
+
+#[test]
+fn when_an_instance_goes_only_its_names_move() {
+    let all: Vec<InstanceId> = (0..9)
+        .map(|number| format!("entry-{number}").into())
+        .collect();
+    let rest: Vec<InstanceId> = all
+        .iter()
+        .filter(|name| ***name != *"entry-4")
+        .cloned()
+        .collect();
+    for number in 0..500 {
+        let name = format!("object-{number}");
+        let before = home_of(&name, &all).expect("a home");
+        let after = home_of(&name, &rest).expect("a home");
+        assert!(before == after || **before == *"entry-4");
+    }
+}
+
+#[test]
+fn a_changed_datagram_is_dropped() {
+    let key = DatagramKey::from_secret("secret of the site");
+    let sealed = key.seal(&heartbeat("a", 1, 1)).expect("it fits");
+    assert_eq!(key.open(&sealed), Ok(heartbeat("a", 1, 1)));
+    for index in 0..sealed.len() {
+        let mut changed = sealed.clone();
+        changed[index] ^= 1;
+        assert!(key.open(&changed).is_err(), "byte {index}");
+    }
+    let other = DatagramKey::from_secret("another secret");
+    assert!(other.open(&sealed).is_err());
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_dropped(bytes in vec(any::<u8>(), 0..MAX_DATAGRAM_BYTES + 50)) {
+        let key = DatagramKey::from_secret("secret of the site");
+        prop_assert!(key.open(&bytes).is_err());
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/routing.rs
@@ -0,0 +1,387 @@
+//! The choice of chains, learned figures, the bound, and placement.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::collection::vec;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use rookferry_core::CandidateVerdict;
+use rookferry_core::ChainRequest;
+use rookferry_core::ChooserKind;
+use rookferry_core::ChosenChain;
+use rookferry_core::Engine;
+use rookferry_core::EngineState;
+use rookferry_core::EngineStats;
+use rookferry_core::LayerGraph;
+use rookferry_core::PlacementLimits;
+use rookferry_core::PlacementPlanner;
+use rookferry_core::PolicyConfig;
+use rookferry_core::PrefixIndex;
+use rookferry_core::RatedEngine;
+use rookferry_core::SiteConfig;
+use rookferry_core::chooser_for;
+use rookferry_core::throughput_bound;
+use rookferry_wire::CacheEvent;
+use rookferry_wire::CacheEvents;
+use rookferry_wire::EngineId;
+use rookferry_wire::EngineInfo;
+use rookferry_wire::LayerRange;
+use rookferry_wire::LoadReport;
+use rookferry_wire::Order;
+use rstest::rstest;
+use serde_json::json;
+
+const LAYERS: u16 = 6;
+const ALL: [ChooserKind; 4] = [
+    ChooserKind::ExpectedFinish,
+    ChooserKind::Random,
+    ChooserKind::RoundRobin,
+    ChooserKind::LeastOutstanding,
+];
+
+fn engine(name: &str, start: u16, end: u16) -> Engine {
+    Engine {
+        info: EngineInfo {
+            engine: name.into(),
+            incarnation: 1,
+            model: "scribe".into(),
+            model_version: "1".to_owned(),
+            layers: LayerRange { start, end },
+            accelerator: "large".to_owned(),
+            labels: [("role".to_owned(), "serving".to_owned())].into(),
+            batch_slots: 4,
+            checks_fences: true,
+            leaving: false,
+        },
+        addr: "127.0.0.1:1".parse().expect("an address"),
+        failure_domain: "domain-1".into(),
+        state: EngineState::Live,
+        stats: Arc::new(EngineStats::new()),
+    }
+}
+
+fn learned(engine: &Engine, round_trip_ms: u64) {
+    for _ in 0..20 {
+        engine
+            .stats
+            .step_returned(Duration::from_millis(round_trip_ms));
+    }
+}
+
+fn choose(kind: ChooserKind, engines: &[Engine], excluded: &[EngineId], seed: u64) -> ChosenChain {
+    let graph = LayerGraph::new(LAYERS, engines, 0..engines.len());
+    let request = ChainRequest {
+        layers: graph.whole(),
+        excluded,
+        cached: &[],
+        seed,
+        beyond_limit: false,
+    };
+    chooser_for(kind).choose(&PolicyConfig::default(), &graph, engines, &request)
+}
+
+fn names(chain: &ChosenChain) -> Vec<&str> {
+    chain.stages.iter().map(|stage| &*stage.engine).collect()
+}
+
+#[test]
+fn the_faster_chain_is_chosen_over_uneven_ranges() {
+    let engines = [
+        engine("a", 0, 2),
+        engine("b", 2, 6),
+        engine("whole", 0, 6),
+        engine("c", 0, 3),
+        engine("d", 3, 6),
+    ];
+    for (engine, ms) in engines.iter().zip([10, 10, 50, 30, 30]) {
+        learned(engine, ms);
+    }
+    let chain = choose(ChooserKind::ExpectedFinish, &engines, &[], 1);
+    assert_eq!(names(&chain), ["a", "b"]);
+    let chain = choose(ChooserKind::ExpectedFinish, &engines, &["a".into()], 1);
+    assert_eq!(names(&chain), ["whole"]);
+}
+
+#[rstest]
+fn no_policy_uses_engines_that_are_out(#[values(0, 1, 2, 3)] kind: usize) {
+    let mut engines = vec![engine("a", 0, 6), engine("b", 0, 6), engine("c", 0, 6)];
+    engines[0].state = EngineState::Leaving;
+    engines[1].state = EngineState::Lost;
+    for seed in 0..50 {
+        let chain = choose(ALL[kind], &engines, &[], seed);
+        assert_eq!(names(&chain), ["c"]);
+        let verdicts: Vec<CandidateVerdict> =
+            chain.candidates.iter().map(|one| one.verdict).collect();
+        assert_eq!(
+            verdicts,
+            [
+                CandidateVerdict::Leaving,
+                CandidateVerdict::Lost,
+                CandidateVerdict::Chosen
+            ]
+        );
+    }
+}
+
+#[test]
+fn a_full_pool_says_so_and_a_gap_does_not() {
+    let engines = [engine("a", 0, 6)];
+    let now = Instant::now();
+    for _ in 0..100 {
+        engines[0].stats.stream_started(now);
+    }
+    let chain = choose(ChooserKind::ExpectedFinish, &engines, &[], 1);
+    assert!(chain.stages.is_empty() && chain.is_full);
+    let engines = [engine("a", 0, 3)];
+    let chain = choose(ChooserKind::ExpectedFinish, &engines, &[], 1);
+    assert!(chain.stages.is_empty() && !chain.is_full);
+}
+
+#[test]
+fn load_moves_new_work_elsewhere() {
+    let engines = [engine("a", 0, 6), engine("b", 0, 6)];
+    learned(&engines[0], 10);
+    learned(&engines[1], 12);
+    assert_eq!(
+        names(&choose(ChooserKind::ExpectedFinish, &engines, &[], 1)),
+        ["a"]
+    );
+    let now = Instant::now();
+    for _ in 0..3 {
+        engines[0].stats.stream_started(now);
+    }
+    assert_eq!(
+        names(&choose(ChooserKind::ExpectedFinish, &engines, &[], 1)),
+        ["b"]
+    );
+}
+
+/// Equal engines are not all chosen by all instances at once.
+#[test]
+fn equal_engines_share_the_work() {
+    let engines: Vec<Engine> = (0..4)
+        .map(|number| engine(&format!("e{number}"), 0, 6))
+        .collect();
+    for engine in &engines {
+        learned(engine, 10);
+    }
+    let mut counts = [0; 4];
+    for seed in 0..400 {
+        let chain = choose(ChooserKind::ExpectedFinish, &engines, &[], seed);
+        let index = engines
+            .iter()
+            .position(|one| one.info.engine == chain.stages[0].engine);
+        counts[index.expect("a known engine")] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 50), "{counts:?}");
+}
+
+/// A report counts streams at its own time; what was sent since is added.
+#[test]
+fn a_late_report_is_corrected_by_what_was_sent_since() {
+    let stats = EngineStats::new();
+    let start = Instant::now();
+    stats.stream_started(start);
+    stats.stream_started(start);
+    let later = start + Duration::from_millis(500);
+    for _ in 0..3 {
+        stats.stream_started(later);
+    }
+    let report = LoadReport {
+        age_ms: 300,
+        streams: 7,
+        ..LoadReport::default()
+    };
+    stats.reported(start + Duration::from_millis(600), &report);
+    assert_eq!(stats.streams(), 5 + 5, "own now, and five of others");
+}
+
+#[test]
+fn a_timeout_follows_what_was_learned() {
+    let stats = EngineStats::new();
+    let floor = Duration::from_millis(100);
+    assert_eq!(stats.step_timeout(8.0, floor, 1), floor * 10);
+    for _ in 0..50 {
+        stats.step_returned(Duration::from_millis(20));
+    }
+    let timeout = stats.step_timeout(8.0, floor, 1);
+    assert!(
+        timeout >= Duration::from_millis(155) && timeout <= Duration::from_millis(165),
+        "{timeout:?}"
+    );
+}
+
+#[test]
+fn a_gap_in_cache_events_forgets_the_engine() {
+    let mut index = PrefixIndex::new();
+    let event = |seq, prefix, stored| CacheEvent {
+        seq,
+        prefix,
+        stored,
+    };
+    let events = |events: Vec<CacheEvent>| CacheEvents { next: 0, events };
+    let engine: EngineId = "a".into();
+    index.on_events(&engine, &events(vec![event(1, 7, true), event(2, 8, true)]));
+    assert_eq!(index.holders(7).first(), Some(&engine));
+    index.on_events(&engine, &events(vec![event(3, 7, false)]));
+    assert!(index.holders(7).is_empty());
+    index.on_events(&engine, &events(vec![event(9, 5, true)]));
+    assert!(
+        index.holders(8).is_empty(),
+        "what came before the gap is gone"
+    );
+    assert_eq!(index.holders(5), [engine]);
+}
+
+/// The bound by a plain search over all chains of two layers, for comparison.
+#[test]
+fn the_bound_is_the_weakest_cut() {
+    let rated = |start, end, tokens_per_s| RatedEngine {
+        layers: LayerRange { start, end },
+        tokens_per_s,
+    };
+    assert_eq!(
+        throughput_bound(6, &[rated(0, 6, 10), rated(0, 3, 5), rated(3, 6, 7)]),
+        15
+    );
+    assert_eq!(throughput_bound(6, &[rated(0, 3, 5)]), 0);
+    assert_eq!(
+        throughput_bound(
+            6,
+            &[
+                rated(0, 2, 9),
+                rated(2, 4, 4),
+                rated(2, 4, 4),
+                rated(4, 6, 9)
+            ]
+        ),
+        8
+    );
+}
+
+proptest! {
+    /// Whatever the ranges, a chain covers each layer once and in order, and
+    /// one is found whenever the live engines cover all layers.
+    #[test]
+    fn a_chain_covers_every_layer_once(
+        ranges in vec((0_u16..LAYERS, 1_u16..=LAYERS), 1..12),
+        kind in 0_usize..4,
+        seed in 0_u64..1_000,
+    ) {
+        let engines: Vec<Engine> = ranges
+            .iter()
+            .enumerate()
+            .map(|(number, (start, length))| engine(&format!("e{number}"), *start, (*start + *length).min(LAYERS)))
+            .collect();
+        let graph = LayerGraph::new(LAYERS, &engines, 0..engines.len());
+        let chain = choose(ALL[kind], &engines, &[], seed);
+        prop_assert_eq!(!chain.stages.is_empty(), graph.is_covered(&engines));
+        let mut next = 0;
+        for stage in &chain.stages {
+            prop_assert_eq!(stage.layers.start, next);
+            next = stage.layers.end;
+        }
+        prop_assert!(chain.stages.is_empty() || next == LAYERS);
+    }
+}
+
+fn placement(version: &str) -> SiteConfig {
+    let config = json!({
+        "models": {"scribe": {"layers": LAYERS}},
+        "placement": [{"name": "all", "selector": "", "model": "scribe", "version": version,
+            "layers": {"start": 0, "end": LAYERS}}],
+    });
+    SiteConfig::from_json(&config.to_string()).expect("no faults")
+}
+
+/// Engines that do what they are told, at once.
+fn obey(engines: &mut [Engine], orders: &[rookferry_core::NeededOrder]) {
+    for needed in orders {
+        let engine = engines
+            .iter_mut()
+            .find(|engine| engine.info.engine == needed.engine);
+        let info = &mut engine.expect("a known engine").info;
+        match &needed.order {
+            Order::Load { version, .. } => info.model_version.clone_from(version),
+            Order::SetRole { role } => {
+                info.labels.insert("role".to_owned(), role.clone());
+            }
+            Order::LoadAdapter { .. } => {}
+        }
+    }
+}
+
+/// A new version is rolled out while enough engines serve at all times.
+#[test]
+fn a_new_version_never_takes_all_engines_out() {
+    let mut engines = vec![engine("a", 0, 6), engine("b", 0, 6), engine("c", 0, 6)];
+    let config = placement("2");
+    let limits = PlacementLimits {
+        at_once: 2,
+        load_interval: Duration::from_secs(1),
+        drain_timeout: Duration::from_mins(1),
+    };
+    let mut planner = PlacementPlanner::new(limits);
+    let start = Instant::now();
+    for half_second in 0..200 {
+        let orders = planner.plan(
+            start + Duration::from_millis(half_second * 500),
+            &config,
+            &engines,
+        );
+        obey(&mut engines, &orders);
+        let serving = engines
+            .iter()
+            .filter(|one| !rookferry_core::is_draining(one));
+        assert!(serving.count() >= 1, "every engine is out");
+    }
+    let done = |one: &Engine| one.info.model_version == "2" && !rookferry_core::is_draining(one);
+    assert!(engines.iter().all(done), "{engines:?}");
+}
+
+#[test]
+fn an_engine_with_streams_is_drained_before_it_loads() {
+    let mut engines = vec![engine("a", 0, 6), engine("b", 0, 6)];
+    engines[0].stats.stream_started(Instant::now());
+    let limits = PlacementLimits {
+        at_once: 1,
+        load_interval: Duration::ZERO,
+        drain_timeout: Duration::from_secs(30),
+    };
+    let mut planner = PlacementPlanner::new(limits);
+    let start = Instant::now();
+    let mut loaded_at = None;
+    for second in 0..60 {
+        let orders = planner.plan(
+            start + Duration::from_secs(second),
+            &placement("2"),
+            &engines,
+        );
+        let loads = |one: &rookferry_core::NeededOrder| matches!(one.order, Order::Load { .. });
+        if orders.iter().any(loads) && loaded_at.is_none() {
+            loaded_at = Some(second);
+        }
+        obey(&mut engines, &orders);
+    }
+    // Counted from when the engine says that it drains, a turn after the order.
+    assert_eq!(loaded_at, Some(31), "only when its streams' time is over");
+}
+
+#[test]
+fn without_cover_by_others_nothing_is_taken_out() {
+    let engines = vec![engine("a", 0, 6)];
+    let limits = PlacementLimits {
+        at_once: 4,
+        load_interval: Duration::ZERO,
+        drain_timeout: Duration::from_secs(1),
+    };
+    let mut planner = PlacementPlanner::new(limits);
+    assert!(
+        planner
+            .plan(Instant::now(), &placement("2"), &engines)
+            .is_empty()
+    );
+}
--- a/crates/rookferry_entry/src/http/mod.rs
+++ b/crates/rookferry_entry/src/http/mod.rs
@@ -74,6 +74,9 @@
         route
             .get("/v1/status")
             .to_new_handler(endpoint(entry, connections, operators::status));
+        route
+            .get("/v1/fleet")
+            .to_new_handler(endpoint(entry, connections, operators::fleet));
         route.get("/v1/objectives").to_new_handler(endpoint(
             entry,
             connections,
--- a/crates/rookferry_entry/src/http/operators.rs
+++ b/crates/rookferry_entry/src/http/operators.rs
@@ -12,6 +12,7 @@
 use rookferry_net::Inbound;
 use rookferry_net::json_response;
 use rookferry_net::text_response;
+use rookferry_wire::FleetEngine;
 use rookferry_wire::PeerAnswer;
 use rookferry_wire::PeerRequest;
 use serde::Serialize;
@@ -82,6 +83,22 @@
     )
 }
 
+/// The engines, for the controller beside this instance.
+pub(super) async fn fleet(entry: Arc<EntryState>, _inbound: Inbound) -> Response<Body> {
+    let snapshot = entry.snapshot.load();
+    let engines = snapshot.fleet.engines().iter();
+    let engines: Vec<FleetEngine> = engines
+        .map(|engine| FleetEngine {
+            info: engine.info.clone(),
+            addr: engine.addr,
+            failure_domain: engine.failure_domain.clone(),
+            is_lost: engine.state == EngineState::Lost,
+            streams: engine.stats.streams(),
+        })
+        .collect();
+    json_response(StatusCode::OK, &engines)
+}
+
 /// Any instance may be asked; the one named in the id answers.
 pub(super) async fn decision(entry: Arc<EntryState>, inbound: Inbound) -> Response<Body> {
     let id = inbound
--- a/crates/rookferry_entry/src/snapshot.rs
+++ b/crates/rookferry_entry/src/snapshot.rs
@@ -14,6 +14,7 @@
 use rookferry_core::ServiceInstance;
 use rookferry_core::SiteConfig;
 use rookferry_core::chooser_for;
+use rookferry_core::is_draining;
 use rookferry_wire::AccountId;
 
 /// Requests of an account under way on this instance.
@@ -82,9 +83,8 @@
         mut services: Vec<ServiceInstance>,
     ) -> Self {
         for engine in &mut engines {
-            if engine.state == EngineState::Live
-                && table.leaving_selector(&engine.labels()).is_some()
-            {
+            let is_out = is_draining(engine) || table.leaving_selector(&engine.labels()).is_some();
+            if engine.state == EngineState::Live && is_out {
                 engine.state = EngineState::Leaving;
             }
         }
--- /dev/null
+++ b/crates/rookferry_entry/tests/leaving.rs
@@ -0,0 +1,203 @@
+//! Leaving: backend servers get no new work, and planned stops cut nothing.
+
+mod support;
+
+use std::time::Duration;
+
+use rookferry_standin::Ending;
+use rookferry_wire::InstanceKind;
+use rstest::rstest;
+use serde_json::json;
+use support::TestSite;
+use support::assert_whole;
+use support::config;
+use support::eventually;
+use support::request;
+
+/// Who says that an engine leaves.
+#[derive(Clone, Copy, Debug)]
+enum Word {
+    Engine,
+    List,
+    Selector,
+}
+
+async fn say(site: &TestSite, word: Word, engine: &str) {
+    match word {
+        Word::Engine => site.engine_fault(engine, json!({"leaving": true})).await,
+        Word::List => {
+            let entry = json!({
+                "name": engine,
+                "kind": InstanceKind::ModelEngine,
+                "addr": site.engine_addr(engine),
+                "failure_domain": "domain-1",
+                "labels": {"copy": "1"},
+                "state": "leaving",
+            });
+            site.list(engine, Some(entry)).await;
+        }
+        Word::Selector => {
+            let mut value = config();
+            value["leaving"] = json!([format!("engine = {engine}")]);
+            site.apply(value).await;
+        }
+    }
+}
+
+/// New streams on an engine, by its ledger.
+async fn streams(site: &TestSite, engine: &str) -> usize {
+    let ledgers = site.ledgers().await;
+    let ledger = ledgers.iter().find(|ledger| *ledger.engine == *engine);
+    ledger.expect("its ledger").streams.len()
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_gets_no_new_work_and_keeps_its_streams(
+    #[values(Word::Engine, Word::List, Word::Selector)] word: Word,
+) {
+    let site = TestSite::start(2).await;
+    let mut running = Vec::new();
+    for number in 0..12 {
+        let caller = site.caller();
+        let addr = site.entries[number % 2].callers;
+        running.push(tokio::spawn(async move {
+            let prompt = format!("under way {number}");
+            (
+                caller
+                    .complete(addr, &request(&prompt, 60, false), None)
+                    .await,
+                prompt,
+            )
+        }));
+    }
+    eventually("the engine has streams", async || {
+        streams(&site, "s1-1").await > 0
+    })
+    .await;
+    say(&site, word, "s1-1").await;
+    for entry in &site.entries {
+        eventually("the word is heard", async || {
+            let status = site.status(entry).await.unwrap_or_default();
+            status["engines"]["s1-1"]["state"] == "leaving"
+        })
+        .await;
+    }
+    let before = streams(&site, "s1-1").await;
+    for number in 0..20 {
+        let prompt = format!("after the word {number}");
+        let ending = site
+            .caller()
+            .complete(
+                site.entries[number % 2].callers,
+                &request(&prompt, 3, false),
+                None,
+            )
+            .await;
+        assert!(matches!(ending, Ending::Answered(_)), "{ending:?}");
+    }
+    assert_eq!(
+        streams(&site, "s1-1").await,
+        before,
+        "work sent to a leaving engine"
+    );
+    for task in running {
+        let (ending, prompt) = task.await.expect("an ending");
+        let Ending::Answered(answer) = ending else {
+            panic!("cut: {ending:?}");
+        };
+        assert_whole(&answer, &prompt, 60);
+    }
+}
+
+/// Every instance is replaced, one after the other, under load.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_cuts_no_request() {
+    let mut site = TestSite::start(3).await;
+    let mut running = Vec::new();
+    for round in 0..3 {
+        for number in 0..10 {
+            let caller = site.caller();
+            let addr = site.entries[number % 3].callers;
+            running.push(tokio::spawn(async move {
+                let prompt = format!("round {round}, number {number}");
+                let body = request(&prompt, 80, number % 2 == 0);
+                (caller.complete(addr, &body, None).await, prompt)
+            }));
+        }
+        eventually("requests are under way", async || {
+            let ledgers = site.ledgers().await;
+            let seen = ledgers.iter().filter(|ledger| ledger.layers.start == 0);
+            seen.map(|ledger| ledger.streams.len()).sum::<usize>() >= (round + 1) * 10
+        })
+        .await;
+        site.entries[0].terminate();
+        let code = site.entries[0].ended().await;
+        assert_eq!(code, Some(0), "it left with requests under way");
+        site.entries.remove(0);
+        site.add_entry(json!({})).await;
+        site.settled().await;
+    }
+    for task in running {
+        let (ending, prompt) = task.await.expect("an ending");
+        let Ending::Answered(answer) = ending else {
+            panic!("cut: {ending:?}");
+        };
+        assert_whole(&answer, &prompt, 80);
+    }
+}
+
+/// A leaving instance says so first, then takes no more connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_instance_turns_its_readiness_off_first() {
+    let mut site = TestSite::start(1).await;
+    let operators = site.entries[0].operators;
+    site.entries[0].terminate();
+    eventually("it isn't ready", async || {
+        let ready = site
+            .client
+            .get_text(operators, "/readyz", Duration::from_secs(1))
+            .await;
+        ready.is_err()
+    })
+    .await;
+    assert_eq!(site.entries[0].ended().await, Some(0));
+}
+
+/// A new engine gets work without anyone's doing.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_joins_gets_work() {
+    let engines = support::engines();
+    let (late, early): (Vec<_>, Vec<_>) = engines
+        .into_iter()
+        .partition(|engine| *engine.engine == *"s0-2");
+    let site = TestSite::start_with(1, early).await;
+    let late = late.into_iter().next().expect("an engine");
+    let domain = late.failure_domain.clone();
+    let server = rookferry_standin::EngineServer::start(late)
+        .await
+        .expect("an engine");
+    let entry = json!({
+        "name": server.engine, "kind": InstanceKind::ModelEngine, "addr": server.addr,
+        "failure_domain": domain, "labels": {"copy": "2"}, "state": "live",
+    });
+    site.list("s0-2", Some(entry)).await;
+    eventually("it gets work", async || {
+        let ending = site
+            .caller()
+            .complete(
+                site.entries[0].callers,
+                &request("for whom", 2, false),
+                None,
+            )
+            .await;
+        assert!(matches!(ending, Ending::Answered(_)), "{ending:?}");
+        let ledger: rookferry_standin::Ledger = site
+            .client
+            .get(server.addr, "/admin/ledger", Duration::from_secs(5))
+            .await
+            .expect("a ledger");
+        !ledger.streams.is_empty()
+    })
+    .await;
+}
--- a/crates/rookferry_wire/src/engine.rs
+++ b/crates/rookferry_wire/src/engine.rs
@@ -5,10 +5,13 @@
 //! position of the newest attempt it has seen; it gives the recorded output
 //! for a repeated position and refuses older attempts and gaps.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::Attempt;
+use crate::DomainId;
 use crate::EngineId;
 use crate::Incarnation;
 use crate::Labels;
@@ -263,3 +266,18 @@
         highest: u64,
     },
 }
+
+/// An engine as an entry instance sees it, for the controller beside it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetEngine {
+    /// What it says about itself.
+    pub info: EngineInfo,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
+    /// Whether it answers.
+    pub is_lost: bool,
+    /// Streams of all instances on it, as estimated.
+    pub streams: u32,
+}
--- a/crates/rookferry_wire/src/lib.rs
+++ b/crates/rookferry_wire/src/lib.rs
@@ -25,6 +25,7 @@
 pub use engine::CacheEvents;
 pub use engine::CancelRequest;
 pub use engine::EngineInfo;
+pub use engine::FleetEngine;
 pub use engine::KvPages;
 pub use engine::LayerRange;
 pub use engine::LoadReport;
