feat(experiment): the experiments that figures come from, and first figures

Cause: nothing had been measured beyond the demo.

The stand-in's steps now follow their own timetable, so that a timer that fires late doesn't lower the true rate that the bound is made from.

--- /dev/null
+++ b/crates/rookferry_experiment/src/control.rs
@@ -0,0 +1,230 @@
+//! What control costs a node: an idle site of nine, and the slopes of the
+//! pure parts by members and engines up to the letter's size.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::ChainRequest;
+use rookferry_core::ChooserKind;
+use rookferry_core::Engine;
+use rookferry_core::EngineState;
+use rookferry_core::EngineStats;
+use rookferry_core::Fleet;
+use rookferry_core::MemberTable;
+use rookferry_core::SiteConfig;
+use rookferry_core::chooser_for;
+use rookferry_wire::DatagramKey;
+use rookferry_wire::EngineInfo;
+use rookferry_wire::Heartbeat;
+use rookferry_wire::LayerRange;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::bench::Bench;
+use crate::bench::LAYERS;
+use crate::bench::config;
+use crate::bench::engines;
+use crate::process::cpu_of;
+use crate::process::resident_bytes;
+
+const ENTRIES: usize = 9;
+const ENGINES: usize = 38;
+const ROUNDS: u32 = 200;
+const CALL: Duration = Duration::from_secs(5);
+
+#[derive(Serialize)]
+struct Figures {
+    idle_site: Idle,
+    by_engines: Vec<EngineSlope>,
+    by_members: Vec<MemberSlope>,
+}
+
+#[derive(Serialize)]
+struct Idle {
+    instances: usize,
+    engines: usize,
+    cpu_percent_of_a_core_each: f64,
+    heartbeat_bytes_per_s_each: f64,
+    platform_reads_per_s_in_all: f64,
+}
+
+#[derive(Serialize)]
+struct EngineSlope {
+    engines: usize,
+    rebuild_us: f64,
+    choose_us: f64,
+    bytes_an_engine: f64,
+}
+
+#[derive(Serialize)]
+struct MemberSlope {
+    members: usize,
+    heartbeat_taken_us: f64,
+    tick_us: f64,
+    datagram_bytes: usize,
+    bytes_a_member: f64,
+}
+
+pub(crate) fn run(seconds: u64) -> Value {
+    let figures = Figures {
+        by_engines: [38, 207, 725, 2_900].map(engine_slope).into(),
+        by_members: [9, 26, 93, 370].map(member_slope).into(),
+        idle_site: idle(seconds),
+    };
+    serde_json::to_value(figures).unwrap_or_default()
+}
+
+fn idle(seconds: u64) -> Idle {
+    let bench = Bench::start(engines(ENGINES), ENTRIES);
+    let heartbeats = || bench.runtime.block_on(heartbeat_bytes(&bench));
+    let (cpu, bytes, reads) = (cpu_of("entry-"), heartbeats(), platform_reads(&bench));
+    let start = Instant::now();
+    std::thread::sleep(Duration::from_secs(seconds));
+    let elapsed_s = start.elapsed().as_secs_f64();
+    let cpu = cpu_of("entry-").saturating_sub(cpu).as_secs_f64();
+    let each = ENTRIES as f64 * elapsed_s;
+    Idle {
+        instances: ENTRIES,
+        engines: ENGINES,
+        cpu_percent_of_a_core_each: 100.0 * cpu / each,
+        heartbeat_bytes_per_s_each: (heartbeats() - bytes) / each,
+        platform_reads_per_s_in_all: (platform_reads(&bench) - reads) / elapsed_s,
+    }
+}
+
+/// All instances of this process count into one recorder.
+async fn heartbeat_bytes(bench: &Bench) -> f64 {
+    let addr = bench.entries[0].addrs.operators;
+    let metrics = bench
+        .client
+        .get_text(addr, "/metrics", CALL)
+        .await
+        .unwrap_or_default();
+    let mut lines = metrics.lines();
+    let line = lines.find_map(|line| line.strip_prefix("rookferry_heartbeat_bytes_total "));
+    line.and_then(|count| count.parse().ok()).unwrap_or(0.0)
+}
+
+fn platform_reads(bench: &Bench) -> f64 {
+    let addr = bench.site.addrs.platform.expect("a platform");
+    let calls = bench.client.get::<Value>(addr, "/admin/calls", CALL);
+    let calls = bench.runtime.block_on(calls).unwrap_or_default();
+    calls["reads"].as_f64().unwrap_or(0.0)
+}
+
+fn fleet_of(count: usize) -> Vec<Engine> {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    let numbers = 0..count;
+    numbers
+        .map(|number| {
+            let stage = u16::try_from(number % 3).unwrap_or(0);
+            let stats = EngineStats::new();
+            stats.step_returned(Duration::from_millis(5 + number as u64 % 7));
+            Engine {
+                info: EngineInfo {
+                    engine: format!("engine-{number:04}").into(),
+                    incarnation: 1,
+                    model: "scribe".into(),
+                    model_version: "1".to_owned(),
+                    layers: LayerRange {
+                        start: stage * LAYERS / 3,
+                        end: (stage + 1) * LAYERS / 3,
+                    },
+                    accelerator: "large".to_owned(),
+                    labels: [("rack".to_owned(), format!("rack-{}", number / 16))].into(),
+                    batch_slots: 8,
+                    checks_fences: true,
+                    leaving: false,
+                },
+                addr,
+                failure_domain: "domain-1".into(),
+                state: EngineState::Live,
+                stats: Arc::new(stats),
+            }
+        })
+        .collect()
+}
+
+fn engine_slope(count: usize) -> EngineSlope {
+    let text = config(&json!({})).to_string();
+    let config = SiteConfig::from_json(&text).expect("a configuration");
+    let before = resident_bytes();
+    let engines = fleet_of(count);
+    let fleet = Fleet::new(&config, engines.clone());
+    let bytes = resident_bytes().saturating_sub(before);
+    let rebuild_us = micros_each(ROUNDS / 10, || {
+        black_box(Fleet::new(&config, engines.clone()));
+    });
+    let graph = fleet.graph("main", "scribe").expect("a graph");
+    let chooser = chooser_for(ChooserKind::ExpectedFinish);
+    let mut seed = 0;
+    let choose_us = micros_each(ROUNDS, || {
+        seed += 1;
+        let request = ChainRequest {
+            layers: graph.whole(),
+            excluded: &[],
+            cached: &[],
+            seed,
+            beyond_limit: false,
+        };
+        black_box(chooser.choose(&config.policy, graph, fleet.engines(), &request));
+    });
+    EngineSlope {
+        engines: count,
+        rebuild_us,
+        choose_us,
+        bytes_an_engine: bytes as f64 / count as f64,
+    }
+}
+
+fn member_slope(count: usize) -> MemberSlope {
+    let key = DatagramKey::from_secret("secret of the experiment");
+    let heartbeat = |number: usize, seq: u64| Heartbeat {
+        instance: format!("entry-{number:03}").into(),
+        incarnation: 1_800_000_000_000,
+        seq,
+        failure_domain: "domain-1".into(),
+        peer_addr: SocketAddr::from(([127, 0, 0, 1], 4_000)),
+        config_version: 100_000,
+        leaving: false,
+        pools: Vec::new(),
+    };
+    let before = resident_bytes();
+    let mut table = MemberTable::new("own".into(), 1, "domain-1".into());
+    let now = Instant::now();
+    for number in 0..count {
+        let _ = table.on_heartbeat(now, heartbeat(number, 1));
+    }
+    let bytes = resident_bytes().saturating_sub(before);
+    let sealed = key.seal(&heartbeat(1, 2)).unwrap_or_default();
+    let mut seq = 2;
+    let heartbeat_taken_us = micros_each(ROUNDS * 10, || {
+        seq += 1;
+        let datagram = key.seal(&heartbeat(1, seq)).unwrap_or_default();
+        if let Ok(heartbeat) = key.open(&datagram) {
+            let _ = black_box(table.on_heartbeat(now, heartbeat));
+        }
+    });
+    let tick_us = micros_each(ROUNDS, || {
+        black_box(table.tick(now));
+    });
+    MemberSlope {
+        members: count,
+        heartbeat_taken_us,
+        tick_us,
+        datagram_bytes: sealed.len(),
+        bytes_a_member: bytes as f64 / count as f64,
+    }
+}
+
+fn micros_each(rounds: u32, mut call: impl FnMut()) -> f64 {
+    let start = Instant::now();
+    for _ in 0..rounds {
+        call();
+    }
+    start.elapsed().as_secs_f64() * 1_000_000.0 / f64::from(rounds)
+}
--- /dev/null
+++ b/crates/rookferry_experiment/src/overhead.rs
@@ -0,0 +1,119 @@
+//! What an entry instance adds to a request, in time and processor time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_net::EngineTransport;
+use rookferry_net::HttpEngines;
+use rookferry_standin::CallKind;
+use rookferry_standin::EngineConfig;
+use rookferry_standin::LoadRun;
+use rookferry_standin::Mix;
+use rookferry_wire::LayerRange;
+use rookferry_wire::Step;
+use rookferry_wire::StepBatch;
+use serde::Serialize;
+use serde_json::Value;
+use uuid::Uuid;
+
+use crate::bench::Bench;
+use crate::bench::LAYERS;
+use crate::bench::engines;
+use crate::process::cpu_of;
+
+const DIRECT_STEPS: u32 = 400;
+const STEP_WAIT: Duration = Duration::from_secs(5);
+
+#[derive(Serialize)]
+struct Figures {
+    /// A step sent to the engine without an entry instance.
+    direct_step_p50_us: f64,
+    /// The gap between tokens through an entry instance, over the stages.
+    gap_a_stage_p50_us: f64,
+    added_a_step_us: f64,
+    lookup_p50_us: f64,
+    lookup_p99_us: f64,
+    tokens_per_s: f64,
+    steps_per_core_s: f64,
+    lookups_per_core_s: f64,
+}
+
+pub(crate) fn run(seconds: u64) -> Value {
+    let bench = Bench::start(fast_engines(), 1);
+    let direct_us = bench.runtime.block_on(direct(&bench));
+    let threads = bench.entries[0].threads.clone();
+    let streamed = Mix {
+        streamed: 1.0,
+        ..Mix::default()
+    };
+    let before = cpu_of(&threads);
+    let tokens = load(&bench, 60.0, seconds, streamed);
+    let token_cpu = cpu_of(&threads).saturating_sub(before);
+    let lookups = Mix {
+        lookup: 1.0,
+        ..Mix::default()
+    };
+    let before = cpu_of(&threads);
+    let lookup = load(&bench, 1_000.0, seconds, lookups);
+    let lookup_cpu = cpu_of(&threads).saturating_sub(before);
+    let gaps = tokens.report.kinds[&CallKind::Streamed].gaps.clone();
+    let stages = 3.0;
+    let gap_us = gaps.p50_ms * 1_000.0 / stages;
+    let steps = tokens.report.tokens_per_s * seconds as f64 * stages;
+    let times = lookup.report.kinds[&CallKind::Lookup].clone();
+    let figures = Figures {
+        direct_step_p50_us: direct_us,
+        gap_a_stage_p50_us: gap_us,
+        added_a_step_us: gap_us - direct_us,
+        lookup_p50_us: times.whole.p50_ms * 1_000.0,
+        lookup_p99_us: times.whole.p99_ms * 1_000.0,
+        tokens_per_s: tokens.report.tokens_per_s,
+        steps_per_core_s: steps / token_cpu.as_secs_f64().max(0.01),
+        lookups_per_core_s: times.correct as f64 / lookup_cpu.as_secs_f64().max(0.01),
+    };
+    serde_json::to_value(figures).unwrap_or_default()
+}
+
+/// Three stages with room for all, so that the engines don't hold it up.
+fn fast_engines() -> Vec<EngineConfig> {
+    let mut engines = engines(3);
+    for (engine, stage) in engines.iter_mut().zip(0_u16..) {
+        engine.layers = LayerRange {
+            start: stage * LAYERS / 3,
+            end: (stage + 1) * LAYERS / 3,
+        };
+        engine.batch_slots = 256;
+        engine.step_us = 1_000;
+        engine.position_us = 0;
+        engine.link_us = 0;
+    }
+    engines
+}
+
+fn load(bench: &Bench, rate_per_s: f64, seconds: u64, mix: Mix) -> LoadRun {
+    let plan = bench.plan(rate_per_s, seconds, mix);
+    bench.runtime.block_on(LoadRun::run(plan))
+}
+
+/// Median time of one-position steps straight to an engine.
+async fn direct(bench: &Bench) -> f64 {
+    let transport = HttpEngines::new(bench.client.clone());
+    let addr = bench.site.addrs.engines["engine-00"];
+    let stream = Uuid::now_v7();
+    let mut times = Vec::new();
+    for position in 0..DIRECT_STEPS {
+        let step = Step {
+            stream,
+            attempt: 1,
+            position,
+            input: vec![1],
+            priority: 0,
+        };
+        let sent_at = Instant::now();
+        let batch = StepBatch { steps: vec![step] };
+        let _ = transport.steps(addr, batch, STEP_WAIT).await;
+        times.push(sent_at.elapsed());
+    }
+    times.sort();
+    times[times.len() / 2].as_secs_f64() * 1_000_000.0
+}
--- /dev/null
+++ b/crates/rookferry_experiment/src/process.rs
@@ -0,0 +1,44 @@
+//! Processor time by thread name, and memory, as the system counts them.
+
+use std::fs;
+use std::time::Duration;
+
+/// Clock ticks a second in the system's counts.
+const TICKS_PER_S: u64 = 100;
+const PAGE_BYTES: u64 = 4_096;
+
+/// Processor time of all threads whose name starts with a prefix.
+pub(crate) fn cpu_of(prefix: &str) -> Duration {
+    let Ok(tasks) = fs::read_dir("/proc/self/task") else {
+        return Duration::ZERO;
+    };
+    let ticks = tasks.flatten().filter_map(|task| {
+        let stat = fs::read_to_string(task.path().join("stat")).ok()?;
+        ticks_of(&stat, prefix)
+    });
+    Duration::from_millis(ticks.sum::<u64>() * 1_000 / TICKS_PER_S)
+}
+
+/// Resident memory of this process.
+pub(crate) fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// User and system ticks of a `stat` line whose thread name has the prefix.
+fn ticks_of(stat: &str, prefix: &str) -> Option<u64> {
+    const USER_FIELD: usize = 11;
+    let (_, rest) = stat.split_once('(')?;
+    let (name, rest) = rest.rsplit_once(')')?;
+    if !name.starts_with(prefix) {
+        return None;
+    }
+    let mut fields = rest.split_whitespace().skip(USER_FIELD);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(user + system)
+}
--- /dev/null
+++ b/crates/rookferry_experiment/src/recovery.rs
@@ -0,0 +1,133 @@
+//! Time from a fault until the tokens a second are back at 95 in 100 of what
+//! they were, and the stall that a stream sees.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rookferry_standin::CallKind;
+use rookferry_standin::LoadRun;
+use rookferry_standin::Mix;
+use rookferry_standin::TimedFault;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::bench::Bench;
+use crate::bench::bound;
+use crate::bench::engines;
+
+const ENGINES: usize = 38;
+const ENTRIES: usize = 9;
+const ANSWER_TOKENS: f64 = 32.0;
+/// Load as a share of the bound, so that the rest can take over.
+const LOAD: f64 = 0.5;
+/// Share of the tokens a second that counts as recovered.
+const RECOVERED: f64 = 0.95;
+
+#[derive(Serialize)]
+struct RunFigures {
+    fault: String,
+    recovery_ms: Option<u64>,
+    /// The longest gap between two tokens of an answer.
+    longest_stall_ms: f64,
+    between_tokens_p99_ms: f64,
+    correct: u64,
+    wrong: u64,
+    not_run: u64,
+    unknown: u64,
+    cut: u64,
+}
+
+pub(crate) fn run(seconds: u64) -> Value {
+    let faults: [(&str, &str, Value); 6] = [
+        ("none", "", json!({})),
+        ("engine killed", "engine-00", json!({"dead": true})),
+        ("engine frozen", "engine-01", json!({"frozen": true})),
+        (
+            "link cut to a slow one",
+            "engine-02",
+            json!({"delay_ms": 300}),
+        ),
+        ("engine leaving", "engine-00", json!({"leaving": true})),
+        ("platform out", "platform", json!({"dead": true})),
+    ];
+    let mut runs: Vec<RunFigures> = Vec::new();
+    for (name, target, fault) in faults {
+        runs.push(with_fault(name, target, &fault, seconds));
+    }
+    runs.push(with_entry_killed(seconds));
+    serde_json::to_value(runs).unwrap_or_default()
+}
+
+fn with_fault(name: &str, target: &str, fault: &Value, seconds: u64) -> RunFigures {
+    let bench = Bench::start(engines(ENGINES), ENTRIES);
+    let addr = target_addr(&bench, target);
+    let fault_at_ms = seconds * 500;
+    let mut plan = plan(&bench, seconds);
+    plan.faults.extend(addr.map(|addr| TimedFault {
+        at_ms: fault_at_ms,
+        addr,
+        fault: fault.clone(),
+    }));
+    let run = bench.runtime.block_on(LoadRun::run(plan));
+    figures(name, &run, fault_at_ms)
+}
+
+fn with_entry_killed(seconds: u64) -> RunFigures {
+    let mut bench = Bench::start(engines(ENGINES), ENTRIES);
+    let fault_at_ms = seconds * 500;
+    let plan = plan(&bench, seconds);
+    let mut killed = bench.entries.remove(0);
+    let run = bench.runtime.block_on(async {
+        let load = tokio::spawn(LoadRun::run(plan));
+        tokio::time::sleep(Duration::from_millis(fault_at_ms)).await;
+        killed.kill();
+        load.await.expect("the load")
+    });
+    figures(
+        "entry killed, the balancer goes on sending to it",
+        &run,
+        fault_at_ms,
+    )
+}
+
+fn plan(bench: &Bench, seconds: u64) -> rookferry_standin::LoadPlan {
+    let mix = Mix {
+        streamed: 1.0,
+        ..Mix::default()
+    };
+    let rate_per_s = bound(&bench.engines) as f64 * LOAD / ANSWER_TOKENS;
+    bench.plan(rate_per_s, seconds, mix)
+}
+
+fn target_addr(bench: &Bench, target: &str) -> Option<SocketAddr> {
+    if target == "platform" {
+        return bench.site.addrs.platform;
+    }
+    bench.site.addrs.engines.get(target).copied()
+}
+
+fn figures(name: &str, run: &LoadRun, fault_at_ms: u64) -> RunFigures {
+    let streamed = run
+        .report
+        .kinds
+        .get(&CallKind::Streamed)
+        .cloned()
+        .unwrap_or_default();
+    let recovery = run
+        .report
+        .recovery(Duration::from_millis(fault_at_ms), RECOVERED);
+    let figures = RunFigures {
+        fault: name.to_owned(),
+        recovery_ms: recovery.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+        longest_stall_ms: streamed.gaps.max_ms,
+        between_tokens_p99_ms: streamed.gaps.p99_ms,
+        correct: streamed.correct,
+        wrong: streamed.wrong,
+        not_run: streamed.not_run,
+        unknown: streamed.unknown,
+        cut: streamed.cut,
+    };
+    eprintln!("{}", serde_json::to_string(&figures).unwrap_or_default());
+    figures
+}
--- a/crates/rookferry_standin/src/engine/server.rs
+++ b/crates/rookferry_standin/src/engine/server.rs
@@ -460,16 +460,22 @@
     }
 }
 
+/// Runs one step after the other. A step ends a step's time after the last
+/// one's end, or after its own start if the engine was idle, so that a timer
+/// that fires late doesn't slow a busy engine down.
 async fn run_batches(app: Arc<App>) {
+    let mut last_end = tokio::time::Instant::now();
     loop {
         let batch = app.lock().take_batch(app.config.batch_slots);
         if batch.is_empty() {
             app.arrived.notified().await;
+            last_end = last_end.max(tokio::time::Instant::now());
             continue;
         }
         let extra = app.lock().extra_positions(&batch);
         let step_us = app.config.step_us + u64::from(extra) * app.config.position_us;
-        tokio::time::sleep(Duration::from_micros(step_us)).await;
+        last_end += Duration::from_micros(step_us);
+        tokio::time::sleep_until(last_end).await;
         app.faults.pass().await;
         if app.faults.is_dead() {
             continue;
