fix(routing): engines' limits and waits follow a closed model; own streams no longer count twice

Cause, in the order found: 1. Every engine had the same limit of streams, whatever its step time, so that fast engines starved. A limit is now as many streams as come by in a pass. 2. The cost took no account of queues. It now solves the step's time in a closed network (each stream comes back once a pass). 3. Own streams steady for longer than the history were taken for others' as well.

Conclusion: kept; the default overcommitment is 2.5.

--- a/crates/rookferry_core/src/config/site.rs
+++ b/crates/rookferry_core/src/config/site.rs
@@ -176,8 +176,7 @@
 pub struct PolicyConfig {
     /// How chains are chosen.
     pub chooser: ChooserKind,
-    /// Streams an engine may hold, as a multiple of its batch slots times the
-    /// number of stages in its pipeline.
+    /// Streams an engine may hold, as a multiple of those that keep it busy.
     pub overcommit: f64,
     /// Requests that may wait on one instance.
     pub queue_limit: usize,
@@ -198,7 +197,7 @@
     fn default() -> Self {
         Self {
             chooser: ChooserKind::ExpectedFinish,
-            overcommit: 1.2,
+            overcommit: 2.5,
             queue_limit: 512,
             retry_share: 0.1,
             step_timeout_factor: 8.0,
--- a/crates/rookferry_core/src/routing/chooser.rs
+++ b/crates/rookferry_core/src/routing/chooser.rs
@@ -27,7 +27,7 @@
 const UNKNOWN_COST_US: u64 = 1_000;
 /// Spread of costs by chance, as one in this many, so that instances that see
 /// the same reports don't all choose the same engine.
-const JITTER_PART: u64 = 16;
+const JITTER_PART: u64 = 8;
 /// Extra cost for each loss in a row, as a multiple of the cost.
 const FAILURE_PENALTY: u64 = 4;
 /// Losses in a row beyond which the penalty doesn't grow.
@@ -63,7 +63,9 @@
 /// Chooses chains.
 pub trait ChainChooser: Send + Sync {
     /// What the engine costs; lower is better.
-    fn cost_us(&self, engine: &Engine, depth: u32, seed: u64) -> u64;
+    ///
+    /// `pass_us` is what a typical chain takes for a token when it is idle.
+    fn cost_us(&self, engine: &Engine, pass_us: u64, seed: u64) -> u64;
 
     /// The cheapest chain over the graph.
     fn choose(
@@ -74,7 +76,7 @@
         request: &ChainRequest<'_>,
     ) -> ChosenChain {
         Search::new(policy, graph, engines, request)
-            .run(|engine, depth, seed| self.cost_us(engine, depth, seed))
+            .run(|engine, pass_us, seed| self.cost_us(engine, pass_us, seed))
     }
 }
 
@@ -109,30 +111,59 @@
 }
 
 impl ChainChooser for ExpectedFinish {
-    fn cost_us(&self, engine: &Engine, depth: u32, seed: u64) -> u64 {
+    fn cost_us(&self, engine: &Engine, pass_us: u64, seed: u64) -> u64 {
         let stats = &engine.stats;
         let step_us = stats.step_us();
         let failures = u64::from(stats.failures()).min(MAX_COUNTED_FAILURES);
         let base_us = if step_us == 0 {
             UNKNOWN_COST_US
         } else {
-            let slots = u64::from(engine.info.batch_slots.max(1) * depth.max(1));
-            let waiting_us = step_us * u64::from(stats.streams()) / slots;
-            stats.link_us() + step_us + waiting_us
+            let elsewhere_us = pass_us.saturating_sub(step_us);
+            stats.link_us()
+                + response_us(
+                    step_us,
+                    engine.info.batch_slots,
+                    stats.streams(),
+                    elsewhere_us,
+                )
         };
         let cost_us = base_us + base_us * failures * FAILURE_PENALTY;
         cost_us + hash(seed, &engine.info.engine) % (cost_us / JITTER_PART).max(1)
     }
 }
 
+/// Expected time of a step on an engine that `streams` others share.
+///
+/// Each of them comes back once a pass: it spends a time here and
+/// `elsewhere_us` on other stages. The queue that a step finds is then the
+/// share of the streams that is here at a time, and the time `r` solves
+/// `r = s * (1 + streams * r / (elsewhere + r))`, with `s` the engine's time
+/// for one of its slots. An idle engine gives its step time; a crowded one
+/// gives `streams` steps less the time elsewhere.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the root of a quadratic with a negative constant is positive"
+)]
+fn response_us(step_us: u64, batch_slots: u32, streams: u32, elsewhere_us: u64) -> u64 {
+    let slots = f64::from(batch_slots.max(1));
+    let step = step_us as f64;
+    let service = step / slots;
+    let elsewhere = elsewhere_us as f64 + step - service;
+    let linear = service * (1.0 + f64::from(streams)) - elsewhere;
+    let root = (linear * linear + 4.0 * service * elsewhere).sqrt();
+    let queued = f64::midpoint(linear, root);
+    (step - service + queued) as u64
+}
+
 impl ChainChooser for RandomChain {
-    fn cost_us(&self, engine: &Engine, _depth: u32, seed: u64) -> u64 {
+    fn cost_us(&self, engine: &Engine, _pass_us: u64, seed: u64) -> u64 {
         1 + hash(seed, &engine.info.engine) % 1_000_000
     }
 }
 
 impl ChainChooser for RoundRobin {
-    fn cost_us(&self, engine: &Engine, _depth: u32, _seed: u64) -> u64 {
+    fn cost_us(&self, engine: &Engine, _pass_us: u64, _seed: u64) -> u64 {
         let last = self
             .last
             .lock()
@@ -148,7 +179,7 @@
         request: &ChainRequest<'_>,
     ) -> ChosenChain {
         let search = Search::new(policy, graph, engines, request);
-        let chosen = search.run(|engine, depth, seed| self.cost_us(engine, depth, seed));
+        let chosen = search.run(|engine, pass_us, seed| self.cost_us(engine, pass_us, seed));
         let turn = self.turn.fetch_add(1, Ordering::Relaxed) + 1;
         let mut last = self
             .last
@@ -162,7 +193,7 @@
 }
 
 impl ChainChooser for LeastOutstanding {
-    fn cost_us(&self, engine: &Engine, _depth: u32, seed: u64) -> u64 {
+    fn cost_us(&self, engine: &Engine, _pass_us: u64, seed: u64) -> u64 {
         let streams = u64::from(engine.stats.own_streams());
         (1 + streams) * 1_000 + hash(seed, &engine.info.engine) % 1_000
     }
@@ -185,7 +216,7 @@
     graph: &'a LayerGraph,
     engines: &'a [Engine],
     request: &'a ChainRequest<'a>,
-    depth: u32,
+    pass_us: u64,
 }
 
 impl<'a> Search<'a> {
@@ -195,17 +226,17 @@
         engines: &'a [Engine],
         request: &'a ChainRequest<'a>,
     ) -> Self {
-        let depth = expected_depth(graph, engines);
+        let pass_us = typical_pass_us(graph, engines);
         Self {
             policy,
             graph,
             engines,
             request,
-            depth,
+            pass_us,
         }
     }
 
-    fn run(&self, cost: impl Fn(&Engine, u32, u64) -> u64) -> ChosenChain {
+    fn run(&self, cost: impl Fn(&Engine, u64, u64) -> u64) -> ChosenChain {
         let LayerRange { start, end } = self.request.layers;
         let mut reached: BTreeMap<u16, Reached> = BTreeMap::new();
         let mut chosen = ChosenChain::default();
@@ -221,7 +252,8 @@
                     continue;
                 }
                 let verdict = self.verdict(engine);
-                let cost_us = self.discounted(engine, cost(engine, self.depth, self.request.seed));
+                let cost_us =
+                    self.discounted(engine, cost(engine, self.pass_us, self.request.seed));
                 chosen.candidates.push(Candidate {
                     engine: engine.info.engine.clone(),
                     cost_us,
@@ -289,9 +321,19 @@
         CandidateVerdict::Costlier
     }
 
+    /// Streams that keep an engine busy, times the overcommitment: as many as
+    /// come by once a pass, one after the other, in each of its slots.
+    ///
+    /// Slow engines end up in chains with other slow ones, since the fast ones
+    /// fill up first, so that a pass there is as long as their own kind makes
+    /// it.
     fn limit(&self, engine: &Engine) -> u32 {
-        let slots = f64::from(engine.info.batch_slots * self.depth);
-        stream_limit(slots * self.policy.overcommit)
+        let step_us = known_step_us(engine);
+        let layers = u64::from(engine.info.layers.len().max(1));
+        let own_kind_us = step_us * u64::from(self.graph.layers()) / layers;
+        let passing = self.pass_us.max(own_kind_us) as f64 / step_us as f64;
+        let slots = f64::from(engine.info.batch_slots.max(1));
+        stream_limit(slots * passing * self.policy.overcommit)
     }
 
     fn discounted(&self, engine: &Engine, cost_us: u64) -> u64 {
@@ -321,16 +363,38 @@
     (cost_us as f64 / (1.0 + bound)) as u64
 }
 
-/// Stages of a typical chain: the model's layers over the mean range.
-fn expected_depth(graph: &LayerGraph, engines: &[Engine]) -> u32 {
-    let mut ranges = 0;
-    let mut layers = 0;
+/// What a typical chain takes for a token: the time a layer, averaged over
+/// engines by their rates, since the faster ones get more of the streams.
+fn typical_pass_us(graph: &LayerGraph, engines: &[Engine]) -> u64 {
+    let mut weights = 0.0;
+    let mut weighted = 0.0;
     for index in graph.engines() {
-        ranges += 1;
-        layers += u32::from(engines[index].info.layers.len());
+        let engine = &engines[index];
+        let step_us = known_step_us(engine);
+        let slots = f64::from(engine.info.batch_slots.max(1));
+        let rate = slots / step_us as f64;
+        let layers = f64::from(engine.info.layers.len().max(1));
+        weights += rate;
+        weighted += rate * (step_us + engine.stats.link_us()) as f64 / layers;
     }
-    if layers == 0 {
-        return 1;
+    if weights <= 0.0 {
+        return UNKNOWN_COST_US;
     }
-    (u32::from(graph.layers()) * ranges).div_ceil(layers).max(1)
+    mean_us(f64::from(graph.layers()) * weighted / weights)
+}
+
+fn known_step_us(engine: &Engine) -> u64 {
+    match engine.stats.step_us() {
+        0 => UNKNOWN_COST_US,
+        known => known,
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a mean of positive times"
+)]
+fn mean_us(mean: f64) -> u64 {
+    mean as u64
 }
--- a/crates/rookferry_core/src/routing/stats.rs
+++ b/crates/rookferry_core/src/routing/stats.rs
@@ -179,8 +179,9 @@
             return;
         }
         history.push_back((now, count));
-        while let Some((at, _)) = history.front()
-            && now.saturating_duration_since(*at) > HISTORY
+        // The last count before the history begins stays in force within it.
+        while let Some((next_at, _)) = history.get(1)
+            && now.saturating_duration_since(*next_at) > HISTORY
         {
             history.pop_front();
         }
--- a/crates/rookferry_experiment/src/main.rs
+++ b/crates/rookferry_experiment/src/main.rs
@@ -38,6 +38,12 @@
         /// Loads as multiples of the bound.
         #[arg(long, default_values_t = [0.9, 1.5])]
         load: Vec<f64>,
+        /// Policies, as the configuration names them.
+        #[arg(long, default_values_t = policies::ALL.map(str::to_owned))]
+        policy: Vec<String>,
+        /// Overcommitment of engines; the default's if absent.
+        #[arg(long)]
+        overcommit: Option<f64>,
     },
     /// Time from a fault until the tokens a second are back.
     Recovery {
@@ -74,7 +80,12 @@
 fn main() -> ExitCode {
     let args = Args::parse();
     let figures = match args.experiment {
-        Experiment::Policies { seconds, load } => policies::run(seconds, &load),
+        Experiment::Policies {
+            seconds,
+            load,
+            policy,
+            overcommit,
+        } => policies::run(seconds, &load, &policy, overcommit),
         Experiment::Recovery { seconds } => recovery::run(seconds),
         Experiment::Spread { applies } => spread::run(applies),
         Experiment::Overhead { seconds } => overhead::run(seconds),
--- a/crates/rookferry_standin/src/engine/server.rs
+++ b/crates/rookferry_standin/src/engine/server.rs
@@ -385,6 +385,16 @@
         OrderAnswer::Accepted
     }
 
+    /// Keeps the mean of the last few steps, for reports.
+    const fn note_step(&mut self, step_us: u64) {
+        const SPAN: u64 = 8;
+        self.step_us = if self.step_us == 0 {
+            step_us
+        } else {
+            (self.step_us * (SPAN - 1) + step_us) / SPAN
+        };
+    }
+
     /// Takes the next batch, highest priority first, in order of arrival.
     fn take_batch(&mut self, slots: u32) -> Vec<Queued> {
         let mut queue: Vec<Queued> = self.queue.drain(..).collect();
@@ -481,7 +491,7 @@
             continue;
         }
         let mut inner = app.lock();
-        inner.step_us = step_us;
+        inner.note_step(step_us);
         for queued in batch {
             let result = inner.stage.run(&queued.step);
             let _ = queued.answer.send(result);
