feat(member): one instance asks an engine, the others hear of it

Ruled out as the cause: heartbeats (984 B/s each, under 0.1 %).

What it is: an engine is asked by one instance of its own failure domain, by rendezvous hashing; it passes on load, leaving and loss in 15 or so bytes an engine by heartbeat. Whoever hears nothing of an engine for 2 s asks it itself. Asks and heartbeats each keep within bytes a second.

It also showed a fault: with loss heard of later, a stream whose stage had only dead engines used up its attempts by trying them in turn.

--- a/crates/rookferry_core/src/member/plan.rs
+++ b/crates/rookferry_core/src/member/plan.rs
@@ -1,9 +1,9 @@
 //! Whom to send heartbeats, within a budget of bytes.
 //!
-//! Within the own failure domain each instance hears each other in full. Of
-//! every other domain one instance a round is told, in turn, and one in its
-//! own domain passes on what it heard by its own heartbeats' versions. The
-//! interval grows with the domain so that the bytes a second stay bounded.
+//! Within the own failure domain each instance is told each round. Of every
+//! other domain as many are told, in turn, as the bytes of the shortest round
+//! allow, and one at least. The interval grows with what is sent, so that the
+//! bytes a second stay bounded.
 
 use std::collections::BTreeMap;
 use std::hash::BuildHasher;
@@ -50,8 +50,12 @@
         }
     }
 
-    /// The targets of the next round.
-    pub fn next_round<'a>(&mut self, peers: &'a [PeerTarget]) -> Vec<&'a PeerTarget> {
+    /// The targets of the next round, for datagrams of a size.
+    pub fn next_round<'a>(
+        &mut self,
+        peers: &'a [PeerTarget],
+        datagram_bytes: usize,
+    ) -> Vec<&'a PeerTarget> {
         self.round += 1;
         let mut far: BTreeMap<&DomainId, Vec<&PeerTarget>> = BTreeMap::new();
         let mut targets = Vec::new();
@@ -62,13 +66,22 @@
                 far.entry(&peer.failure_domain).or_default().push(peer);
             }
         }
+        let each = self.far_each(targets.len(), far.len(), datagram_bytes);
         for members in far.values() {
-            let turn = usize::try_from(self.round).unwrap_or(0) % members.len();
-            targets.push(members[turn]);
+            let each = each.min(members.len());
+            let first = usize::try_from(self.round).unwrap_or(0) * each;
+            targets.extend((0..each).map(|turn| members[(first + turn) % members.len()]));
         }
         targets
     }
 
+    /// Members of each other domain that fit into the shortest round.
+    fn far_each(&self, near: usize, domains: usize, datagram_bytes: usize) -> usize {
+        let bytes = u128::from(self.budget_bytes_per_s) * MIN_INTERVAL.as_millis() / 1_000;
+        let fitting = usize::try_from(bytes).unwrap_or(0) / datagram_bytes.max(1);
+        (fitting.saturating_sub(near) / domains.max(1)).max(1)
+    }
+
     /// The time until the next round, for a number of datagrams of a size.
     #[must_use]
     pub fn interval(&self, targets: usize, datagram_bytes: usize) -> Duration {
--- a/crates/rookferry_core/src/stream/driver.rs
+++ b/crates/rookferry_core/src/stream/driver.rs
@@ -15,8 +15,9 @@
 use rookferry_wire::Step;
 use rookferry_wire::StreamId;
 
-/// Attempts after which a stream is given up; each loss costs one.
-const MAX_ATTEMPTS_PER_DRIVER: u32 = 16;
+/// Attempts after which a stream is given up; each loss costs one. Whoever
+/// looks for other engines paces them, so that a stream's deadline comes first.
+const MAX_ATTEMPTS_PER_DRIVER: u32 = 64;
 /// The first attempt needs no opening on the engines.
 const FIRST_ATTEMPT: Attempt = 1;
 
--- a/crates/rookferry_entry/src/entry.rs
+++ b/crates/rookferry_entry/src/entry.rs
@@ -35,6 +35,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use uuid::Uuid;
 
@@ -47,8 +48,8 @@
 use crate::counters::Counters;
 use crate::decisions::Decisions;
 use crate::discovery;
-use crate::discovery::Known;
 use crate::http;
+use crate::known::Known;
 use crate::peers;
 use crate::peers::PeerState;
 use crate::runner::StepSender;
@@ -97,6 +98,8 @@
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) config: ConfigStore,
     pub(crate) known: Known,
+    /// Told when the platform's list has changed.
+    pub(crate) list_changed: Notify,
     pub(crate) prefixes: Mutex<PrefixIndex>,
     pub(crate) claims: Claims,
     pub(crate) tickets: Mutex<TicketBook>,
@@ -237,6 +240,7 @@
         steps: StepSender::new(engines.clone()),
         config: ConfigStore::new(),
         known: Known::default(),
+        list_changed: Notify::new(),
         prefixes: Mutex::new(PrefixIndex::new()),
         claims: Claims::new(platform.clone(), log.clone()),
         tickets: Mutex::new(TicketBook::new(instance.clone(), incarnation, secret)),
--- /dev/null
+++ b/crates/rookferry_entry/src/known.rs
@@ -0,0 +1,303 @@
+//! The backend servers that the platform's list names, with what was asked
+//! here and heard from peers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::AskInput;
+use rookferry_core::AskReason;
+use rookferry_core::Engine;
+use rookferry_core::EngineState;
+use rookferry_core::EngineStats;
+use rookferry_core::ServiceInstance;
+use rookferry_core::ask_reason;
+use rookferry_core::engine_tag;
+use rookferry_core::info_tag;
+use rookferry_wire::EngineDigest;
+use rookferry_wire::EngineId;
+use rookferry_wire::EngineInfo;
+use rookferry_wire::InstanceEntry;
+use rookferry_wire::InstanceId;
+use rookferry_wire::InstanceKind;
+use rookferry_wire::InstanceState;
+use rookferry_wire::LoadReport;
+
+/// Failed asks in a row after which an engine is taken for lost.
+const LOST_AFTER: u32 = 2;
+
+#[derive(Debug)]
+struct KnownServer {
+    entry: InstanceEntry,
+    tag: u32,
+    info: Option<EngineInfo>,
+    failed_asks: u32,
+    next_cache_event: u64,
+    stats: Arc<EngineStats>,
+    /// The last load that the engine itself gave.
+    report: Option<(Instant, LoadReport)>,
+    /// Whether this instance is the one that asks it.
+    is_own: bool,
+    /// When it was last asked here or heard of.
+    last_news: Option<Instant>,
+}
+
+/// An engine that is to be asked.
+#[derive(Debug)]
+pub(crate) struct Ask {
+    pub(crate) engine: EngineId,
+    pub(crate) addr: SocketAddr,
+    pub(crate) next_cache_event: u64,
+    pub(crate) reason: AskReason,
+}
+
+/// All backend servers that the list names.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    servers: Mutex<BTreeMap<EngineId, KnownServer>>,
+    peers: Mutex<Vec<InstanceEntry>>,
+    /// Held while a snapshot is built, so that an older one never replaces a
+    /// newer one.
+    rebuilding: Mutex<()>,
+}
+
+impl Known {
+    /// Entry instances that the list names.
+    pub(crate) fn peers(&self) -> Vec<InstanceEntry> {
+        self.peers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(crate) fn lock_rebuild(&self) -> MutexGuard<'_, ()> {
+        self.rebuilding
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<EngineId, KnownServer>> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the list; returns whether anything changed.
+    pub(crate) fn listed(&self, instances: Vec<InstanceEntry>) -> bool {
+        let mut servers = self.lock();
+        let mut peers = Vec::new();
+        let mut former = std::mem::take(&mut *servers);
+        let mut is_changed = false;
+        for entry in instances {
+            if entry.kind == InstanceKind::Entry {
+                peers.push(entry);
+                continue;
+            }
+            let known = former.remove(&entry.name);
+            is_changed |= known.as_ref().is_none_or(|known| known.entry != entry);
+            let server = match known {
+                Some(known) if known.entry.addr == entry.addr => KnownServer { entry, ..known },
+                _ => KnownServer::new(entry),
+            };
+            servers.insert(server.entry.name.clone(), server);
+        }
+        is_changed |= !former.is_empty();
+        *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = peers;
+        is_changed
+    }
+
+    /// All engines that have been described.
+    pub(crate) fn engines(&self) -> Vec<Engine> {
+        let servers = self.lock();
+        let engines = servers.values().filter_map(|server| {
+            let info = server.info.clone()?;
+            Some(Engine {
+                state: server.state(),
+                info,
+                addr: server.entry.addr,
+                failure_domain: server.entry.failure_domain.clone(),
+                stats: server.stats.clone(),
+            })
+        });
+        engines.collect()
+    }
+
+    /// All instances of plain services.
+    pub(crate) fn services(&self) -> Vec<ServiceInstance> {
+        let servers = self.lock();
+        let services = servers
+            .values()
+            .filter(|server| server.entry.kind == InstanceKind::AppEngine);
+        let services = services.map(|server| ServiceInstance {
+            instance: server.entry.name.clone(),
+            addr: server.entry.addr,
+            failure_domain: server.entry.failure_domain.clone(),
+            labels: server.entry.labels.clone(),
+            state: server.state(),
+            stats: server.stats.clone(),
+        });
+        services.collect()
+    }
+
+    /// The engines that this instance is to ask now.
+    pub(crate) fn to_ask(
+        &self,
+        now: Instant,
+        own: &InstanceId,
+        own_domain: &str,
+        near: &[InstanceId],
+    ) -> Vec<Ask> {
+        let mut servers = self.lock();
+        let engines = servers
+            .values_mut()
+            .filter(|server| server.entry.kind == InstanceKind::ModelEngine);
+        let asks = engines.filter_map(|server| {
+            let input = AskInput {
+                engine: &server.entry.name,
+                is_near: *server.entry.failure_domain == *own_domain,
+                is_described: server.info.is_some(),
+                last_news: server.last_news,
+            };
+            let reason = ask_reason(now, own, near, &input);
+            server.is_own = reason == Some(AskReason::Own);
+            Some(Ask {
+                engine: server.entry.name.clone(),
+                addr: server.entry.addr,
+                next_cache_event: server.next_cache_event,
+                reason: reason?,
+            })
+        });
+        asks.collect()
+    }
+
+    /// Takes what an engine says of itself, or that it says nothing; returns
+    /// whether its state changed.
+    pub(crate) fn described(
+        &self,
+        now: Instant,
+        name: &EngineId,
+        info: Option<EngineInfo>,
+    ) -> bool {
+        let mut servers = self.lock();
+        let Some(server) = servers.get_mut(name) else {
+            return false;
+        };
+        server.last_news = Some(now);
+        let former = server.state();
+        let Some(info) = info else {
+            server.failed_asks = server.failed_asks.saturating_add(1);
+            return server.state() != former;
+        };
+        server.failed_asks = 0;
+        let is_changed = server.info.as_ref() != Some(&info);
+        server.info = Some(info);
+        is_changed || server.state() != former
+    }
+
+    /// Takes an engine's own load report.
+    pub(crate) fn reported(&self, now: Instant, name: &EngineId, report: LoadReport) {
+        if let Some(server) = self.lock().get_mut(name) {
+            server.stats.reported(now, &report);
+            server.report = Some((now, report));
+        }
+    }
+
+    pub(crate) fn cache_events_read(&self, name: &EngineId, next: u64) {
+        if let Some(server) = self.lock().get_mut(name) {
+            server.next_cache_event = next;
+        }
+    }
+
+    /// The engines that this instance asks, for its peers.
+    pub(crate) fn digests(&self, now: Instant) -> Vec<EngineDigest> {
+        let servers = self.lock();
+        let own = servers.values().filter(|server| server.is_own);
+        own.filter_map(|server| server.digest(now)).collect()
+    }
+
+    /// Takes what a peer passes on; returns whether anything changed that the
+    /// snapshot holds.
+    pub(crate) fn heard(&self, now: Instant, digests: &[EngineDigest]) -> bool {
+        let mut servers = self.lock();
+        let by_tag: BTreeMap<u32, &EngineDigest> = digests
+            .iter()
+            .map(|digest| (digest.engine, digest))
+            .collect();
+        let mut is_changed = false;
+        for server in servers.values_mut() {
+            let Some(digest) = by_tag.get(&server.tag) else {
+                continue;
+            };
+            if !server.is_own {
+                is_changed |= server.hear(now, digest);
+            }
+        }
+        is_changed
+    }
+}
+
+impl KnownServer {
+    fn new(entry: InstanceEntry) -> Self {
+        Self {
+            tag: engine_tag(&entry.name),
+            entry,
+            info: None,
+            failed_asks: 0,
+            next_cache_event: 0,
+            stats: Arc::default(),
+            report: None,
+            is_own: false,
+            last_news: None,
+        }
+    }
+
+    fn state(&self) -> EngineState {
+        let says_leaving = self.info.as_ref().is_some_and(|info| info.leaving);
+        if says_leaving || self.entry.state == InstanceState::Leaving {
+            return EngineState::Leaving;
+        }
+        if self.failed_asks >= LOST_AFTER {
+            return EngineState::Lost;
+        }
+        EngineState::Live
+    }
+
+    fn digest(&self, now: Instant) -> Option<EngineDigest> {
+        let info = self.info.as_ref()?;
+        let (at, report) = self.report.as_ref()?;
+        let age = now.saturating_duration_since(*at) + Duration::from_millis(report.age_ms);
+        Some(EngineDigest {
+            engine: self.tag,
+            streams: u16::try_from(report.streams).unwrap_or(u16::MAX),
+            step_us: u32::try_from(report.step_us).unwrap_or(u32::MAX),
+            age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
+            info_tag: info_tag(info),
+            is_lost: self.failed_asks >= LOST_AFTER,
+            is_leaving: info.leaving,
+        })
+    }
+
+    fn hear(&mut self, now: Instant, digest: &EngineDigest) -> bool {
+        let Some(info) = self.info.as_mut() else {
+            return false;
+        };
+        let former = (self.failed_asks >= LOST_AFTER, info.leaving);
+        // What it says of itself must be asked for; until then the one word
+        // that can't wait is taken from the peer.
+        info.leaving = digest.is_leaving;
+        let is_described = info_tag(info) == digest.info_tag;
+        self.failed_asks = if digest.is_lost { LOST_AFTER } else { 0 };
+        self.last_news = if is_described { Some(now) } else { None };
+        let report = LoadReport {
+            age_ms: u64::from(digest.age_ms),
+            queued_steps: 0,
+            streams: u32::from(digest.streams),
+            step_us: u64::from(digest.step_us),
+        };
+        self.stats.reported(now, &report);
+        former != (digest.is_lost, digest.is_leaving)
+    }
+}
--- a/crates/rookferry_entry/src/lib.rs
+++ b/crates/rookferry_entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod discovery;
 mod entry;
 mod http;
+mod known;
 mod peers;
 mod runner;
 mod settings;
--- a/crates/rookferry_entry/src/peers/heartbeat.rs
+++ b/crates/rookferry_entry/src/peers/heartbeat.rs
@@ -8,6 +8,7 @@
 use metrics::counter;
 use rookferry_core::HeartbeatFault;
 use rookferry_core::HeartbeatPlan;
+use rookferry_wire::EngineDigest;
 use rookferry_wire::Heartbeat;
 use rookferry_wire::MAX_DATAGRAM_BYTES;
 use slog::debug;
@@ -15,12 +16,19 @@
 use slog::warn;
 use tokio::net::UdpSocket;
 
+use crate::discovery;
 use crate::entry::EntryState;
 
+/// Digests that fit a datagram beside the rest of a heartbeat.
+const MAX_DIGESTS: usize = 48;
+/// Size of a heartbeat before the first was made.
+const FIRST_GUESS_BYTES: usize = 100;
+
 pub(super) async fn send(entry: Arc<EntryState>, udp: Arc<UdpSocket>, peer_addr: SocketAddr) {
     let budget = entry.settings.limits.heartbeat_bytes_per_s;
     let mut plan = HeartbeatPlan::new(entry.failure_domain.clone(), budget);
     let mut seq = 0;
+    let mut bytes = FIRST_GUESS_BYTES;
     loop {
         let wake = entry.peers.wake.notified();
         seq += 1;
@@ -28,8 +36,7 @@
         let targets = entry
             .peers
             .targets(&entry.known.peers(), &entry.instance, peer_addr);
-        let round = plan.next_round(&targets);
-        let mut bytes = 0;
+        let round = plan.next_round(&targets, bytes);
         match entry.peers.key.seal(&heartbeat) {
             Ok(datagram) => {
                 bytes = datagram.len();
@@ -77,15 +84,29 @@
         peer_addr,
         config_version: entry.config.version(),
         leaving: entry.leaving.load(Ordering::SeqCst),
-        pools: Vec::new(),
+        engines: digests(entry, seq),
     }
 }
 
+/// The engines that this instance asks; more than fit go in turn.
+fn digests(entry: &EntryState, seq: u64) -> Vec<EngineDigest> {
+    let all = entry.known.digests(Instant::now());
+    let parts = all.len().div_ceil(MAX_DIGESTS).max(1) as u64;
+    let part = usize::try_from(seq % parts).unwrap_or(0);
+    let mut parts = all.chunks(MAX_DIGESTS).skip(part);
+    parts.next().unwrap_or_default().to_vec()
+}
+
 fn take(entry: &EntryState, heartbeat: Heartbeat) {
+    let engines = heartbeat.engines.clone();
     let taken = entry.peers.lock().on_heartbeat(Instant::now(), heartbeat);
     match taken {
-        Ok(true) => entry.peers.news.notify_waiters(),
-        Ok(false) => {}
+        Ok(is_news) => {
+            if is_news {
+                entry.peers.news.notify_waiters();
+            }
+            discovery::heard(entry, &engines);
+        }
         Err(fault @ HeartbeatFault::SameName { .. }) => {
             warn!(entry.log, "peers: {}", fault; "part" => "peers");
         }
--- a/crates/rookferry_entry/src/runner.rs
+++ b/crates/rookferry_entry/src/runner.rs
@@ -29,8 +29,10 @@
 use crate::admission::StreamSlots;
 use crate::entry::EntryState;
 
-/// Pause before engines for a lost stage are looked for again.
-const REPLACE_PAUSE: Duration = Duration::from_millis(50);
+/// Pauses before engines that were lost are tried again, doubled each time and
+/// back to the shortest with the next token.
+const MIN_REPLACE_PAUSE: Duration = Duration::from_millis(25);
+const MAX_REPLACE_PAUSE: Duration = Duration::from_millis(800);
 
 /// Takes the tokens of a stream.
 pub(crate) trait TokenSink: Send + Sync {
@@ -59,6 +61,7 @@
     /// Turns true when nobody wants the stream any more.
     pub(crate) cancelled: watch::Receiver<bool>,
     lost: Vec<EngineId>,
+    replace_pause: Duration,
     used: Vec<EngineId>,
     chains: Vec<Vec<EngineId>>,
 }
@@ -85,6 +88,7 @@
             sink,
             cancelled,
             lost: Vec::new(),
+            replace_pause: MIN_REPLACE_PAUSE,
             chains: vec![used.clone()],
             used,
         }
@@ -118,7 +122,10 @@
                     StreamAction::Send { engine, step } => {
                         events.push(self.send(engine, step).await);
                     }
-                    StreamAction::Emit { index, token } => self.sink.token(index, token),
+                    StreamAction::Emit { index, token } => {
+                        self.replace_pause = MIN_REPLACE_PAUSE;
+                        self.sink.token(index, token);
+                    }
                     StreamAction::Replace { layers, lost } => {
                         events.push(self.replace(layers, lost).await);
                     }
@@ -233,7 +240,8 @@
             }
             // An engine that was lost may have come back, empty.
             self.lost.clear();
-            tokio::time::sleep(REPLACE_PAUSE).await;
+            tokio::time::sleep(self.replace_pause).await;
+            self.replace_pause = (self.replace_pause * 2).min(MAX_REPLACE_PAUSE);
         }
     }
 
--- a/crates/rookferry_entry/src/settings.rs
+++ b/crates/rookferry_entry/src/settings.rs
@@ -62,15 +62,17 @@
     pub decisions: usize,
     /// Answers kept for callers that come back with their key.
     pub answers: usize,
-    /// Bytes a second for heartbeats.
+    /// Bytes a second for heartbeats, as sent.
     pub heartbeat_bytes_per_s: u32,
+    /// Bytes a second for asking engines, both ways.
+    pub ask_bytes_per_s: u32,
     /// How long a leaving instance waits for its balancer.
     pub leave_wait_ms: u64,
     /// How long it then waits for requests under way.
     pub drain_timeout_ms: u64,
     /// How often the platform's list is read.
     pub list_interval_ms: u64,
-    /// How often engines are asked for their load.
+    /// How often engines are asked for their load at most.
     pub load_interval_ms: u64,
 }
 
@@ -83,7 +85,8 @@
             connections: 4_096,
             decisions: 20_000,
             answers: 10_000,
-            heartbeat_bytes_per_s: 8_000,
+            heartbeat_bytes_per_s: 4_000,
+            ask_bytes_per_s: 8_000,
             leave_wait_ms: 3_000,
             drain_timeout_ms: 60_000,
             list_interval_ms: 1_000,
@@ -145,6 +148,7 @@
                 "heartbeat_bytes_per_s",
                 u64::from(limits.heartbeat_bytes_per_s),
             ),
+            ("ask_bytes_per_s", u64::from(limits.ask_bytes_per_s)),
             ("list_interval_ms", limits.list_interval_ms),
             ("load_interval_ms", limits.load_interval_ms),
         ];
--- a/crates/rookferry_experiment/src/control.rs
+++ b/crates/rookferry_experiment/src/control.rs
@@ -191,7 +191,7 @@
         peer_addr: SocketAddr::from(([127, 0, 0, 1], 4_000)),
         config_version: 100_000,
         leaving: false,
-        pools: Vec::new(),
+        engines: Vec::new(),
     };
     let before = resident_bytes();
     let mut table = MemberTable::new("own".into(), 1, "domain-1".into());
--- a/crates/rookferry_wire/src/peer.rs
+++ b/crates/rookferry_wire/src/peer.rs
@@ -23,15 +23,23 @@
 
 const TAG_BYTES: usize = 16;
 
-/// Summary of a pool in a failure domain, for the other domains.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PoolSummary {
-    /// The pool's name.
-    pub pool: String,
-    /// Engines that answer.
-    pub live: u16,
-    /// Outstanding steps.
-    pub queued_steps: u32,
+/// One engine in few bytes, as the instance saw it that asks it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineDigest {
+    /// Hash of its name.
+    pub engine: u32,
+    /// Streams that it held.
+    pub streams: u16,
+    /// Its step time.
+    pub step_us: u32,
+    /// Age of these figures at the sending.
+    pub age_ms: u16,
+    /// Tells apart what the engine says about itself at different times.
+    pub info_tag: u16,
+    /// Whether it answers.
+    pub is_lost: bool,
+    /// Whether it leaves.
+    pub is_leaving: bool,
 }
 
 /// What an entry instance tells the others, several times a second.
@@ -51,8 +59,8 @@
     pub config_version: ObjectVersion,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Its domain's pools, empty within the domain.
-    pub pools: Vec<PoolSummary>,
+    /// The engines that the sender asks, or some of them in turn.
+    pub engines: Vec<EngineDigest>,
 }
 
 /// A request from one entry instance to another, over TCP.
