feat(burn): a report on service-level burn, as text, JSON and one page

Cause: objectives were counted on each instance and could be read by nobody.

What it is: `sample` appends all instances' counts to a file, `report` makes burn rates over short and long windows of it, the budget left, and the accounts that used it, with a plot for each objective. Counters that start anew with an instance count whole.

Not yet measured: its cost at 290 client accounts.

--- /dev/null
+++ b/crates/rookferry_burn/src/report.rs
@@ -0,0 +1,169 @@
+//! The figures of the report.
+
+use std::fmt::Write;
+
+use rookferry_core::Objective;
+use rookferry_core::SiteConfig;
+use rookferry_core::WindowCount;
+use serde::Serialize;
+
+use crate::history::History;
+
+/// Points of a plot.
+const POINTS: u64 = 60;
+
+/// A window and what was counted in it.
+#[derive(Debug, Serialize)]
+pub(crate) struct WindowBurn {
+    pub(crate) window_s: u64,
+    pub(crate) good: u64,
+    pub(crate) total: u64,
+    /// 1 uses the budget up just by the end of the objective's period.
+    pub(crate) burn_rate: Option<f64>,
+}
+
+/// An account's part in a budget's use.
+#[derive(Debug, Serialize)]
+pub(crate) struct AccountBurn {
+    pub(crate) account: String,
+    pub(crate) bad: u64,
+    pub(crate) total: u64,
+    pub(crate) share_of_bad: f64,
+}
+
+/// One objective.
+#[derive(Debug, Serialize)]
+pub(crate) struct ObjectiveBurn {
+    pub(crate) name: String,
+    pub(crate) target: f64,
+    pub(crate) windows: Vec<WindowBurn>,
+    /// Share of the budget that is left over the whole history.
+    pub(crate) budget_left: Option<f64>,
+    pub(crate) accounts: Vec<AccountBurn>,
+    /// Burn rates over time, for the plot.
+    pub(crate) plot: Vec<(u64, Option<f64>)>,
+}
+
+/// The whole report.
+#[derive(Debug, Serialize)]
+pub(crate) struct Report {
+    pub(crate) from_ms: u64,
+    pub(crate) to_ms: u64,
+    pub(crate) instances: usize,
+    pub(crate) objectives: Vec<ObjectiveBurn>,
+}
+
+impl Report {
+    pub(crate) fn new(config: &SiteConfig, history: &History, windows_s: &[u64]) -> Self {
+        let objectives = config.objectives.iter();
+        Self {
+            from_ms: history.first_ms,
+            to_ms: history.last_ms,
+            instances: history.instances,
+            objectives: objectives
+                .map(|objective| burn(objective, history, windows_s))
+                .collect(),
+        }
+    }
+
+    pub(crate) fn to_json(&self) -> String {
+        serde_json::to_string_pretty(self).unwrap_or_default()
+    }
+
+    pub(crate) fn to_text(&self) -> String {
+        let mut text = String::new();
+        let span_s = (self.to_ms - self.from_ms) / 1_000;
+        let _ = writeln!(text, "{} instances over {span_s} s", self.instances);
+        for objective in &self.objectives {
+            let left = objective
+                .budget_left
+                .map_or("no events".to_owned(), percent);
+            let _ = writeln!(
+                text,
+                "\n{}: target {}, budget left {left}",
+                objective.name,
+                percent(objective.target)
+            );
+            for window in &objective.windows {
+                let rate = window
+                    .burn_rate
+                    .map_or("-".to_owned(), |rate| format!("{rate:.2}"));
+                let _ = writeln!(
+                    text,
+                    "  last {:>7} s: burn rate {rate:>7}, {} of {} good",
+                    window.window_s, window.good, window.total
+                );
+            }
+            for account in &objective.accounts {
+                let _ = writeln!(
+                    text,
+                    "  {}: {} of {} bad, {} of all bad",
+                    account.account,
+                    account.bad,
+                    account.total,
+                    percent(account.share_of_bad)
+                );
+            }
+        }
+        text
+    }
+}
+
+pub(crate) fn percent(share: f64) -> String {
+    format!("{:.1} %", share * 100.0)
+}
+
+fn burn(objective: &Objective, history: &History, windows_s: &[u64]) -> ObjectiveBurn {
+    let to_ms = history.last_ms;
+    let name = &objective.name;
+    let within =
+        |window_ms: u64| history.between(name, None, to_ms.saturating_sub(window_ms), to_ms);
+    let windows = windows_s.iter().map(|window_s| {
+        let count = within(window_s * 1_000);
+        WindowBurn {
+            window_s: *window_s,
+            good: count.good,
+            total: count.total,
+            burn_rate: count.burn_rate(objective.target),
+        }
+    });
+    let all = history.between(name, None, 0, to_ms);
+    ObjectiveBurn {
+        name: name.clone(),
+        target: objective.target,
+        windows: windows.collect(),
+        budget_left: all.burn_rate(objective.target).map(|used| 1.0 - used),
+        accounts: accounts(name, history, all),
+        plot: plot(objective, history),
+    }
+}
+
+/// Accounts by what they took of the budget, the largest part first.
+fn accounts(objective: &str, history: &History, all: WindowCount) -> Vec<AccountBurn> {
+    let accounts = history.accounts(objective).into_iter();
+    let mut burns: Vec<AccountBurn> = accounts
+        .map(|account| {
+            let count = history.between(objective, Some(&account), 0, history.last_ms);
+            AccountBurn {
+                account,
+                bad: count.bad(),
+                total: count.total,
+                share_of_bad: count.bad() as f64 / all.bad().max(1) as f64,
+            }
+        })
+        .collect();
+    burns.sort_by_key(|burn| std::cmp::Reverse(burn.bad));
+    burns
+}
+
+fn plot(objective: &Objective, history: &History) -> Vec<(u64, Option<f64>)> {
+    let step_ms = ((history.last_ms - history.first_ms) / POINTS).max(1);
+    let points = 1..=POINTS;
+    points
+        .map(|point| {
+            let to_ms = history.first_ms + point * step_ms;
+            let count = history.between(&objective.name, None, to_ms - step_ms, to_ms);
+            (to_ms, count.burn_rate(objective.target))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/rookferry_burn/src/sample.rs
@@ -0,0 +1,62 @@
+//! Reads instances' counts.
+
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use rookferry_core::ObjectiveSample;
+use rookferry_net::HttpClient;
+
+use crate::history::InstanceSample;
+
+const WAIT: Duration = Duration::from_secs(3);
+
+pub(crate) async fn run(
+    entries: &[SocketAddr],
+    file: &Path,
+    times: u64,
+    every: Duration,
+) -> Result<(), String> {
+    let client = HttpClient::new();
+    for number in 0..times {
+        if number > 0 {
+            tokio::time::sleep(every).await;
+        }
+        for entry in entries {
+            match client
+                .get::<Vec<ObjectiveSample>>(*entry, "/v1/objectives", WAIT)
+                .await
+            {
+                Ok(objectives) => append(file, *entry, objectives)?,
+                // The others' counts still count; the report says how many
+                // instances it has seen.
+                Err(error) => eprintln!("rookferry-burn: {error}"),
+            }
+        }
+    }
+    Ok(())
+}
+
+fn append(file: &Path, entry: SocketAddr, objectives: Vec<ObjectiveSample>) -> Result<(), String> {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let sample = InstanceSample {
+        at_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+        instance: entry.to_string(),
+        objectives,
+    };
+    let mut line = serde_json::to_string(&sample).map_err(|error| error.to_string())?;
+    line.push('\n');
+    let mut file = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(file)
+        .map_err(|error| format!("{}: {error}", file.display()))?;
+    file.write_all(line.as_bytes())
+        .map_err(|error| error.to_string())
+}
