fix(stream): a frozen engine is given up sooner; an older attempt's refusal is tested

Cause: the longest stall of a stream with a frozen engine was the floor of the step timeout, 500 ms; and an instance that had not yet used an engine waited ten floors for it, although the engine reports its step time.

Ruled out: detection by the instance that asks the engine (its word came after the stream had moved on by itself).

Default now 200 ms.

`a_paused_owner_that_goes_on_is_refused_by_the_stages` lets the owner really go on, after each of eleven exchanges.

Also `log_level`, and `max_wait_ms` of a route.

--- a/crates/rookferry_controller/src/main.rs
+++ b/crates/rookferry_controller/src/main.rs
@@ -43,7 +43,7 @@
         println!("{}: no faults", args.config.display());
         return Ok(());
     }
-    let log = root_logger(settings.log_format, &settings.instance);
+    let log = root_logger(settings.log_format, settings.log_level, &settings.instance);
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     info!(log, "controller: started"; "part" => "controller");
     tokio::select! {
--- a/crates/rookferry_controller/src/settings.rs
+++ b/crates/rookferry_controller/src/settings.rs
@@ -8,6 +8,7 @@
 use rookferry_core::PlacementLimits;
 use rookferry_core::read_json;
 use rookferry_net::LogFormat;
+use rookferry_net::LogLevel;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -28,6 +29,9 @@
     /// How logs are written.
     #[serde(default)]
     pub log_format: LogFormat,
+    /// The least severity that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
     /// How long the lease lasts.
     #[serde(default = "default_lease_ms")]
     pub lease_ms: u64,
--- a/crates/rookferry_controller/tests/orders.rs
+++ b/crates/rookferry_controller/tests/orders.rs
@@ -16,6 +16,7 @@
 use rookferry_net::HttpClient;
 use rookferry_net::HttpPlatform;
 use rookferry_net::LogFormat;
+use rookferry_net::LogLevel;
 use rookferry_net::Platform;
 use rookferry_net::root_logger;
 use rookferry_standin::Caller;
@@ -90,7 +91,7 @@
             "platform": site.addrs.platform, "limits": {"list_interval_ms": 100, "load_interval_ms": 50},
         });
         let settings = EntrySettings::from_json(&settings.to_string()).expect("settings");
-        let log = root_logger(LogFormat::Json, "entry-1");
+        let log = root_logger(LogFormat::Json, LogLevel::Warning, "entry-1");
         let entry = Entry::start(settings, log)
             .await
             .expect("an entry instance");
@@ -130,7 +131,7 @@
             "interval_ms": 50, "at_once": 1, "load_interval_ms": 10, "drain_timeout_ms": 20_000,
         });
         let settings = ControllerSettings::from_json(&settings.to_string()).expect("settings");
-        let log = root_logger(LogFormat::Json, name);
+        let log = root_logger(LogFormat::Json, LogLevel::Warning, name);
         tokio::spawn(Controller::new(settings, log).run())
     }
 
--- a/crates/rookferry_core/src/config/site.rs
+++ b/crates/rookferry_core/src/config/site.rs
@@ -90,6 +90,19 @@
     /// How long a request may take from its arrival.
     #[serde(default = "default_deadline_ms")]
     pub deadline_ms: u64,
+    /// How long of that it may wait for its turn; all of it if absent.
+    #[serde(default)]
+    pub max_wait_ms: Option<u64>,
+}
+
+impl RouteConfig {
+    /// How long a request may wait for its turn, in milliseconds.
+    #[must_use]
+    pub fn turn_ms(&self) -> u64 {
+        self.max_wait_ms
+            .unwrap_or(self.deadline_ms)
+            .min(self.deadline_ms)
+    }
 }
 
 /// A plain service.
@@ -201,7 +214,7 @@
             queue_limit: 512,
             retry_share: 0.1,
             step_timeout_factor: 8.0,
-            step_timeout_floor_ms: 500,
+            step_timeout_floor_ms: 200,
             affinity_bound: 0.25,
             key_window_ms: 24 * 60 * 60 * 1000,
         }
--- a/crates/rookferry_core/src/routing/stats.rs
+++ b/crates/rookferry_core/src/routing/stats.rs
@@ -22,6 +22,9 @@
 const FLOOR_WINDOW: u32 = 256;
 /// Floors that an engine of which nothing is known may take.
 const UNKNOWN_TIMEOUT_FLOORS: u32 = 10;
+/// Positions of a prefill that are guessed to take a step's time before any
+/// prefill was seen.
+const GUESSED_POSITIONS_A_STEP: u64 = 8;
 /// How far back own counts are kept, for reports that come late.
 const HISTORY: Duration = Duration::from_secs(3);
 /// How often the own count is noted.
@@ -92,21 +95,25 @@
         self.failures.store(0, Ordering::Relaxed);
     }
 
-    /// How long to wait for a step before its engine is taken for lost.
-    ///
-    /// A multiple of what was learned, within a floor; an engine that nothing
-    /// is known about gets ten floors.
+    /// How long to wait for a step before its engine is taken for lost: a
+    /// multiple of what was learned, or else of what the engine reports, but
+    /// never less than the floor. An engine of which nothing at all is known
+    /// gets ten floors.
     #[must_use]
     pub fn step_timeout(&self, factor: f64, floor: Duration, positions: u32) -> Duration {
-        let Some(round_trip) = self.round_trip() else {
-            return floor * UNKNOWN_TIMEOUT_FLOORS;
-        };
-        let position_us = self.position_us.load(Ordering::Relaxed);
-        if position_us == 0 && positions > 1 {
+        let reported_us = self.step_us();
+        if self.round_trip().is_none() && reported_us == 0 {
             return floor * UNKNOWN_TIMEOUT_FLOORS;
         }
+        let one = self
+            .round_trip()
+            .unwrap_or(Duration::from_micros(reported_us));
+        let position_us = match self.position_us.load(Ordering::Relaxed) {
+            0 => reported_us / GUESSED_POSITIONS_A_STEP,
+            learned => learned,
+        };
         let prefill = Duration::from_micros(position_us * u64::from(positions.saturating_sub(1)));
-        (round_trip + prefill).mul_f64(factor).max(floor)
+        (one + prefill).mul_f64(factor).max(floor)
     }
 
     /// The engine did not answer; returns the failures in a row.
--- a/crates/rookferry_core/tests/stream.rs
+++ b/crates/rookferry_core/tests/stream.rs
@@ -241,3 +241,27 @@
     assert!(second.attempt() > first.attempt());
     assert_eq!(pipeline.shown, reference());
 }
+
+/// An owner that was paused after any exchange goes on once another instance
+/// has finished its stream: the stages refuse it, and nothing runs again.
+#[rstest]
+fn a_paused_owner_that_goes_on_is_refused_by_the_stages(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)] paused_after: usize,
+) {
+    let mut pipeline = Pipeline::new(Vec::new());
+    let mut owner = StreamDriver::new(pipeline.spec());
+    assert_eq!(pipeline.run(&mut owner, Some(paused_after)), None);
+    let shown = std::mem::take(&mut pipeline.shown);
+    let mut resumed = StreamDriver::resume(pipeline.spec(), 1);
+    assert_eq!(pipeline.run(&mut resumed, None), Some(Ending::Finished));
+    pipeline.shown = shown;
+    // What it had heard before the pause it may still show.
+    let ending = pipeline.go_on(&mut owner);
+    assert_eq!(ending, Some(Ending::Abandoned(AbandonReason::TakenOver)));
+    pipeline.assert_no_repeats();
+    for start in [0, 2, 4] {
+        for position in 0..5 {
+            assert_eq!(pipeline.runs_at(start, position), 1);
+        }
+    }
+}
--- a/crates/rookferry_core/tests/support/mod.rs
+++ b/crates/rookferry_core/tests/support/mod.rs
@@ -158,6 +158,8 @@
     pub shown: Vec<u64>,
     /// Steps that a frozen engine will run when it wakes.
     asleep: Vec<(EngineId, Step)>,
+    /// What a driver that was stopped was about to do.
+    stopped: Vec<StreamAction>,
     sends: usize,
     /// Faults by the number of the exchange that they hit.
     pub faults: BTreeMap<usize, Fault>,
@@ -176,6 +178,7 @@
             engines,
             shown: Vec::new(),
             asleep: Vec::new(),
+            stopped: Vec::new(),
             sends: 0,
             faults: faults.into_iter().collect(),
         }
@@ -204,11 +207,28 @@
 
     /// Runs a driver to its end, or until `stop_after` exchanges.
     pub fn run(&mut self, driver: &mut StreamDriver, stop_after: Option<usize>) -> Option<Ending> {
-        let mut actions = driver.start();
+        let actions = driver.start();
+        self.carry_on(driver, actions, stop_after)
+    }
+
+    /// Lets a driver that was stopped go on as if nothing had happened.
+    pub fn go_on(&mut self, driver: &mut StreamDriver) -> Option<Ending> {
+        let actions = std::mem::take(&mut self.stopped);
+        self.carry_on(driver, actions, None)
+    }
+
+    fn carry_on(
+        &mut self,
+        driver: &mut StreamDriver,
+        mut actions: Vec<StreamAction>,
+        stop_after: Option<usize>,
+    ) -> Option<Ending> {
         loop {
             let mut events = Vec::new();
-            for action in std::mem::take(&mut actions) {
+            let mut due = std::mem::take(&mut actions).into_iter();
+            while let Some(action) = due.next() {
                 if stop_after.is_some_and(|limit| self.sends >= limit) {
+                    self.stopped = std::iter::once(action).chain(due).collect();
                     return None;
                 }
                 match action {
--- a/crates/rookferry_entry/src/admission.rs
+++ b/crates/rookferry_entry/src/admission.rs
@@ -51,6 +51,8 @@
     pub(crate) seed: u64,
     /// Engines that likely hold the prompt's prefix.
     pub(crate) cached: Vec<EngineId>,
+    /// When it must have had its turn.
+    pub(crate) turn_by: Instant,
     /// When the caller's time is over.
     pub(crate) deadline: Instant,
 }
@@ -165,9 +167,9 @@
     ) {
         let over = lane
             .queue
-            .remove_if(|waiter| waiter.need.deadline <= now || waiter.answer.is_closed());
+            .remove_if(|waiter| waiter.need.turn_by <= now || waiter.answer.is_closed());
         for entry in over {
-            let no_place = overloaded(lane, now, "its deadline passed while it waited");
+            let no_place = overloaded(lane, now, "its time for waiting passed");
             told.push((entry.item, Err(no_place)));
         }
         for _ in 0..MAX_PLACED_AT_ONCE {
@@ -201,8 +203,12 @@
         });
         lane.queue.set_limit(limit);
         let wait = lane.drain.wait(now, lane.queue.len());
-        if wait.is_some_and(|wait| now + wait > need.deadline) {
-            return Err(overloaded(lane, now, "the wait would pass its deadline"));
+        if wait.is_some_and(|wait| now + wait > need.turn_by) {
+            return Err(overloaded(
+                lane,
+                now,
+                "the wait would pass its time for waiting",
+            ));
         }
         let pushed = lane.queue.push(
             need.account.clone(),
--- a/crates/rookferry_entry/src/http/model.rs
+++ b/crates/rookferry_entry/src/http/model.rs
@@ -174,6 +174,7 @@
             cost: f64::from(request.max_tokens),
             seed: call.number.as_u64_pair().1,
             cached: cached.unwrap_or_default(),
+            turn_by: call.received_at + Duration::from_millis(route.turn_ms()),
             deadline: call.received_at + Duration::from_millis(route.deadline_ms),
         };
         Ok(Self {
--- a/crates/rookferry_entry/src/main.rs
+++ b/crates/rookferry_entry/src/main.rs
@@ -50,7 +50,7 @@
         println!("{}: no faults", args.config.display());
         return Ok(true);
     }
-    let log = root_logger(settings.log_format, &settings.instance);
+    let log = root_logger(settings.log_format, settings.log_level, &settings.instance);
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let entry = Entry::start(settings, log.clone())
         .await
--- a/crates/rookferry_entry/src/settings.rs
+++ b/crates/rookferry_entry/src/settings.rs
@@ -6,6 +6,7 @@
 use rookferry_core::ConfigFaults;
 use rookferry_core::read_json;
 use rookferry_net::LogFormat;
+use rookferry_net::LogLevel;
 use rookferry_wire::Labels;
 use serde::Deserialize;
 use serde::Serialize;
@@ -41,6 +42,9 @@
     /// How logs are written.
     #[serde(default)]
     pub log_format: LogFormat,
+    /// The least severity that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
     /// Limits.
     #[serde(default)]
     pub limits: EntryLimits,
--- a/crates/rookferry_experiment/src/main.rs
+++ b/crates/rookferry_experiment/src/main.rs
@@ -50,6 +50,12 @@
         /// How long each fault's load lasts.
         #[arg(long, default_value_t = 12)]
         seconds: u64,
+        /// Only faults whose name holds this.
+        #[arg(long)]
+        only: Option<String>,
+        /// The floor of step timeouts; the default's if absent.
+        #[arg(long)]
+        floor_ms: Option<u64>,
     },
     /// Time from a configuration's acceptance until it is in force everywhere.
     Spread {
@@ -86,7 +92,11 @@
             policy,
             overcommit,
         } => policies::run(seconds, &load, &policy, overcommit),
-        Experiment::Recovery { seconds } => recovery::run(seconds),
+        Experiment::Recovery {
+            seconds,
+            only,
+            floor_ms,
+        } => recovery::run(seconds, only.as_deref(), floor_ms),
         Experiment::Spread { applies } => spread::run(applies),
         Experiment::Overhead { seconds } => overhead::run(seconds),
         Experiment::Control { seconds } => control::run(seconds),
--- a/crates/rookferry_experiment/src/recovery.rs
+++ b/crates/rookferry_experiment/src/recovery.rs
@@ -38,7 +38,7 @@
     cut: u64,
 }
 
-pub(crate) fn run(seconds: u64) -> Value {
+pub(crate) fn run(seconds: u64, only: Option<&str>, floor_ms: Option<u64>) -> Value {
     let faults: [(&str, &str, Value); 6] = [
         ("none", "", json!({})),
         ("engine killed", "engine-00", json!({"dead": true})),
@@ -52,15 +52,24 @@
         ("platform out", "platform", json!({"dead": true})),
     ];
     let mut runs: Vec<RunFigures> = Vec::new();
-    for (name, target, fault) in faults {
-        runs.push(with_fault(name, target, &fault, seconds));
+    let policy = match floor_ms {
+        Some(floor_ms) => json!({"step_timeout_floor_ms": floor_ms}),
+        None => json!({}),
+    };
+    let is_wanted = |name: &str| only.is_none_or(|only| name.contains(only));
+    for (name, target, fault) in faults.iter().filter(|(name, ..)| is_wanted(name)) {
+        runs.push(with_fault(name, target, fault, &policy, seconds));
+    }
+    if is_wanted("entry") {
+        runs.push(with_entry_killed(seconds));
     }
-    runs.push(with_entry_killed(seconds));
     serde_json::to_value(runs).unwrap_or_default()
 }
 
-fn with_fault(name: &str, target: &str, fault: &Value, seconds: u64) -> RunFigures {
+fn with_fault(name: &str, target: &str, fault: &Value, policy: &Value, seconds: u64) -> RunFigures {
     let bench = Bench::start(engines(ENGINES), ENTRIES);
+    let version = bench.apply(policy);
+    bench.wait_in_force(version);
     let addr = target_addr(&bench, target);
     let fault_at_ms = seconds * 500;
     let mut plan = plan(&bench, seconds);
--- a/crates/rookferry_net/src/lib.rs
+++ b/crates/rookferry_net/src/lib.rs
@@ -30,6 +30,7 @@
 pub use inbound::BodyError;
 pub use inbound::Inbound;
 pub use log::LogFormat;
+pub use log::LogLevel;
 pub use log::root_logger;
 pub use platform::HttpPlatform;
 pub use platform::Platform;
