fix(entry): an idle instance doesn't wake fifty times a second

Cause: the task that looks at waiting requests woke every 20 ms, whether any waited or not. It now sleeps until someone waits.

Ruled out: heartbeats and asks; their slopes are 0.008 % of a core an engine asked, and none that shows for 18 further members.

--- a/crates/rookferry_entry/src/admission.rs
+++ b/crates/rookferry_entry/src/admission.rs
@@ -26,6 +26,7 @@
 use rookferry_wire::AccountId;
 use rookferry_wire::EngineId;
 use rookferry_wire::ReasonCode;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::snapshot::AccountPermit;
@@ -99,6 +100,8 @@
 pub(crate) struct Admission {
     snapshot: Arc<ArcSwap<Snapshot>>,
     waiting: AtomicUsize,
+    /// Told when someone begins to wait.
+    queued: Notify,
     lanes: Mutex<HashMap<LaneKey, Lane>>,
 }
 
@@ -107,6 +110,7 @@
         Arc::new(Self {
             snapshot,
             waiting: AtomicUsize::new(0),
+            queued: Notify::new(),
             lanes: Mutex::default(),
         })
     }
@@ -116,6 +120,13 @@
         self.waiting.load(Ordering::Relaxed)
     }
 
+    /// Returns at once while someone waits, otherwise when someone begins to.
+    pub(crate) async fn someone_waits(&self) {
+        while self.waiting() == 0 {
+            self.queued.notified().await;
+        }
+    }
+
     /// Places a stream, waiting for its turn if need be.
     pub(crate) async fn place(self: &Arc<Self>, need: StreamNeed) -> Result<Placement, NoPlace> {
         if self.waiting() == 0 {
@@ -226,6 +237,7 @@
         }
         let waiting_count = lanes.values().map(|lane| lane.queue.len()).sum();
         self.waiting.store(waiting_count, Ordering::Relaxed);
+        self.queued.notify_one();
         Ok(waiting)
     }
 
--- a/crates/rookferry_entry/src/discovery.rs
+++ b/crates/rookferry_entry/src/discovery.rs
@@ -156,6 +156,7 @@
 
 async fn pump(entry: Arc<EntryState>) {
     loop {
+        entry.admission.someone_waits().await;
         tokio::time::sleep(PUMP_INTERVAL).await;
         entry.admission.pump();
     }
--- a/crates/rookferry_experiment/src/control.rs
+++ b/crates/rookferry_experiment/src/control.rs
@@ -31,14 +31,14 @@
 use crate::process::cpu_of;
 use crate::process::resident_bytes;
 
-const ENTRIES: usize = 9;
-const ENGINES: usize = 38;
+/// Instances and engines of the idle sites, for slopes by either.
+const SITES: [(usize, usize); 3] = [(9, 38), (9, 114), (27, 38)];
 const ROUNDS: u32 = 200;
 const CALL: Duration = Duration::from_secs(5);
 
 #[derive(Serialize)]
 struct Figures {
-    idle_site: Idle,
+    idle_sites: Vec<Idle>,
     by_engines: Vec<EngineSlope>,
     by_members: Vec<MemberSlope>,
 }
@@ -73,23 +73,25 @@
     let figures = Figures {
         by_engines: [38, 207, 725, 2_900].map(engine_slope).into(),
         by_members: [9, 26, 93, 370].map(member_slope).into(),
-        idle_site: idle(seconds),
+        idle_sites: SITES
+            .map(|(entries, engines)| idle(entries, engines, seconds))
+            .into(),
     };
     serde_json::to_value(figures).unwrap_or_default()
 }
 
-fn idle(seconds: u64) -> Idle {
-    let bench = Bench::start(engines(ENGINES), ENTRIES);
+fn idle(entries: usize, engines_in_all: usize, seconds: u64) -> Idle {
+    let bench = Bench::start(engines(engines_in_all), entries);
     let heartbeats = || bench.runtime.block_on(heartbeat_bytes(&bench));
     let (cpu, bytes, reads) = (cpu_of("entry-"), heartbeats(), platform_reads(&bench));
     let start = Instant::now();
     std::thread::sleep(Duration::from_secs(seconds));
     let elapsed_s = start.elapsed().as_secs_f64();
     let cpu = cpu_of("entry-").saturating_sub(cpu).as_secs_f64();
-    let each = ENTRIES as f64 * elapsed_s;
+    let each = entries as f64 * elapsed_s;
     Idle {
-        instances: ENTRIES,
-        engines: ENGINES,
+        instances: entries,
+        engines: engines_in_all,
         cpu_percent_of_a_core_each: 100.0 * cpu / each,
         heartbeat_bytes_per_s_each: (heartbeats() - bytes) / each,
         platform_reads_per_s_in_all: (platform_reads(&bench) - reads) / elapsed_s,
--- a/crates/rookferry_experiment/src/recovery.rs
+++ b/crates/rookferry_experiment/src/recovery.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rookferry_standin::Arrivals;
 use rookferry_standin::CallKind;
 use rookferry_standin::LoadRun;
 use rookferry_standin::Mix;
@@ -106,7 +107,11 @@
         ..Mix::default()
     };
     let rate_per_s = bound(&bench.engines) as f64 * LOAD / ANSWER_TOKENS;
-    bench.plan(rate_per_s, seconds, mix)
+    let mut plan = bench.plan(rate_per_s, seconds, mix);
+    // Chance in the load would drown the fault's part in the tokens a second.
+    plan.arrivals = Arrivals::Steady;
+    plan.answer_tokens = (32, 32);
+    plan
 }
 
 fn target_addr(bench: &Bench, target: &str) -> Option<SocketAddr> {
