--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -93,6 +93,7 @@
 pub use member::engine_tag;
 pub use member::home_of;
 pub use member::info_tag;
+pub use member::others_allowed;
 pub use outcome::Dispatched;
 pub use outcome::NotRun;
 pub use outcome::Undispatched;
--- a/crates/rookferry_core/src/member/ask.rs
+++ b/crates/rookferry_core/src/member/ask.rs
@@ -17,13 +17,18 @@
 use super::home_of;
 
 /// Silence about an engine after which an instance asks it itself.
-const MISSED_AFTER: Duration = Duration::from_secs(2);
+const MISSED_AFTER: Duration = Duration::from_secs(4);
 /// Bytes of an ask and its answer, heads included, for the budget.
 const BYTES_AN_ASK: f64 = 550.0;
 /// The shortest and longest time between asks.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The round that a budget is shared out for.
+const USUAL_ROUND: Duration = Duration::from_millis(500);
+/// Engines that are described for the first time in one round.
+const MAX_UNDESCRIBED_A_ROUND: usize = 32;
+
 /// Why an instance asks an engine itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AskReason {
@@ -76,6 +81,17 @@
     interval.clamp(shortest.max(MIN_INTERVAL), MAX_INTERVAL.max(shortest))
 }
 
+/// How many engines beside the own ones may be asked in a round: what the
+/// budget leaves in a round of half a second, and one at least. Engines that
+/// have never been described go faster, since a starting instance needs them.
+#[must_use]
+pub fn others_allowed(own: usize, undescribed: usize, budget_bytes_per_s: u32) -> usize {
+    let a_round = f64::from(budget_bytes_per_s) * USUAL_ROUND.as_secs_f64() / BYTES_AN_ASK;
+    let left = std::iter::successors(Some(own as f64), |asked| Some(asked + 1.0));
+    let left = left.take_while(|asked| asked + 1.0 <= a_round).count();
+    left.max(1).max(undescribed.min(MAX_UNDESCRIBED_A_ROUND))
+}
+
 /// Short name of an engine in digests.
 #[must_use]
 pub fn engine_tag(engine: &str) -> u32 {
--- a/crates/rookferry_core/src/member/mod.rs
+++ b/crates/rookferry_core/src/member/mod.rs
@@ -15,6 +15,7 @@
 pub use ask::ask_reason;
 pub use ask::engine_tag;
 pub use ask::info_tag;
+pub use ask::others_allowed;
 pub use plan::HeartbeatPlan;
 pub use plan::PeerTarget;
 pub use plan::home_of;
--- a/crates/rookferry_core/src/member/plan.rs
+++ b/crates/rookferry_core/src/member/plan.rs
@@ -17,8 +17,8 @@
 
 /// The shortest time between rounds.
 const MIN_INTERVAL: Duration = Duration::from_millis(200);
-/// The longest; well below the silence after which members are suspected.
-const MAX_INTERVAL: Duration = Duration::from_secs(1);
+/// The longest; heartbeats tell it, so that it is waited for.
+const MAX_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A peer that may be sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/rookferry_core/src/member/table.rs
+++ b/crates/rookferry_core/src/member/table.rs
@@ -11,7 +11,9 @@
 use snafu::Snafu;
 use snafu::ensure;
 
-/// Silence after which a member of the own domain is suspected.
+/// Rounds of a member without a word after which it is suspected.
+const SUSPECT_ROUNDS: u32 = 4;
+/// The least silence after which a member of the own domain is suspected.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_500);
 /// Silence after which a member of another domain is suspected; it is heard
 /// from less often.
@@ -153,8 +155,10 @@
         let mut suspected = Vec::new();
         for (name, member) in &mut self.members {
             let is_near = member.heartbeat.failure_domain == self.own_domain;
+            let rounds =
+                Duration::from_millis(member.heartbeat.interval_ms.into()) * SUSPECT_ROUNDS;
             let patience = if is_near {
-                SUSPECT_AFTER
+                SUSPECT_AFTER.max(rounds)
             } else {
                 SUSPECT_FAR_AFTER
             };
--- a/crates/rookferry_core/tests/members.rs
+++ b/crates/rookferry_core/tests/members.rs
@@ -17,6 +17,7 @@
 use rookferry_core::ask_interval;
 use rookferry_core::ask_reason;
 use rookferry_core::home_of;
+use rookferry_core::others_allowed;
 use rookferry_wire::DatagramKey;
 use rookferry_wire::Heartbeat;
 use rookferry_wire::InstanceId;
@@ -35,6 +36,7 @@
         peer_addr: addr(1),
         config_version: 1,
         leaving: false,
+        interval_ms: 200,
         engines: Vec::new(),
     }
 }
@@ -119,7 +121,7 @@
 /// At the size of the letter: 14 domains of 26 or 27 instances.
 #[test]
 fn the_plan_stays_within_its_bytes_at_full_size() {
-    const BUDGET: u32 = 7_500;
+    const BUDGET: u32 = 4_000;
     const DATAGRAM: usize = 180;
     let mut plan = HeartbeatPlan::new("domain-0".into(), BUDGET);
     let peers = peers(14, 26);
@@ -213,7 +215,7 @@
             .iter()
             .filter(|own| ask_reason(now, own, &names, &input).is_some());
         assert_eq!(asking.count(), 1);
-        let later = now + Duration::from_secs(3);
+        let later = now + Duration::from_secs(5);
         let asking = names
             .iter()
             .filter(|own| ask_reason(later, own, &names, &input).is_some());
@@ -233,3 +235,29 @@
         Duration::from_millis(250)
     );
 }
+
+/// At the size of the letter thousands of engines of other domains are heard
+/// of rarely; they must not be asked by everyone all the time.
+#[test]
+fn missed_engines_are_asked_within_the_budget() {
+    assert_eq!(others_allowed(8, 0, 8_000), 1);
+    assert_eq!(others_allowed(3, 0, 8_000), 4);
+    assert_eq!(others_allowed(0, 2_900, 8_000), 32, "a starting instance");
+}
+
+/// A member whose rounds are long is waited for longer.
+#[test]
+fn suspicion_follows_a_members_own_rounds() {
+    let start = Instant::now();
+    let mut table = table();
+    let slow = Heartbeat {
+        interval_ms: 1_700,
+        ..heartbeat("slow", 5, 1)
+    };
+    assert!(table.on_heartbeat(start, slow).is_ok());
+    assert!(table.on_heartbeat(start, heartbeat("quick", 5, 1)).is_ok());
+    let suspected = table.tick(start + Duration::from_secs(5));
+    assert_eq!(suspected, [InstanceId::from("quick")]);
+    let suspected = table.tick(start + Duration::from_secs(8));
+    assert_eq!(suspected, [InstanceId::from("slow")]);
+}
--- a/crates/rookferry_entry/src/discovery.rs
+++ b/crates/rookferry_entry/src/discovery.rs
@@ -23,6 +23,7 @@
 use crate::config_sync::jittered;
 use crate::entry::EntryState;
 use crate::known::Ask;
+use crate::known::Asker;
 use crate::snapshot::Snapshot;
 
 /// Engines asked at once.
@@ -107,12 +108,13 @@
 /// Asks those engines that are to be asked here; returns how many there were.
 async fn ask_all(entry: &Arc<EntryState>, round: u64, is_describing: bool) -> usize {
     let near: Vec<InstanceId> = entry.peers.lock().live_near();
-    let asks = entry.known.to_ask(
-        Instant::now(),
-        &entry.instance,
-        &entry.failure_domain,
-        &near,
-    );
+    let instance = Asker {
+        own: &entry.instance,
+        failure_domain: &entry.failure_domain,
+        near: &near,
+        bytes_per_s: entry.settings.limits.ask_bytes_per_s,
+    };
+    let asks = entry.known.to_ask(Instant::now(), &instance);
     let asked = asks.len();
     let asks = asks
         .into_iter()
--- a/crates/rookferry_entry/src/known.rs
+++ b/crates/rookferry_entry/src/known.rs
@@ -19,6 +19,8 @@
 use rookferry_core::ask_reason;
 use rookferry_core::engine_tag;
 use rookferry_core::info_tag;
+use rookferry_core::others_allowed;
+use rookferry_wire::DomainId;
 use rookferry_wire::EngineDigest;
 use rookferry_wire::EngineId;
 use rookferry_wire::EngineInfo;
@@ -47,6 +49,15 @@
     last_news: Option<Instant>,
 }
 
+/// Who asks: an instance, its domain's members that take work, its budget.
+#[derive(Debug)]
+pub(crate) struct Asker<'a> {
+    pub(crate) own: &'a InstanceId,
+    pub(crate) failure_domain: &'a DomainId,
+    pub(crate) near: &'a [InstanceId],
+    pub(crate) bytes_per_s: u32,
+}
+
 /// An engine that is to be asked.
 #[derive(Debug)]
 pub(crate) struct Ask {
@@ -142,35 +153,35 @@
         services.collect()
     }
 
-    /// The engines that this instance is to ask now.
-    pub(crate) fn to_ask(
-        &self,
-        now: Instant,
-        own: &InstanceId,
-        own_domain: &str,
-        near: &[InstanceId],
-    ) -> Vec<Ask> {
+    /// The engines that this instance is to ask now: its own ones, and of the
+    /// others as many as the budget allows, those of its domain and those not
+    /// heard of for longest first.
+    pub(crate) fn to_ask(&self, now: Instant, asker: &Asker<'_>) -> Vec<Ask> {
         let mut servers = self.lock();
-        let engines = servers
-            .values_mut()
-            .filter(|server| server.entry.kind == InstanceKind::ModelEngine);
-        let asks = engines.filter_map(|server| {
-            let input = AskInput {
-                engine: &server.entry.name,
-                is_near: *server.entry.failure_domain == *own_domain,
-                is_described: server.info.is_some(),
-                last_news: server.last_news,
-            };
-            let reason = ask_reason(now, own, near, &input);
+        let mut own = Vec::new();
+        let mut others = Vec::new();
+        let mut undescribed = 0;
+        for server in servers.values_mut() {
+            if server.entry.kind != InstanceKind::ModelEngine {
+                continue;
+            }
+            let is_near = server.entry.failure_domain == *asker.failure_domain;
+            let reason = server.ask_reason(now, asker, is_near);
             server.is_own = reason == Some(AskReason::Own);
-            Some(Ask {
-                engine: server.entry.name.clone(),
-                addr: server.entry.addr,
-                next_cache_event: server.next_cache_event,
-                reason: reason?,
-            })
-        });
-        asks.collect()
+            let Some(reason) = reason else {
+                continue;
+            };
+            undescribed += usize::from(server.info.is_none());
+            if reason == AskReason::Own {
+                own.push(server.ask(reason));
+            } else {
+                others.push((!is_near, server.last_news, server.ask(reason)));
+            }
+        }
+        others.sort_by_key(|(is_far, last_news, _)| (*is_far, *last_news));
+        let allowed = others_allowed(own.len(), undescribed, asker.bytes_per_s);
+        own.extend(others.into_iter().take(allowed).map(|(.., ask)| ask));
+        own
     }
 
     /// Takes what an engine says of itself, or that it says nothing; returns
@@ -240,6 +251,25 @@
 }
 
 impl KnownServer {
+    fn ask_reason(&self, now: Instant, asker: &Asker<'_>, is_near: bool) -> Option<AskReason> {
+        let input = AskInput {
+            engine: &self.entry.name,
+            is_near,
+            is_described: self.info.is_some(),
+            last_news: self.last_news,
+        };
+        ask_reason(now, asker.own, asker.near, &input)
+    }
+
+    fn ask(&self, reason: AskReason) -> Ask {
+        Ask {
+            engine: self.entry.name.clone(),
+            addr: self.entry.addr,
+            next_cache_event: self.next_cache_event,
+            reason,
+        }
+    }
+
     fn new(entry: InstanceEntry) -> Self {
         Self {
             tag: engine_tag(&entry.name),
--- a/crates/rookferry_entry/src/peers/heartbeat.rs
+++ b/crates/rookferry_entry/src/peers/heartbeat.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use metrics::counter;
@@ -29,10 +30,11 @@
     let mut plan = HeartbeatPlan::new(entry.failure_domain.clone(), budget);
     let mut seq = 0;
     let mut bytes = FIRST_GUESS_BYTES;
+    let mut interval = Duration::ZERO;
     loop {
         let wake = entry.peers.wake.notified();
         seq += 1;
-        let heartbeat = own_heartbeat(&entry, seq, peer_addr);
+        let heartbeat = own_heartbeat(&entry, seq, peer_addr, interval);
         let targets = entry
             .peers
             .targets(&entry.known.peers(), &entry.instance, peer_addr);
@@ -51,7 +53,7 @@
             }
         }
         suspect(&entry);
-        let interval = plan.interval(round.len(), bytes);
+        interval = plan.interval(round.len(), bytes);
         let _ = tokio::time::timeout(interval, wake).await;
     }
 }
@@ -75,7 +77,12 @@
     }
 }
 
-fn own_heartbeat(entry: &EntryState, seq: u64, peer_addr: SocketAddr) -> Heartbeat {
+fn own_heartbeat(
+    entry: &EntryState,
+    seq: u64,
+    peer_addr: SocketAddr,
+    interval: Duration,
+) -> Heartbeat {
     Heartbeat {
         instance: entry.instance.clone(),
         incarnation: entry.incarnation,
@@ -84,6 +91,7 @@
         peer_addr,
         config_version: entry.config.version(),
         leaving: entry.leaving.load(Ordering::SeqCst),
+        interval_ms: u16::try_from(interval.as_millis()).unwrap_or(u16::MAX),
         engines: digests(entry, seq),
     }
 }
--- a/crates/rookferry_experiment/src/control.rs
+++ b/crates/rookferry_experiment/src/control.rs
@@ -193,6 +193,7 @@
         peer_addr: SocketAddr::from(([127, 0, 0, 1], 4_000)),
         config_version: 100_000,
         leaving: false,
+        interval_ms: 200,
         engines: Vec::new(),
     };
     let before = resident_bytes();
--- a/crates/rookferry_wire/src/peer.rs
+++ b/crates/rookferry_wire/src/peer.rs
@@ -61,6 +61,8 @@
     pub config_version: ObjectVersion,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// How long its rounds last now, for whoever waits for the next one.
+    pub interval_ms: u16,
     /// The engines that the sender asks, or some of them in turn.
     pub engines: Vec<EngineDigest>,
 }
