refactor: four large files in parts

Cause: `driver.rs`, `chooser.rs`, `keyed.rs` and the stand-in engine's `server.rs` had grown to 400 to 560 lines, each with two jobs.

The driver's messages, the search over the layer graph, the passing on of keyed calls and the stand-in's configuration stand in files of their own. Behaviour is the same; tests unchanged and green.

--- a/crates/rookferry_core/src/routing/mod.rs
+++ b/crates/rookferry_core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod fleet;
 mod graph;
+mod search;
 mod service;
 mod stats;
 mod table;
--- a/crates/rookferry_core/src/stream/mod.rs
+++ b/crates/rookferry_core/src/stream/mod.rs
@@ -8,12 +8,13 @@
 
 mod driver;
 mod gate;
+mod message;
 
-pub use driver::AbandonReason;
-pub use driver::Stage;
-pub use driver::StageEvent;
-pub use driver::StreamAction;
 pub use driver::StreamDriver;
-pub use driver::StreamSpec;
 pub use gate::GateVerdict;
 pub use gate::StageGate;
+pub use message::AbandonReason;
+pub use message::Stage;
+pub use message::StageEvent;
+pub use message::StreamAction;
+pub use message::StreamSpec;
--- /dev/null
+++ b/crates/rookferry_entry/src/http/forward.rs
@@ -0,0 +1,138 @@
+//! Calls passed on to the instance that owns their key, and those that peers
+//! pass on to this one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use http_body_util::BodyExt;
+use rookferry_wire::InstanceId;
+use rookferry_wire::KeyedCall;
+use rookferry_wire::PeerAnswer;
+use rookferry_wire::PeerRequest;
+
+use super::call::Call;
+use super::call::log_refusal;
+use super::keyed::replay;
+use super::keyed::unknown;
+use super::model;
+use super::refusal::Refusal;
+use super::respond;
+use super::service;
+use crate::answers::KeptAnswer;
+use crate::entry::EntryState;
+use crate::peers;
+
+/// Serves a call that a peer passes on.
+pub(crate) async fn serve_keyed(entry: &Arc<EntryState>, keyed: KeyedCall) -> PeerAnswer {
+    let response = match Call::forwarded(entry, &keyed) {
+        Ok(call) => match &keyed.service {
+            Some((name, path)) => service::serve(entry, call, &keyed.method, name, path).await,
+            None => model::serve(entry, call).await,
+        },
+        Err(refusal) => {
+            log_refusal(entry, &refusal);
+            respond::refused(entry, &refusal)
+        }
+    };
+    let (head, body) = response.into_parts();
+    let Ok(body) = body.collect().await else {
+        return PeerAnswer::Nothing;
+    };
+    let header = |name: &str| {
+        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    PeerAnswer::Ran {
+        status: head.status.as_u16(),
+        content_type: header("content-type"),
+        request_id: header("rookferry-request-id").into(),
+        body: body.to_bytes().to_vec(),
+    }
+}
+
+/// Passes a ticket on to the instance that minted it.
+pub(super) async fn forward_ticket(
+    entry: &Arc<EntryState>,
+    call: Call,
+    instance: &InstanceId,
+    is_stream: bool,
+) -> Response<Body> {
+    let addr = {
+        let members = entry.peers.lock();
+        members
+            .get(instance)
+            .map(|member| member.heartbeat.peer_addr)
+    };
+    match addr {
+        Some(addr) if !call.is_forwarded => match forward(entry, &call, addr, is_stream).await {
+            Ok(response) => response,
+            Err(OwnerGone) => unknown(
+                entry,
+                call,
+                &format!("{instance}, which minted the ticket, is gone"),
+            ),
+        },
+        _ => unknown(
+            entry,
+            call,
+            &format!("{instance}, which minted the ticket, is not known here"),
+        ),
+    }
+}
+
+/// The owner's process has ended: nothing listens at its address.
+pub(super) struct OwnerGone;
+
+/// Passes a call on to its key's owner.
+pub(super) async fn forward(
+    entry: &Arc<EntryState>,
+    call: &Call,
+    addr: SocketAddr,
+    is_stream: bool,
+) -> Result<Response<Body>, OwnerGone> {
+    let keyed = KeyedCall {
+        key: call.key.clone().unwrap_or_default(),
+        account: call.account.to_string(),
+        service: call.service.clone(),
+        method: call.method.clone(),
+        labels: call.raw_labels.clone(),
+        body: whole_body(call),
+    };
+    match peers::ask(entry, addr, &PeerRequest::Run(keyed)).await {
+        Ok(PeerAnswer::Ran {
+            status,
+            content_type,
+            request_id,
+            body,
+        }) => {
+            let answer = KeptAnswer {
+                request_id,
+                body_digest: String::new(),
+                status,
+                content_type,
+                body,
+            };
+            Ok(replay(entry, &answer, is_stream))
+        }
+        Err(error) if error.is_refused() => Err(OwnerGone),
+        Ok(_) | Err(_) => {
+            let detail = "the key's owner did not answer; come back with the key";
+            let refusal = Refusal::running(&call.request, detail);
+            log_refusal(entry, &refusal);
+            Ok(respond::refused(entry, &refusal))
+        }
+    }
+}
+
+/// A model call's body as peers and digests see it: the caller's wish for
+/// events is met by whoever answers it, and changes nothing of the work.
+pub(super) fn whole_body(call: &Call) -> Vec<u8> {
+    let body = serde_json::from_slice(&call.body);
+    let (None, Ok(serde_json::Value::Object(mut body))) = (&call.service, body) else {
+        return call.body.to_vec();
+    };
+    body.remove("stream");
+    serde_json::to_vec(&body).unwrap_or_default()
+}
--- a/crates/rookferry_entry/src/http/keyed.rs
+++ b/crates/rookferry_entry/src/http/keyed.rs
@@ -11,7 +11,6 @@
 
 use gotham::helpers::http::Body;
 use http::Response;
-use http_body_util::BodyExt;
 use rand::RngExt;
 use rookferry_core::ClaimKey;
 use rookferry_core::KeyFault;
@@ -27,9 +26,6 @@
 use rookferry_wire::CompletionResponse;
 use rookferry_wire::EngineId;
 use rookferry_wire::InstanceId;
-use rookferry_wire::KeyedCall;
-use rookferry_wire::PeerAnswer;
-use rookferry_wire::PeerRequest;
 use rookferry_wire::ReasonCode;
 use rookferry_wire::StreamId;
 use sha2::Digest;
@@ -38,12 +34,14 @@
 
 use super::call::Call;
 use super::call::log_refusal;
+use super::forward::forward;
+use super::forward::forward_ticket;
+use super::forward::whole_body;
 use super::model;
 use super::model::ModelRun;
 use super::model::ModelWork;
 use super::refusal::Refusal;
 use super::respond;
-use super::service;
 use super::sse;
 use crate::admission::Placement;
 use crate::answers::KeptAnswer;
@@ -51,7 +49,6 @@
 use crate::claims;
 use crate::entry::EntryState;
 use crate::entry::now_ms;
-use crate::peers;
 
 /// When a caller that couldn't claim its key should come back.
 const CLAIM_RETRY: Duration = Duration::from_secs(1);
@@ -81,34 +78,6 @@
     Finished(KeptAnswer),
 }
 
-/// Serves a call that a peer passes on.
-pub(crate) async fn serve_keyed(entry: &Arc<EntryState>, keyed: KeyedCall) -> PeerAnswer {
-    let response = match Call::forwarded(entry, &keyed) {
-        Ok(call) => match &keyed.service {
-            Some((name, path)) => service::serve(entry, call, &keyed.method, name, path).await,
-            None => model::serve(entry, call).await,
-        },
-        Err(refusal) => {
-            log_refusal(entry, &refusal);
-            respond::refused(entry, &refusal)
-        }
-    };
-    let (head, body) = response.into_parts();
-    let Ok(body) = body.collect().await else {
-        return PeerAnswer::Nothing;
-    };
-    let header = |name: &str| {
-        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_owned()
-    };
-    PeerAnswer::Ran {
-        status: head.status.as_u16(),
-        content_type: header("content-type"),
-        request_id: header("rookferry-request-id").into(),
-        body: body.to_bytes().to_vec(),
-    }
-}
-
 /// Serves a model call with a key.
 pub(super) async fn serve_model(
     entry: &Arc<EntryState>,
@@ -304,90 +273,6 @@
     KeyVerdict::Respond(response)
 }
 
-async fn forward_ticket(
-    entry: &Arc<EntryState>,
-    call: Call,
-    instance: &InstanceId,
-    is_stream: bool,
-) -> Response<Body> {
-    let addr = {
-        let members = entry.peers.lock();
-        members
-            .get(instance)
-            .map(|member| member.heartbeat.peer_addr)
-    };
-    match addr {
-        Some(addr) if !call.is_forwarded => match forward(entry, &call, addr, is_stream).await {
-            Ok(response) => response,
-            Err(OwnerGone) => unknown(
-                entry,
-                call,
-                &format!("{instance}, which minted the ticket, is gone"),
-            ),
-        },
-        _ => unknown(
-            entry,
-            call,
-            &format!("{instance}, which minted the ticket, is not known here"),
-        ),
-    }
-}
-
-/// The owner's process has ended: nothing listens at its address.
-struct OwnerGone;
-
-/// Passes a call on to its key's owner.
-async fn forward(
-    entry: &Arc<EntryState>,
-    call: &Call,
-    addr: std::net::SocketAddr,
-    is_stream: bool,
-) -> Result<Response<Body>, OwnerGone> {
-    let keyed = KeyedCall {
-        key: call.key.clone().unwrap_or_default(),
-        account: call.account.to_string(),
-        service: call.service.clone(),
-        method: call.method.clone(),
-        labels: call.raw_labels.clone(),
-        body: whole_body(call),
-    };
-    match peers::ask(entry, addr, &PeerRequest::Run(keyed)).await {
-        Ok(PeerAnswer::Ran {
-            status,
-            content_type,
-            request_id,
-            body,
-        }) => {
-            let answer = KeptAnswer {
-                request_id,
-                body_digest: String::new(),
-                status,
-                content_type,
-                body,
-            };
-            Ok(replay(entry, &answer, is_stream))
-        }
-        Err(error) if error.is_refused() => Err(OwnerGone),
-        Ok(_) | Err(_) => {
-            let detail = "the key's owner did not answer; come back with the key";
-            let refusal = Refusal::running(&call.request, detail);
-            log_refusal(entry, &refusal);
-            Ok(respond::refused(entry, &refusal))
-        }
-    }
-}
-
-/// A model call's body as peers and digests see it: the caller's wish for
-/// events is met by whoever answers it, and changes nothing of the work.
-fn whole_body(call: &Call) -> Vec<u8> {
-    let body = serde_json::from_slice(&call.body);
-    let (None, Ok(serde_json::Value::Object(mut body))) = (&call.service, body) else {
-        return call.body.to_vec();
-    };
-    body.remove("stream");
-    serde_json::to_vec(&body).unwrap_or_default()
-}
-
 async fn resume(
     entry: &Arc<EntryState>,
     call: Call,
@@ -500,7 +385,7 @@
     }
 }
 
-fn replay(entry: &EntryState, answer: &KeptAnswer, is_stream: bool) -> Response<Body> {
+pub(super) fn replay(entry: &EntryState, answer: &KeptAnswer, is_stream: bool) -> Response<Body> {
     if is_stream && let Ok(whole) = serde_json::from_slice::<CompletionResponse>(&answer.body) {
         let response = sse::replay(&whole.id, &whole.tokens);
         return respond::finished(entry, &whole.id, response);
@@ -537,7 +422,7 @@
 }
 
 /// What became of the key's earlier work can't be said.
-fn unknown(entry: &EntryState, call: Call, detail: &str) -> Response<Body> {
+pub(super) fn unknown(entry: &EntryState, call: Call, detail: &str) -> Response<Body> {
     let refusal = call.unknown(entry, ReasonCode::OwnerGone, detail);
     respond::refused(entry, &refusal)
 }
--- a/crates/rookferry_entry/src/http/mod.rs
+++ b/crates/rookferry_entry/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! What callers and operators are served.
 
 mod call;
+mod forward;
 mod keyed;
 mod model;
 mod operators;
@@ -22,7 +23,7 @@
 
 use crate::entry::EntryState;
 
-pub(crate) use keyed::serve_keyed;
+pub(crate) use forward::serve_keyed;
 
 /// The paths for callers.
 pub(crate) fn caller_router(entry: &Arc<EntryState>, connections: &ConnectionTable) -> Router {
--- a/crates/rookferry_standin/src/engine/mod.rs
+++ b/crates/rookferry_standin/src/engine/mod.rs
@@ -2,11 +2,12 @@
 //! priorities, attempts, export and import, late reports, fenced orders.
 
 mod cache;
+mod config;
 mod ledger;
 mod server;
 mod stage;
 
+pub use config::EngineConfig;
 pub use ledger::Ledger;
 pub use ledger::StreamRuns;
-pub use server::EngineConfig;
 pub use server::EngineServer;
