fix(member): engines of a domain without live instances are asked as before

Cause: with one instance asking an engine of its own domain, the engines of a domain that has lost all its instances were asked only when they had been missed for 4 s; their loss and load were heard of that late. Seen as `entry/path.rs` going from 0.8 to 9.8 s, most of it waiting for the loss of an engine of another domain.

Ruled out: the platform's list, and heartbeats of other instances (the test has one instance).

An engine is now asked by an instance of its domain, or of the whole site if none of that domain is live. Members of other domains are waited for by their turns, since a large domain hears of them seldom (`far_members_are_waited_for_by_their_turns`).

--- a/crates/rookferry_core/src/member/ask.rs
+++ b/crates/rookferry_core/src/member/ask.rs
@@ -1,7 +1,8 @@
 //! Who asks which engine, and how often.
 //!
-//! Each engine is asked by one instance of its own failure domain, chosen by
-//! rendezvous hashing, which passes on what it hears by heartbeat. An engine
+//! Each engine is asked by one instance of its own failure domain, or of the
+//! whole site if none of that domain is live, chosen by rendezvous hashing. It
+//! passes on what it hears by heartbeat. An engine
 //! of which nothing was heard for a while is asked by whoever misses it: its
 //! instance may be gone or cut off.
 
@@ -45,8 +46,8 @@
 pub struct AskInput<'a> {
     /// Its name.
     pub engine: &'a str,
-    /// Whether it is in the own failure domain.
-    pub is_near: bool,
+    /// The live instances of its failure domain, or else of the whole site.
+    pub askers: &'a [InstanceId],
     /// Whether it is known what it says about itself.
     pub is_described: bool,
     /// When it was last asked here or heard of from a peer.
@@ -55,13 +56,8 @@
 
 /// Whether this instance is to ask an engine now, and why.
 #[must_use]
-pub fn ask_reason(
-    now: Instant,
-    own: &InstanceId,
-    live_near: &[InstanceId],
-    input: &AskInput<'_>,
-) -> Option<AskReason> {
-    if input.is_near && home_of(input.engine, live_near) == Some(own) {
+pub fn ask_reason(now: Instant, own: &InstanceId, input: &AskInput<'_>) -> Option<AskReason> {
+    if home_of(input.engine, input.askers) == Some(own) {
         return Some(AskReason::Own);
     }
     if !input.is_described {
--- a/crates/rookferry_core/src/member/table.rs
+++ b/crates/rookferry_core/src/member/table.rs
@@ -18,6 +18,8 @@
 /// Silence after which a member of another domain is suspected; it is heard
 /// from less often.
 const SUSPECT_FAR_AFTER: Duration = Duration::from_secs(10);
+/// Turns of a member of another domain without a word.
+const SUSPECT_FAR_TURNS: u32 = 2;
 /// Silence after which a member is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 /// Members kept at most, so that a flood of names can't fill the memory.
@@ -152,15 +154,17 @@
     pub fn tick(&mut self, now: Instant) -> Vec<InstanceId> {
         self.members
             .retain(|_, member| now.saturating_duration_since(member.heard_at) < FORGET_AFTER);
+        let near_members = u32::try_from(self.near().count())
+            .unwrap_or(u32::MAX)
+            .saturating_add(1);
         let mut suspected = Vec::new();
         for (name, member) in &mut self.members {
-            let is_near = member.heartbeat.failure_domain == self.own_domain;
-            let rounds =
-                Duration::from_millis(member.heartbeat.interval_ms.into()) * SUSPECT_ROUNDS;
-            let patience = if is_near {
-                SUSPECT_AFTER.max(rounds)
+            let interval = Duration::from_millis(member.heartbeat.interval_ms.into());
+            let patience = if member.heartbeat.failure_domain == self.own_domain {
+                SUSPECT_AFTER.max(interval * SUSPECT_ROUNDS)
             } else {
-                SUSPECT_FAR_AFTER
+                // It tells the members of this domain in turn.
+                SUSPECT_FAR_AFTER.max(interval * near_members * SUSPECT_FAR_TURNS)
             };
             let is_silent = now.saturating_duration_since(member.heard_at) > patience;
             if is_silent && member.state != MemberState::Suspect {
@@ -202,6 +206,26 @@
         Some((newest.heartbeat.config_version, newest))
     }
 
+    /// Instances that take work by failure domain, the own one included.
+    #[must_use]
+    pub fn live_by_domain(&self) -> BTreeMap<DomainId, Vec<InstanceId>> {
+        let mut live: BTreeMap<DomainId, Vec<InstanceId>> = BTreeMap::new();
+        live.entry(self.own_domain.clone())
+            .or_default()
+            .push(self.own.clone());
+        for member in self
+            .members
+            .values()
+            .filter(|member| member.state == MemberState::Live)
+        {
+            let domain = member.heartbeat.failure_domain.clone();
+            live.entry(domain)
+                .or_default()
+                .push(member.heartbeat.instance.clone());
+        }
+        live
+    }
+
     /// Instances of all domains that take work, the own one included.
     #[must_use]
     pub fn live(&self) -> Vec<InstanceId> {
--- a/crates/rookferry_core/tests/members.rs
+++ b/crates/rookferry_core/tests/members.rs
@@ -207,18 +207,18 @@
         let engine = format!("engine-{number}");
         let input = AskInput {
             engine: &engine,
-            is_near: true,
+            askers: &names,
             is_described: true,
             last_news: Some(now),
         };
         let asking = names
             .iter()
-            .filter(|own| ask_reason(now, own, &names, &input).is_some());
+            .filter(|own| ask_reason(now, own, &input).is_some());
         assert_eq!(asking.count(), 1);
         let later = now + Duration::from_secs(5);
         let asking = names
             .iter()
-            .filter(|own| ask_reason(later, own, &names, &input).is_some());
+            .filter(|own| ask_reason(later, own, &input).is_some());
         assert_eq!(asking.count(), names.len());
     }
 }
@@ -261,3 +261,34 @@
     let suspected = table.tick(start + Duration::from_secs(8));
     assert_eq!(suspected, [InstanceId::from("slow")]);
 }
+
+/// Members of other domains are heard of in turn, the more seldom the larger
+/// the own domain is.
+#[test]
+fn far_members_are_waited_for_by_their_turns() {
+    let start = Instant::now();
+    let mut table = table();
+    for number in 0..25 {
+        let name = format!("near-{number}");
+        assert!(table.on_heartbeat(start, heartbeat(&name, 1, 1)).is_ok());
+    }
+    let far = Heartbeat {
+        failure_domain: "domain-2".into(),
+        interval_ms: 1_700,
+        ..heartbeat("far", 1, 1)
+    };
+    assert!(table.on_heartbeat(start, far).is_ok());
+    let suspected = table.tick(start + Duration::from_secs(1));
+    assert!(suspected.is_empty());
+    for number in 0..25 {
+        let name = format!("near-{number}");
+        let later = start + Duration::from_secs(44);
+        assert!(table.on_heartbeat(later, heartbeat(&name, 1, 2)).is_ok());
+    }
+    let suspected = table.tick(start + Duration::from_secs(44));
+    assert!(
+        !suspected.contains(&InstanceId::from("far")),
+        "{suspected:?}"
+    );
+    assert_eq!(table.live_by_domain().len(), 2);
+}
--- a/crates/rookferry_entry/src/discovery.rs
+++ b/crates/rookferry_entry/src/discovery.rs
@@ -107,11 +107,13 @@
 
 /// Asks those engines that are to be asked here; returns how many there were.
 async fn ask_all(entry: &Arc<EntryState>, round: u64, is_describing: bool) -> usize {
-    let near: Vec<InstanceId> = entry.peers.lock().live_near();
+    let by_domain = entry.peers.lock().live_by_domain();
+    let all: Vec<InstanceId> = by_domain.values().flatten().cloned().collect();
     let instance = Asker {
         own: &entry.instance,
         failure_domain: &entry.failure_domain,
-        near: &near,
+        by_domain: &by_domain,
+        all: &all,
         bytes_per_s: entry.settings.limits.ask_bytes_per_s,
     };
     let asks = entry.known.to_ask(Instant::now(), &instance);
--- a/crates/rookferry_entry/src/known.rs
+++ b/crates/rookferry_entry/src/known.rs
@@ -49,12 +49,13 @@
     last_news: Option<Instant>,
 }
 
-/// Who asks: an instance, its domain's members that take work, its budget.
+/// Who asks: an instance, the instances that take work, its budget.
 #[derive(Debug)]
 pub(crate) struct Asker<'a> {
     pub(crate) own: &'a InstanceId,
     pub(crate) failure_domain: &'a DomainId,
-    pub(crate) near: &'a [InstanceId],
+    pub(crate) by_domain: &'a BTreeMap<DomainId, Vec<InstanceId>>,
+    pub(crate) all: &'a [InstanceId],
     pub(crate) bytes_per_s: u32,
 }
 
@@ -166,7 +167,7 @@
                 continue;
             }
             let is_near = server.entry.failure_domain == *asker.failure_domain;
-            let reason = server.ask_reason(now, asker, is_near);
+            let reason = server.ask_reason(now, asker);
             server.is_own = reason == Some(AskReason::Own);
             let Some(reason) = reason else {
                 continue;
@@ -251,14 +252,15 @@
 }
 
 impl KnownServer {
-    fn ask_reason(&self, now: Instant, asker: &Asker<'_>, is_near: bool) -> Option<AskReason> {
+    fn ask_reason(&self, now: Instant, asker: &Asker<'_>) -> Option<AskReason> {
+        let of_domain = asker.by_domain.get(&self.entry.failure_domain);
         let input = AskInput {
             engine: &self.entry.name,
-            is_near,
+            askers: of_domain.map_or(asker.all, Vec::as_slice),
             is_described: self.info.is_some(),
             last_news: self.last_news,
         };
-        ask_reason(now, asker.own, asker.near, &input)
+        ask_reason(now, asker.own, &input)
     }
 
     fn ask(&self, reason: AskReason) -> Ask {
