feat(claims): objects past the window are deleted; a ticket stands alone

Cause, found by reading: claims' objects of past times stayed on the platform for ever, and a caller was invited to come back with its key or its ticket as if both were one; used both, its work would run under two keys.

Callers are told to keep to the ticket once they use it.

Ruled out for the second: binding the ticket to the key. While the platform is out no other instance can be told, and between its return and the claim of the key another could be first; it would narrow the gap and not close it.

The deleting itself has no test with processes.

--- a/crates/rookferry_core/src/claim/key.rs
+++ b/crates/rookferry_core/src/claim/key.rs
@@ -22,6 +22,10 @@
 const OPAQUE_SHARDS: u16 = 64;
 /// How far a key's time may lie ahead of the instance's clock.
 const MAX_AHEAD_MS: u64 = 60 * 1000;
+/// Buckets that an object is kept beyond its window, for clocks that differ.
+const DELETE_MARGIN_BUCKETS: u64 = 2;
+/// Buckets that are looked at for deletion.
+const DELETE_BUCKETS: u64 = 6;
 /// Hex digits kept of a digest, 128 bits.
 const DIGEST_DIGITS: usize = 32;
 
@@ -91,6 +95,22 @@
         })
     }
 
+    /// Objects whose keys have all left the window a while ago, for whoever
+    /// deletes them; some earlier ones as well, should they have been missed.
+    #[must_use]
+    pub fn expired_objects(now_ms: u64, window_ms: u64) -> Vec<String> {
+        let oldest_kept_ms = now_ms.saturating_sub(window_ms + MAX_AHEAD_MS);
+        let oldest_kept = oldest_kept_ms / BUCKET_MS;
+        let newest = oldest_kept.saturating_sub(DELETE_MARGIN_BUCKETS);
+        let oldest = newest.saturating_sub(DELETE_BUCKETS);
+        let buckets = oldest..newest;
+        buckets
+            .flat_map(|bucket| {
+                (0..TIMED_SHARDS).map(move |shard| format!("timed-{bucket}-{shard}"))
+            })
+            .collect()
+    }
+
     /// Whether a timed object can hold no key of the window any more, so that
     /// it may be deleted.
     #[must_use]
--- a/crates/rookferry_core/tests/claims.rs
+++ b/crates/rookferry_core/tests/claims.rs
@@ -444,3 +444,27 @@
     let fault = ClaimKey::parse("desk", &key, NOW_MS, WINDOW_MS);
     assert_eq!(fault, Err(expected));
 }
+
+/// What is deleted can hold no key that anyone would still take.
+#[test]
+fn only_expired_objects_are_deleted() {
+    let now_ms = NOW_MS + 100_000_000;
+    let expired = ClaimKey::expired_objects(now_ms, WINDOW_MS);
+    assert!(!expired.is_empty());
+    for object in &expired {
+        assert!(
+            ClaimKey::is_object_expired(object, now_ms, WINDOW_MS),
+            "{object}"
+        );
+    }
+    for age_ms in (0..=WINDOW_MS).step_by(60_000) {
+        let key = uuid_at(now_ms - age_ms);
+        let key = ClaimKey::parse("desk", &key, now_ms, WINDOW_MS).expect("a key of the window");
+        assert!(!expired.contains(&key.object), "{age_ms} ms old");
+    }
+    let later = ClaimKey::expired_objects(now_ms + 10 * 60 * 1_000, WINDOW_MS);
+    assert!(
+        later.iter().any(|object| expired.contains(object)),
+        "missed ones are looked at again"
+    );
+}
--- a/crates/rookferry_entry/src/claims.rs
+++ b/crates/rookferry_entry/src/claims.rs
@@ -24,11 +24,13 @@
 use rookferry_wire::PutAnswer;
 use rookferry_wire::PutRequest;
 use slog::Logger;
+use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::config_sync::jittered;
 use crate::entry::EntryState;
 use crate::entry::now_ms;
 use crate::peers;
@@ -38,6 +40,8 @@
 /// The least time between two writes of one object, so that the writes of all
 /// objects stay within the platform's rate and claims share them.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// How often expired objects are looked for.
+const DELETE_INTERVAL: Duration = Duration::from_mins(10);
 /// Idle time after which an object's task ends.
 const IDLE: Duration = Duration::from_mins(1);
 
@@ -92,6 +96,34 @@
     }
 }
 
+/// Deletes objects whose keys are refused for good by now, each by its home.
+pub(crate) async fn delete_expired(entry: Arc<EntryState>) {
+    loop {
+        tokio::time::sleep(jittered(DELETE_INTERVAL)).await;
+        let window_ms = entry.snapshot.load().table.config().policy.key_window_ms;
+        for object in ClaimKey::expired_objects(now_ms(), window_ms) {
+            if home_addr(&entry, &object).is_none() {
+                delete(&entry, &object).await;
+            }
+        }
+    }
+}
+
+/// One that can't be deleted now is looked at again next time.
+async fn delete(entry: &EntryState, object: &str) {
+    let Ok(Some(found)) = entry.platform.get(CLAIMS_KIND, object).await else {
+        return;
+    };
+    let request = PutRequest {
+        expected: found.version,
+        value: serde_json::Value::Null,
+    };
+    if let Err(error) = entry.platform.put(CLAIMS_KIND, object, request).await {
+        info!(entry.log, "claims: expired object not deleted";
+            "part" => "claims", "object" => object, "error" => %error);
+    }
+}
+
 /// Where the instance is asked that writes an object; `None` if it is this
 /// one.
 fn home_addr(entry: &EntryState, object: &str) -> Option<SocketAddr> {
--- a/crates/rookferry_entry/src/entry.rs
+++ b/crates/rookferry_entry/src/entry.rs
@@ -42,6 +42,7 @@
 use crate::EntrySettings;
 use crate::admission::Admission;
 use crate::answers::Answers;
+use crate::claims;
 use crate::claims::Claims;
 use crate::config_sync;
 use crate::config_sync::ConfigStore;
@@ -178,6 +179,7 @@
         peers::start(&state, udp, tcp, addrs.peers);
         config_sync::start(&state);
         discovery::start(&state);
+        tokio::spawn(claims::delete_expired(state.clone()));
         info!(state.log, "entry: started";
             "part" => "entry", "callers" => %addrs.callers, "operators" => %addrs.operators,
             "peers" => %addrs.peers, "incarnation" => state.incarnation);
--- a/crates/rookferry_entry/src/http/keyed.rs
+++ b/crates/rookferry_entry/src/http/keyed.rs
@@ -397,7 +397,7 @@
     let (reason, detail) = match refusal {
         ClaimRefusal::Unavailable => (
             ReasonCode::ClaimUnavailable,
-            "the platform can't be reached to claim the key; come back, with the key or with this ticket as the key",
+            "the platform can't be reached to claim the key; come back with the key later, or with this ticket as the key now, and then with the ticket alone",
         ),
         ClaimRefusal::Full => (
             ReasonCode::Overloaded,
