feat(member): an instance that can't read the platform's list takes a peer's

Cause: an instance that started while the platform was out got the configuration from its peers but no list of backend servers, and refused every request. Red first: `instances_cut_from_the_platform_follow_their_peers`, with a request to the cut instance added, could not be answered before (its status showed no engines).

--- a/crates/rookferry_entry/src/discovery.rs
+++ b/crates/rookferry_entry/src/discovery.rs
@@ -7,6 +7,7 @@
 //! list, the engine or a peer says about leaving is in force with the next
 //! snapshot.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -14,16 +15,22 @@
 
 use futures_util::StreamExt;
 use futures_util::stream;
+use rand::RngExt;
 use rookferry_core::AskReason;
+use rookferry_core::MemberState;
 use rookferry_core::ask_interval;
 use rookferry_wire::EngineDigest;
 use rookferry_wire::InstanceId;
+use rookferry_wire::InstanceList;
+use rookferry_wire::PeerAnswer;
+use rookferry_wire::PeerRequest;
 use slog::info;
 
 use crate::config_sync::jittered;
 use crate::entry::EntryState;
 use crate::known::Ask;
 use crate::known::Asker;
+use crate::peers;
 use crate::snapshot::Snapshot;
 
 /// Engines asked at once.
@@ -69,15 +76,15 @@
         match entry.platform.instances().await {
             Ok(list) => {
                 failures = 0;
-                if entry.known.listed(list.instances) {
-                    rebuild(&entry);
-                    entry.list_changed.notify_one();
-                }
+                listed(&entry, list);
             }
             Err(error) => {
                 failures += 1;
                 info!(entry.log, "discovery: list not read, the last one stays";
                     "part" => "discovery", "failures" => failures, "error" => %error);
+                if let Some(list) = ask_peer_for_list(&entry).await {
+                    listed(&entry, list);
+                }
             }
         }
         let slower = interval * (1 + failures.min(4));
@@ -85,6 +92,31 @@
     }
 }
 
+fn listed(entry: &EntryState, list: InstanceList) {
+    if entry.known.listed(list.instances) {
+        rebuild(entry);
+        entry.list_changed.notify_one();
+    }
+}
+
+/// An instance that can't read the platform's list takes a peer's, which may
+/// be newer than its own, or the only one that it gets.
+async fn ask_peer_for_list(entry: &EntryState) -> Option<InstanceList> {
+    let peers: Vec<SocketAddr> = {
+        let members = entry.peers.lock();
+        let live = members
+            .members()
+            .filter(|member| member.state == MemberState::Live);
+        live.map(|member| member.heartbeat.peer_addr).collect()
+    };
+    let chosen = rand::rng().random_range(0..peers.len().max(1));
+    let addr = *peers.get(chosen)?;
+    match peers::ask(entry, addr, &PeerRequest::Instances).await {
+        Ok(PeerAnswer::Instances(list)) if !list.instances.is_empty() => Some(list),
+        _ => None,
+    }
+}
+
 async fn follow_engines(entry: Arc<EntryState>) {
     let limits = &entry.settings.limits;
     let shortest = Duration::from_millis(limits.load_interval_ms);
--- a/crates/rookferry_entry/src/entry.rs
+++ b/crates/rookferry_entry/src/entry.rs
@@ -130,6 +130,10 @@
                 "no configuration: neither the platform nor a peer has given one".to_owned(),
             );
         }
+        if self.known.is_empty() {
+            let reason = "no backend servers: neither the platform nor a peer has given the list";
+            return Err(reason.to_owned());
+        }
         Ok(())
     }
 }
--- a/crates/rookferry_entry/src/known.rs
+++ b/crates/rookferry_entry/src/known.rs
@@ -27,6 +27,7 @@
 use rookferry_wire::InstanceEntry;
 use rookferry_wire::InstanceId;
 use rookferry_wire::InstanceKind;
+use rookferry_wire::InstanceList;
 use rookferry_wire::InstanceState;
 use rookferry_wire::LoadReport;
 
@@ -97,6 +98,29 @@
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether no backend server can be sent to: none is listed, or engines are
+    /// and none of them has been described yet.
+    pub(crate) fn is_empty(&self) -> bool {
+        let servers = self.lock();
+        let mut engines = servers
+            .values()
+            .filter(|server| server.entry.kind == InstanceKind::ModelEngine)
+            .peekable();
+        if engines.peek().is_none() {
+            return servers.is_empty();
+        }
+        engines.all(|server| server.info.is_none())
+    }
+
+    /// The list as it was last taken, for peers that can't read it.
+    pub(crate) fn list(&self) -> InstanceList {
+        let servers = self.lock();
+        let servers = servers.values().map(|server| server.entry.clone());
+        InstanceList {
+            instances: servers.chain(self.peers()).collect(),
+        }
+    }
+
     /// Takes the list; returns whether anything changed.
     pub(crate) fn listed(&self, instances: Vec<InstanceEntry>) -> bool {
         let mut servers = self.lock();
--- a/crates/rookferry_entry/src/peers/tcp.rs
+++ b/crates/rookferry_entry/src/peers/tcp.rs
@@ -148,6 +148,7 @@
                 body: body.to_string(),
             }
         }
+        PeerRequest::Instances => PeerAnswer::Instances(entry.known.list()),
         PeerRequest::Decision { request_id } => {
             let record = entry.decisions.get(&request_id);
             let record = record.and_then(|record| serde_json::to_string(&*record).ok());
--- a/crates/rookferry_entry/tests/configuration.rs
+++ b/crates/rookferry_entry/tests/configuration.rs
@@ -87,6 +87,13 @@
     for entry in &site.entries {
         site.in_force(entry, version).await;
     }
+    // The list of backend servers comes from a peer as well.
+    site.settled().await;
+    let ending = site
+        .caller()
+        .complete(site.entries[2].callers, &request("cut off", 4, false), None)
+        .await;
+    assert!(matches!(ending, Ending::Answered(_)), "{ending:?}");
 }
 
 /// With the platform out, what was in force stays, and requests go on.
--- a/crates/rookferry_wire/src/peer.rs
+++ b/crates/rookferry_wire/src/peer.rs
@@ -13,6 +13,7 @@
 use crate::DomainId;
 use crate::Incarnation;
 use crate::InstanceId;
+use crate::InstanceList;
 use crate::ObjectVersion;
 use crate::RequestId;
 
@@ -75,6 +76,8 @@
         /// The version that the asker has.
         above: ObjectVersion,
     },
+    /// The platform's list of instances as the asked one last read it.
+    Instances,
     /// The record of a decision.
     Decision {
         /// The request.
@@ -136,6 +139,8 @@
     },
     /// Nothing newer, or nothing known.
     Nothing,
+    /// The list of instances.
+    Instances(InstanceList),
     /// A decision's record as JSON.
     Decision {
         /// The record.
--- a/crates/rookferry_wire/src/platform.rs
+++ b/crates/rookferry_wire/src/platform.rs
@@ -65,7 +65,7 @@
 }
 
 /// The platform's list of instances, which lags.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct InstanceList {
     /// All known instances.
     pub instances: Vec<InstanceEntry>,
