refactor(member): one walk over live members, one plain sum, no dead methods

Cause, found by reading the whole change: `live`, `live_near` and `live_by_domain` each walked and filtered the members by themselves; `others_allowed` counted up in floats to what is a difference of integers; `ClaimWriter::forget` and `is_idle` were called by nobody.

Looked at and left: the settings-reading start of four binaries (each has its own error prefix and checks), and test fixtures of the same shape in different crates.

--- a/crates/rookferry_core/src/claim/writer.rs
+++ b/crates/rookferry_core/src/claim/writer.rs
@@ -186,19 +186,6 @@
         }
     }
 
-    /// Whether nothing is under way.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.phase == Phase::Idle
-    }
-
-    /// Drops what is known of the object, so that the next ask reads it.
-    pub fn forget(&mut self) {
-        if self.is_idle() {
-            self.known = None;
-        }
-    }
-
     fn on_written(&mut self, now_ms: u64, version: ObjectVersion) -> Vec<ClaimAction> {
         if self.phase != Phase::Writing {
             return Vec::new();
--- a/crates/rookferry_core/src/member/ask.rs
+++ b/crates/rookferry_core/src/member/ask.rs
@@ -2,9 +2,9 @@
 //!
 //! Each engine is asked by one instance of its own failure domain, or of the
 //! whole site if none of that domain is live, chosen by rendezvous hashing. It
-//! passes on what it hears by heartbeat. An engine
-//! of which nothing was heard for a while is asked by whoever misses it: its
-//! instance may be gone or cut off.
+//! passes on what it hears by heartbeat. An engine of which nothing was heard
+//! for a while is asked by whoever misses it: its instance may be gone or cut
+//! off.
 
 use std::hash::BuildHasher;
 use std::hash::BuildHasherDefault;
@@ -20,7 +20,7 @@
 /// Silence about an engine after which an instance asks it itself.
 const MISSED_AFTER: Duration = Duration::from_secs(4);
 /// Bytes of an ask and its answer, heads included, for the budget.
-const BYTES_AN_ASK: f64 = 550.0;
+const BYTES_AN_ASK: u32 = 550;
 /// The shortest and longest time between asks.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
@@ -72,7 +72,7 @@
 /// The time between asks that keeps them within a budget of bytes.
 #[must_use]
 pub fn ask_interval(asked: usize, budget_bytes_per_s: u32, shortest: Duration) -> Duration {
-    let bytes = asked as f64 * BYTES_AN_ASK;
+    let bytes = asked as f64 * f64::from(BYTES_AN_ASK);
     let interval = Duration::from_secs_f64(bytes / f64::from(budget_bytes_per_s.max(1)));
     interval.clamp(shortest.max(MIN_INTERVAL), MAX_INTERVAL.max(shortest))
 }
@@ -82,9 +82,10 @@
 /// have never been described go faster, since a starting instance needs them.
 #[must_use]
 pub fn others_allowed(own: usize, undescribed: usize, budget_bytes_per_s: u32) -> usize {
-    let a_round = f64::from(budget_bytes_per_s) * USUAL_ROUND.as_secs_f64() / BYTES_AN_ASK;
-    let left = std::iter::successors(Some(own as f64), |asked| Some(asked + 1.0));
-    let left = left.take_while(|asked| asked + 1.0 <= a_round).count();
+    let bytes_a_round = u128::from(budget_bytes_per_s) * USUAL_ROUND.as_millis() / 1_000;
+    let asks_a_round =
+        usize::try_from(bytes_a_round / u128::from(BYTES_AN_ASK)).unwrap_or(usize::MAX);
+    let left = asks_a_round.saturating_sub(own);
     left.max(1).max(undescribed.min(MAX_UNDESCRIBED_A_ROUND))
 }
 
--- a/crates/rookferry_core/src/member/table.rs
+++ b/crates/rookferry_core/src/member/table.rs
@@ -229,28 +229,17 @@
     /// Instances of all domains that take work, the own one included.
     #[must_use]
     pub fn live(&self) -> Vec<InstanceId> {
-        let live = self
-            .members
-            .values()
-            .filter(|member| member.state == MemberState::Live);
-        let mut names: Vec<InstanceId> = live
-            .map(|member| member.heartbeat.instance.clone())
-            .collect();
-        names.push(self.own.clone());
-        names
+        self.live_by_domain().into_values().flatten().collect()
     }
 
     /// Instances of the own domain that take work, the own one included.
     #[must_use]
     pub fn live_near(&self) -> Vec<InstanceId> {
-        let live = self
-            .near()
-            .filter(|member| member.state == MemberState::Live);
-        let mut names: Vec<InstanceId> = live
-            .map(|member| member.heartbeat.instance.clone())
-            .collect();
-        names.push(self.own.clone());
-        names.sort();
-        names
+        let mut near = self
+            .live_by_domain()
+            .remove(&self.own_domain)
+            .unwrap_or_default();
+        near.sort();
+        near
     }
 }
