--- a/crates/rookferry_core/src/lease.rs
+++ b/crates/rookferry_core/src/lease.rs
@@ -32,6 +32,10 @@
     pub fence: u64,
     /// How long it lasts from its last write.
     pub duration_ms: u64,
+    /// Rises with each write, so that a renewal is always a change: a
+    /// platform may keep the version of an object that is written as it was.
+    #[serde(default)]
+    pub renewals: u64,
 }
 
 /// How the holder and its rivals count time.
@@ -150,6 +154,7 @@
                 incarnation: self.incarnation,
                 fence,
                 duration_ms: u64::try_from(self.timing.duration.as_millis()).unwrap_or(u64::MAX),
+                renewals: seen.object.as_ref().map_or(0, |object| object.renewals + 1),
             },
         }
     }
--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -15,6 +15,8 @@
 //! | [`Undispatched`], [`Verdict`] | what may its caller be told? |
 //! | [`FairQueue`], [`DrainRate`], [`RetryBudget`] | whose turn is it, and who is turned away? |
 //! | [`MemberTable`], [`HeartbeatPlan`], [`Lease`] | who answers, and who gives orders? |
+//! | [`PathFinder`], [`LayoutPlanner`] | which engines run a pipeline that they forward themselves? |
+//! | [`ServingIndex`], [`Directory`], [`ServerHealth`] | where may this request go now? |
 //! | [`throughput_bound`], [`WindowCount`] | how good is it? |
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -28,10 +30,12 @@
 mod lease;
 mod member;
 mod outcome;
+mod pipeline;
 mod placement;
 mod retry;
 mod routing;
 mod selector;
+mod serving;
 mod stream;
 
 pub use admission::DrainRate;
@@ -99,6 +103,17 @@
 pub use outcome::Undispatched;
 pub use outcome::Unknown;
 pub use outcome::Verdict;
+pub use pipeline::AcceleratorKind;
+pub use pipeline::LayoutEngine;
+pub use pipeline::LayoutPlanner;
+pub use pipeline::MAX_STAGES;
+pub use pipeline::ModelShape;
+pub use pipeline::NeededPlacement;
+pub use pipeline::PathFault;
+pub use pipeline::PathFinder;
+pub use pipeline::PathStage;
+pub use pipeline::PipelineEngine;
+pub use pipeline::PipelinePath;
 pub use placement::DRAINING_ROLE;
 pub use placement::NeededOrder;
 pub use placement::PlacementLimits;
@@ -130,6 +145,20 @@
 pub use routing::prefix_hash;
 pub use selector::Selector;
 pub use selector::SelectorError;
+pub use serving::BackendServer;
+pub use serving::CallerLimits;
+pub use serving::ConfigAge;
+pub use serving::Directory;
+pub use serving::DirectoryChange;
+pub use serving::Repeatability;
+pub use serving::RetryWindow;
+pub use serving::RouteTarget;
+pub use serving::ServerHealth;
+pub use serving::ServingAccount;
+pub use serving::ServingConfig;
+pub use serving::ServingIndex;
+pub use serving::ServingRoute;
+pub use serving::ServingService;
 pub use stream::AbandonReason;
 pub use stream::GateVerdict;
 pub use stream::Stage;
--- /dev/null
+++ b/crates/rookferry_core/src/pipeline/engine.rs
@@ -0,0 +1,40 @@
+//! An engine as path search sees it.
+
+use std::net::SocketAddr;
+
+use rookferry_wire::DomainId;
+use rookferry_wire::EngineId;
+use rookferry_wire::LayerRange;
+
+/// An engine that may be a stage.
+#[derive(Clone, Debug)]
+pub struct PipelineEngine {
+    /// Its name.
+    pub engine: EngineId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The layers it holds, ready to run.
+    pub held: LayerRange,
+    /// Expected time of one step through one layer.
+    pub layer_step_ms: f64,
+    /// Tokens that fit in its cache.
+    pub cache_tokens: f64,
+    /// Tokens of the requests under way on it, as far as known.
+    pub used_tokens: f64,
+}
+
+impl PipelineEngine {
+    /// Whether it holds all of a range.
+    #[must_use]
+    pub const fn holds(&self, layers: LayerRange) -> bool {
+        self.held.start <= layers.start && layers.end <= self.held.end
+    }
+
+    /// Whether another request's tokens fit.
+    #[must_use]
+    pub fn has_room(&self, tokens: f64) -> bool {
+        self.used_tokens + tokens <= self.cache_tokens
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/src/pipeline/mod.rs
@@ -0,0 +1,25 @@
+//! Pipelines that engines forward themselves, along a path named by the router.
+//!
+//! An engine holds a range of layers. A [`PipelinePath`] names the engines
+//! that a request passes and the part of the layers that each runs; it can
+//! only be made if the parts cover every layer once and in order.
+//! [`PathFinder`] chooses paths and replaces the lost parts of paths in use.
+//! [`LayoutPlanner`] decides which engine holds which layers.
+
+mod engine;
+mod finder;
+mod layout;
+mod model;
+mod path;
+
+pub use engine::PipelineEngine;
+pub use finder::PathFinder;
+pub use layout::LayoutEngine;
+pub use layout::LayoutPlanner;
+pub use layout::NeededPlacement;
+pub use model::AcceleratorKind;
+pub use model::ModelShape;
+pub use path::MAX_STAGES;
+pub use path::PathFault;
+pub use path::PathStage;
+pub use path::PipelinePath;
--- /dev/null
+++ b/crates/rookferry_core/src/serving/health.rs
@@ -0,0 +1,108 @@
+//! Which servers failed lately, from what requests met.
+//!
+//! Two things are kept apart: a server that didn't answer at all is out until
+//! a probe finds it, and one that fails part of its requests is avoided by a
+//! decaying share while others are there.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time after which a failure counts for about a third.
+const DECAY: Duration = Duration::from_secs(3);
+/// Weight of one request in the failing share.
+const SAMPLE_WEIGHT: f64 = 0.25;
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    failing_share: f64,
+    updated_at: Instant,
+    out_since: Option<Instant>,
+}
+
+/// What requests met at each server.
+#[derive(Clone, Debug, Default)]
+pub struct ServerHealth {
+    records: HashMap<SocketAddr, Record>,
+}
+
+impl ServerHealth {
+    /// Nothing is known.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A request or probe went as it should.
+    pub fn succeeded(&mut self, addr: SocketAddr, now: Instant) {
+        if let Some(record) = self.records.get_mut(&addr) {
+            record.out_since = None;
+            record.failing_share = decayed(record, now) * (1.0 - SAMPLE_WEIGHT);
+            record.updated_at = now;
+        }
+    }
+
+    /// A request failed at a server that answers.
+    pub fn failed(&mut self, addr: SocketAddr, now: Instant) {
+        let record = self.record(addr, now);
+        record.failing_share = decayed(record, now) * (1.0 - SAMPLE_WEIGHT) + SAMPLE_WEIGHT;
+        record.updated_at = now;
+    }
+
+    /// A server doesn't answer. Tells whether that is news.
+    pub fn lost(&mut self, addr: SocketAddr, now: Instant) -> bool {
+        let record = self.record(addr, now);
+        let is_news = record.out_since.is_none();
+        record.out_since.get_or_insert(now);
+        is_news
+    }
+
+    /// Whether a server is out.
+    #[must_use]
+    pub fn is_out(&self, addr: SocketAddr) -> bool {
+        self.out_since(addr).is_some()
+    }
+
+    /// Since when a server is out.
+    #[must_use]
+    pub fn out_since(&self, addr: SocketAddr) -> Option<Instant> {
+        self.records.get(&addr)?.out_since
+    }
+
+    /// The servers that are out.
+    #[must_use]
+    pub fn out(&self) -> Vec<SocketAddr> {
+        let out = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.out_since.is_some());
+        out.map(|(addr, _)| *addr).collect()
+    }
+
+    /// The decayed share of requests that failed, 0 to 1.
+    #[must_use]
+    pub fn failing_share(&self, addr: SocketAddr, now: Instant) -> f64 {
+        self.records
+            .get(&addr)
+            .map_or(0.0, |record| decayed(record, now))
+    }
+
+    /// Forgets servers that `is_known` doesn't know.
+    pub fn retain(&mut self, is_known: impl Fn(SocketAddr) -> bool) {
+        self.records.retain(|addr, _| is_known(*addr));
+    }
+
+    fn record(&mut self, addr: SocketAddr, now: Instant) -> &mut Record {
+        self.records.entry(addr).or_insert(Record {
+            failing_share: 0.0,
+            updated_at: now,
+            out_since: None,
+        })
+    }
+}
+
+fn decayed(record: &Record, now: Instant) -> f64 {
+    let gap = now.saturating_duration_since(record.updated_at);
+    record.failing_share * (-gap.as_secs_f64() / DECAY.as_secs_f64()).exp()
+}
--- /dev/null
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -0,0 +1,27 @@
+//! Serving requests in front of backend servers that the router doesn't step.
+//!
+//! [`ServingConfig`] is what the operator wants: routes, services and client
+//! accounts. [`Directory`] is what is known of the backend servers.
+//! [`ConfigAge`] bounds how old a configuration may be when a request is sent,
+//! [`RetryWindow`] what may be sent twice, and [`ServerHealth`] whom to avoid.
+
+mod age;
+mod config;
+mod directory;
+mod health;
+mod retry_window;
+
+pub use age::ConfigAge;
+pub use config::CallerLimits;
+pub use config::Repeatability;
+pub use config::RouteTarget;
+pub use config::ServingAccount;
+pub use config::ServingConfig;
+pub use config::ServingIndex;
+pub use config::ServingRoute;
+pub use config::ServingService;
+pub use directory::BackendServer;
+pub use directory::Directory;
+pub use directory::DirectoryChange;
+pub use health::ServerHealth;
+pub use retry_window::RetryWindow;
--- /dev/null
+++ b/crates/rookferry_core/src/serving/retry_window.rs
@@ -0,0 +1,65 @@
+//! What an instance may send a second time, within a site's shared budget.
+//!
+//! The site allows `ratio` x fresh requests + `slack` repeats in a sliding
+//! window, over all instances. Each instance keeps to its own part without
+//! asking the others: the ratio of its own requests, and an equal part of the
+//! slack.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The part of the budget that is used, since another instance's count of
+/// members can be late.
+const USED_PART: f64 = 0.8;
+
+/// Repeats and fresh requests of one instance for one service.
+#[derive(Clone, Debug)]
+pub struct RetryWindow {
+    window: Duration,
+    ratio: f64,
+    slack: f64,
+    fresh: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl RetryWindow {
+    /// A window with nothing in it.
+    #[must_use]
+    pub const fn new(window: Duration, ratio: f64, slack: f64) -> Self {
+        Self {
+            window,
+            ratio,
+            slack,
+            fresh: VecDeque::new(),
+            repeats: VecDeque::new(),
+        }
+    }
+
+    /// A fresh request came.
+    pub fn note_fresh(&mut self, now: Instant) {
+        self.forget(now);
+        self.fresh.push_back(now);
+    }
+
+    /// Takes one repeat, if the instance's part allows it.
+    pub fn take(&mut self, now: Instant, instances: usize) -> bool {
+        self.forget(now);
+        let slack = self.slack / instances.max(1) as f64;
+        let allowed = USED_PART * (self.ratio * self.fresh.len() as f64 + slack);
+        if self.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    fn forget(&mut self, now: Instant) {
+        for times in [&mut self.fresh, &mut self.repeats] {
+            let is_old = |at: &Instant| now.saturating_duration_since(*at) > self.window;
+            while times.front().is_some_and(is_old) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/rookferry_net/src/log.rs
+++ b/crates/rookferry_net/src/log.rs
@@ -53,18 +53,18 @@
 
 /// The logger of a process; parts derive theirs with `o!("part" => …)`.
 ///
-/// Records are written to standard error by a thread of their own, so that a
+/// Records are written to standard output by a thread of their own, so that a
 /// slow reader doesn't hold up requests; the thread drops and counts what it
 /// can't keep up with.
 pub fn root_logger(format: LogFormat, level: LogLevel, instance: &str) -> Logger {
     let values = o!("instance" => instance.to_owned());
     match format {
         LogFormat::Json => {
-            let json = slog_json::Json::default(io::stderr());
+            let json = slog_json::Json::default(io::stdout());
             Logger::root(queued(Mutex::new(json).fuse(), level), values)
         }
         LogFormat::Terminal => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(io::stdout());
             let lines = slog_term::FullFormat::new(decorator).build();
             Logger::root(queued(lines.fuse(), level), values)
         }
--- /dev/null
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -0,0 +1,148 @@
+//! The log events of a relay: one a decision, each with what decided it.
+//!
+//! Every event has a name, listed in [`EVENTS`] and described in
+//! docs/OPERATIONS.md. Lines are written by a thread of their own and dropped
+//! rather than waited for. Lines about requests that went well are bounded a
+//! second, so that those about failures have room.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+/// Lines a second about requests that went well.
+const ROUTINE_LINES_PER_S: u64 = 200;
+/// Lines a second about decisions on failures, and about beliefs.
+const NOTABLE_LINES_PER_S: u64 = 500;
+
+/// The names of all events.
+pub const EVENTS: &[&str] = &[
+    "attempt_failed",
+    "caller_left",
+    "config_adopted",
+    "config_stale",
+    "dependency_lost",
+    "dependency_regained",
+    "lease_held",
+    "lease_lost",
+    "lines_dropped",
+    "order_sent",
+    "order_failed",
+    "path_repaired",
+    "path_stalled",
+    "peer_joined",
+    "peer_lost",
+    "placement_planned",
+    "refused",
+    "reloaded",
+    "served",
+    "server_changed",
+    "server_lost",
+    "server_regained",
+    "server_removed",
+    "started",
+    "stopped",
+    "stopping",
+    "stream_cut",
+    "stream_resumed",
+];
+
+/// How much a line matters when there are too many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Weight {
+    /// About a request that went well.
+    Routine,
+    /// About a failure, or a belief that changed.
+    Notable,
+}
+
+#[derive(Debug, Default)]
+struct Budget {
+    /// Second since the start in the upper half, lines in the lower.
+    state: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// Writes events.
+#[derive(Debug)]
+pub(crate) struct EventLog {
+    log: Logger,
+    started_at: Instant,
+    routine: Budget,
+    notable: Budget,
+}
+
+impl EventLog {
+    pub(crate) fn new(log: Logger) -> Self {
+        Self {
+            log,
+            started_at: Instant::now(),
+            routine: Budget::default(),
+            notable: Budget::default(),
+        }
+    }
+
+    /// The logger, if a line of this weight may be written now.
+    pub(crate) fn line(&self, weight: Weight) -> Option<&Logger> {
+        let second = self.started_at.elapsed().as_secs();
+        let (budget, limit) = match weight {
+            Weight::Routine => (&self.routine, ROUTINE_LINES_PER_S),
+            Weight::Notable => (&self.notable, NOTABLE_LINES_PER_S),
+        };
+        budget.take(second, limit).then_some(&self.log)
+    }
+
+    /// Tells how many lines were dropped since it was last told.
+    pub(crate) fn tell_dropped(&self) {
+        let routine = self.routine.dropped.swap(0, Ordering::Relaxed);
+        let notable = self.notable.dropped.swap(0, Ordering::Relaxed);
+        if routine + notable > 0 {
+            warn!(self.log, "log: lines were dropped"; "event" => "lines_dropped",
+                "routine" => routine, "notable" => notable);
+        }
+    }
+
+    /// A dependency doesn't answer any more.
+    pub(crate) fn dependency_lost(&self, name: &str, error: &dyn std::fmt::Display) {
+        if let Some(log) = self.line(Weight::Notable) {
+            warn!(log, "sync: a dependency is lost"; "event" => "dependency_lost",
+                "dependency" => name, "cause" => %error);
+        }
+    }
+
+    /// A dependency answers again.
+    pub(crate) fn dependency_regained(&self, name: &str, away: Duration) {
+        if let Some(log) = self.line(Weight::Notable) {
+            info!(log, "sync: a dependency is back"; "event" => "dependency_regained",
+                "dependency" => name, "away_ms" => millis(away));
+        }
+    }
+}
+
+impl Budget {
+    fn take(&self, second: u64, limit: u64) -> bool {
+        let taken = self
+            .state
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |state| {
+                let (at, lines) = (state >> 32, state & u64::from(u32::MAX));
+                match at == second {
+                    true if lines >= limit => None,
+                    true => Some(state + 1),
+                    false => Some((second << 32) | 1),
+                }
+            });
+        if taken.is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        taken.is_ok()
+    }
+}
+
+/// Whole milliseconds of a duration.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/events.rs
@@ -0,0 +1,79 @@
+//! Splits a stream's bytes into whole events.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Largest event that is put together, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Puts events together from the pieces that arrive.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    pending: BytesMut,
+    last_id: Option<u64>,
+}
+
+/// More bytes without an end of event than any event has.
+#[derive(Debug)]
+pub(crate) struct EventTooLong;
+
+impl EventSplitter {
+    pub(crate) fn resuming_after(last_id: Option<u64>) -> Self {
+        Self {
+            pending: BytesMut::new(),
+            last_id,
+        }
+    }
+
+    /// Takes bytes in; gives back the whole events that they complete.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
+        self.pending.extend_from_slice(bytes);
+        let Some(end) = last_event_end(&self.pending) else {
+            if self.pending.len() > MAX_EVENT_BYTES {
+                return Err(EventTooLong);
+            }
+            return Ok(None);
+        };
+        let events = self.pending.split_to(end).freeze();
+        if let Some(id) = last_id_in(&events) {
+            self.last_id = Some(id);
+        }
+        Ok(Some(events))
+    }
+
+    /// The id of the last whole event.
+    pub(crate) const fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Whether part of an event is left over.
+    pub(crate) fn has_partial(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Drops the part of an event that a broken stream left.
+    pub(crate) fn drop_partial(&mut self) {
+        self.pending.clear();
+    }
+}
+
+/// One past the blank line that ends the last whole event.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let lf = find_last(bytes, b"\n\n").map(|at| at + 2);
+    let crlf = find_last(bytes, b"\r\n\r\n").map(|at| at + 4);
+    lf.max(crlf)
+}
+
+fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .rposition(|window| window == pattern)
+}
+
+fn last_id_in(events: &[u8]) -> Option<u64> {
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    lines.find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/front.rs
@@ -0,0 +1,197 @@
+//! Callers' requests: who may send them, where they go, and the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use metrics::counter;
+use metrics::histogram;
+use rookferry_core::ServingIndex;
+use rookferry_net::BodyError;
+use rookferry_net::Inbound;
+use slog::info;
+use slog::warn;
+
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::plain;
+use crate::protocol::CallerHead;
+use crate::refusal::Refusal;
+use crate::relay::Relay;
+use crate::request::CallerRequest;
+use crate::request::host_of;
+use crate::stream;
+
+/// How often a request is let in anew when what let it in changed before it
+/// was sent.
+const MAX_ADMISSIONS: usize = 3;
+/// How long new work is taken after the word to stop; connections that are
+/// kept by callers close with their next answer.
+const NEW_WORK_WHILE_LEAVING: Duration = Duration::from_millis(1_500);
+
+/// What became of a request that was let in.
+pub(crate) enum Served {
+    /// An answer, or the start of one.
+    Answer(Response<Body>),
+    /// No server's answer.
+    Refused(Refusal),
+    /// What let it in no longer holds, and nothing was sent.
+    Withdrawn,
+}
+
+/// Answers a caller's request.
+pub(crate) async fn handle(relay: Arc<Relay>, mut inbound: Inbound) -> Response<Body> {
+    let received_at = Instant::now();
+    let head = relay.protocol.caller_head(&inbound.headers);
+    let body = match read_body(&relay, &mut inbound).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(&relay, refusal, &head, received_at),
+    };
+    let mut response = None;
+    for _ in 0..MAX_ADMISSIONS {
+        let admitted = admit(&relay, &inbound, &head, body.clone(), received_at);
+        let request = match admitted {
+            Ok(request) => request,
+            Err(refusal) => return refuse(&relay, refusal, &head, received_at),
+        };
+        let served = if request.route.repeatability.is_stream() {
+            stream::serve(&relay, request).await
+        } else {
+            plain::serve(&relay, request).await
+        };
+        match served {
+            Served::Answer(answer) => {
+                response = Some(answer);
+                break;
+            }
+            Served::Refused(refusal) => return refuse(&relay, refusal, &head, received_at),
+            Served::Withdrawn => {}
+        }
+    }
+    let Some(mut response) = response else {
+        return refuse(&relay, Refusal::ConfigUnknown, &head, received_at);
+    };
+    if relay.is_leaving() {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+async fn read_body(relay: &Relay, inbound: &mut Inbound) -> Result<bytes::Bytes, Refusal> {
+    let view = relay.view.load_full();
+    let Some(index) = &view.index else {
+        return Err(Refusal::ConfigUnknown);
+    };
+    let limits = index.config().limits;
+    let read = inbound.read_body(limits.max_body_bytes, limits.head_timeout);
+    read.await.map_err(|error| match error {
+        BodyError::TooLarge { .. } => Refusal::BodyTooLarge,
+        BodyError::TooSlow { .. } => Refusal::BodyTooSlow,
+        BodyError::Broken { .. } => Refusal::BadRequest("the body broke off"),
+    })
+}
+
+/// Lets a request in under the configuration in force.
+fn admit(
+    relay: &Relay,
+    inbound: &Inbound,
+    head: &CallerHead,
+    body: bytes::Bytes,
+    received_at: Instant,
+) -> Result<CallerRequest, Refusal> {
+    if relay
+        .leaving_for()
+        .is_some_and(|since| since > NEW_WORK_WHILE_LEAVING)
+    {
+        return Err(Refusal::Leaving);
+    }
+    let view = relay.view.load_full();
+    let Some(index) = &view.index else {
+        return Err(Refusal::ConfigUnknown);
+    };
+    // What isn't known to be the newest may neither let in nor turn away.
+    if view.servers.is_none() || !relay.is_config_fresh() {
+        return Err(Refusal::ConfigUnknown);
+    }
+    let host = host_of(&inbound.headers).ok_or(Refusal::BadRequest("the request names no host"))?;
+    let route = index
+        .route(&host, inbound.uri.path())
+        .ok_or(Refusal::NoRoute)?;
+    let attempt = head
+        .attempt
+        .clone()
+        .ok_or(Refusal::BadRequest("the request has no id"))?;
+    let account = account_of(index, route.is_public, head)?;
+    let target = route.target(rand::random()).ok_or(Refusal::NoServer)?;
+    let timeout = head.time_left_ms.map_or(route.timeout, |left| {
+        route.timeout.min(Duration::from_millis(left))
+    });
+    Ok(CallerRequest {
+        attempt,
+        method: inbound.method.clone(),
+        uri: inbound.uri.clone(),
+        headers: inbound.headers.clone(),
+        body,
+        head: head.clone(),
+        account,
+        key: head.key.clone(),
+        service: target.service.clone(),
+        route: route.clone(),
+        received_at,
+        deadline: received_at + timeout,
+        config_version: index.config().version,
+    })
+}
+
+fn account_of(
+    index: &ServingIndex,
+    is_public: bool,
+    head: &CallerHead,
+) -> Result<Option<rookferry_wire::AccountId>, Refusal> {
+    let known = head.key.as_deref().and_then(|key| index.account(key));
+    match known {
+        Some(account) => Ok(Some(account.name.clone())),
+        None if is_public || !index.needs_keys() => Ok(None),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
+fn refuse(
+    relay: &Relay,
+    refusal: Refusal,
+    head: &CallerHead,
+    received_at: Instant,
+) -> Response<Body> {
+    counter!("rookferry_refused_total", "cause" => refusal.cause()).increment(1);
+    let age = relay.config_age();
+    if let Some(log) = relay.events.line(Weight::Notable) {
+        warn!(log, "request: no server's answer"; "event" => "refused",
+            "request" => head.attempt.as_deref().unwrap_or("-"),
+            "cause" => refusal.cause(),
+            "status" => refusal.status().as_u16(),
+            "held_ms" => millis(received_at.elapsed()),
+            "config_version" => age.version(),
+            "config_age_ms" => age.age(Instant::now()).map(millis));
+    }
+    refusal.response(relay.protocol.names(), head.attempt.as_deref())
+}
+
+/// Notes a request that was answered.
+pub(crate) fn note_served(relay: &Relay, request: &CallerRequest, status: u16, server: &str) {
+    let took = request.received_at.elapsed();
+    let route = request.route.name.to_string();
+    histogram!("rookferry_request_seconds", "route" => route.clone()).record(took.as_secs_f64());
+    counter!("rookferry_served_total", "route" => route, "status" => status.to_string())
+        .increment(1);
+    if let Some(log) = relay.events.line(Weight::Routine) {
+        info!(log, "request: answered"; "event" => "served",
+            "request" => &request.attempt, "route" => &*request.route.name,
+            "server" => server, "status" => status, "took_ms" => millis(took),
+            "config_version" => request.config_version);
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/load.rs
@@ -0,0 +1,77 @@
+//! Requests under way at each server, as far as this instance knows.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+/// What is under way at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct ServerLoad {
+    /// Requests.
+    pub(crate) requests: u32,
+    /// Their tokens.
+    pub(crate) tokens: f64,
+}
+
+/// Loads by server.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LoadTable {
+    inner: Arc<Mutex<HashMap<SocketAddr, ServerLoad>>>,
+}
+
+/// Counts a request at some servers until it is dropped.
+#[derive(Debug)]
+pub(crate) struct LoadGuard {
+    table: LoadTable,
+    addrs: Vec<SocketAddr>,
+    tokens: f64,
+}
+
+impl LoadTable {
+    pub(crate) fn of(&self, addr: SocketAddr) -> ServerLoad {
+        self.lock().get(&addr).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn enter(&self, addrs: Vec<SocketAddr>, tokens: f64) -> LoadGuard {
+        let mut loads = self.lock();
+        for addr in &addrs {
+            let load = loads.entry(*addr).or_default();
+            load.requests += 1;
+            load.tokens += tokens;
+        }
+        drop(loads);
+        LoadGuard {
+            table: self.clone(),
+            addrs,
+            tokens,
+        }
+    }
+
+    /// Everything that is under way.
+    pub(crate) fn snapshot(&self) -> Vec<(SocketAddr, ServerLoad)> {
+        let loads = self.lock();
+        loads.iter().map(|(addr, load)| (*addr, *load)).collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, ServerLoad>> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        let mut loads = self.table.lock();
+        for addr in &self.addrs {
+            let Some(load) = loads.get_mut(addr) else {
+                continue;
+            };
+            load.requests = load.requests.saturating_sub(1);
+            load.tokens = (load.tokens - self.tokens).max(0.0);
+            if load.requests == 0 {
+                loads.remove(addr);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/node.rs
@@ -0,0 +1,235 @@
+//! An instance: its listeners, its tasks, its start and its stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use http::StatusCode;
+use metrics::gauge;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use rookferry_net::ConnectionLimits;
+use rookferry_net::ConnectionTable;
+use rookferry_net::Inbound;
+use rookferry_net::Server;
+use rookferry_net::endpoint;
+use rookferry_net::text_response;
+use slog::Logger;
+use slog::info;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::sync::Notify;
+
+use crate::event_log::EventLog;
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::front;
+use crate::placement::Placement;
+use crate::probe;
+use crate::protocol::ServerProtocol;
+use crate::relay::Relay;
+use crate::settings::RelaySettings;
+use crate::store::SiteStore;
+use crate::sync;
+
+/// What is kept of the time to stop for the process's own end.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How long listeners go on accepting after the word to stop: the balancer
+/// asks once a second, and takes an instance out after two misses.
+const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(3_200);
+/// The same, if nothing is under way.
+const QUIET_BEFORE_END: Duration = Duration::from_millis(2_600);
+/// How often dropped log lines are told.
+const TELL_DROPPED_EVERY: Duration = Duration::from_secs(5);
+
+/// Why an instance didn't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A listener couldn't be bound.
+    #[snafu(display("can't listen at {addr} for {purpose}: {source}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What for.
+        purpose: &'static str,
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Where an instance listens, with the ports that the system chose.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeAddrs {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question.
+    pub readiness: SocketAddr,
+    /// For its figures.
+    pub metrics: SocketAddr,
+}
+
+/// A running instance.
+pub struct Node {
+    relay: Arc<Relay>,
+    callers: ConnectionTable,
+    addrs: NodeAddrs,
+    stop: Arc<Notify>,
+}
+
+struct Figures {
+    relay: Arc<Relay>,
+    handle: PrometheusHandle,
+}
+
+impl Node {
+    /// Starts an instance; it is ready once it knows the site.
+    ///
+    /// # Errors
+    ///
+    /// If it can't listen.
+    pub async fn start(
+        settings: RelaySettings,
+        protocol: Arc<dyn ServerProtocol>,
+        store: Arc<dyn SiteStore>,
+        log: Logger,
+    ) -> Result<Self, StartError> {
+        let listen = settings.listen;
+        let events = EventLog::new(log);
+        if let Some(log) = events.line(Weight::Notable) {
+            info!(log, "instance: started"; "event" => "started",
+                "version" => env!("CARGO_PKG_VERSION"), "domain" => &*settings.domain,
+                "callers" => %listen.callers);
+        }
+        let relay = Arc::new(Relay::new(settings, protocol, store, events));
+        let stop = Arc::new(Notify::new());
+        let limits = ConnectionLimits::default();
+        let callers = bind(listen.callers, limits, "callers").await?;
+        let readiness = bind(listen.readiness, limits, "readiness").await?;
+        let figures = bind(listen.metrics, limits, "metrics").await?;
+        let addr = |server: &Server, asked| server.local_addr().unwrap_or(asked);
+        let addrs = NodeAddrs {
+            callers: addr(&callers, listen.callers),
+            readiness: addr(&readiness, listen.readiness),
+            metrics: addr(&figures, listen.metrics),
+        };
+        let connections = callers.connections().clone();
+        let handler = endpoint(&relay, callers.connections(), front::handle);
+        let until = stop.clone();
+        tokio::spawn(async move { callers.serve(handler, until.notified()).await });
+        let handler = endpoint(&relay, readiness.connections(), tell_ready);
+        tokio::spawn(readiness.serve(handler, std::future::pending()));
+        let app = Arc::new(Figures {
+            relay: relay.clone(),
+            handle: install_recorder(),
+        });
+        let handler = endpoint(&app, figures.connections(), tell_figures);
+        tokio::spawn(figures.serve(handler, std::future::pending()));
+        tokio::spawn(sync::keep_config(relay.clone()));
+        tokio::spawn(sync::keep_servers(relay.clone()));
+        tokio::spawn(probe::watch_lost(relay.clone()));
+        tokio::spawn(Placement::new(relay.clone(), incarnation()).run());
+        tokio::spawn(tell_dropped(relay.clone()));
+        Ok(Self {
+            relay,
+            callers: connections,
+            addrs,
+            stop,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn addrs(&self) -> NodeAddrs {
+        self.addrs
+    }
+
+    /// Whether it can serve requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.relay.is_ready()
+    }
+
+    /// Finishes what is under way, within the bound; tells whether all was.
+    pub async fn leave(&self) -> bool {
+        let started = Instant::now();
+        self.relay.leave();
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            info!(log, "instance: it stops"; "event" => "stopping",
+                "requests" => self.callers.requests());
+        }
+        let bound = self
+            .relay
+            .settings
+            .bounds
+            .grace()
+            .saturating_sub(STOP_MARGIN);
+        let finish = async {
+            tokio::time::sleep(QUIET_BEFORE_END).await;
+            let accept_left = ACCEPT_WHILE_LEAVING.saturating_sub(started.elapsed());
+            let _ = tokio::time::timeout(accept_left, self.callers.quiet()).await;
+            self.stop.notify_one();
+            self.callers.quiet().await;
+        };
+        let is_drained = tokio::time::timeout(bound, finish).await.is_ok();
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            info!(log, "instance: stopped"; "event" => "stopped", "drained" => is_drained,
+                "took_ms" => millis(started.elapsed()));
+        }
+        is_drained
+    }
+}
+
+async fn bind(
+    addr: SocketAddr,
+    limits: ConnectionLimits,
+    purpose: &'static str,
+) -> Result<Server, StartError> {
+    Server::bind(addr, limits)
+        .await
+        .context(ListenSnafu { addr, purpose })
+}
+
+async fn tell_ready(relay: Arc<Relay>, _inbound: Inbound) -> Response<Body> {
+    if relay.is_ready() {
+        return text_response(StatusCode::OK, "ready\n".to_owned());
+    }
+    text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+}
+
+async fn tell_figures(figures: Arc<Figures>, _inbound: Inbound) -> Response<Body> {
+    let age = figures.relay.config_age();
+    gauge!("rookferry_config_version").set(age.version() as f64);
+    if let Some(age) = age.age(Instant::now()) {
+        gauge!("rookferry_config_age_seconds").set(age.as_secs_f64());
+    }
+    text_response(StatusCode::OK, figures.handle.render())
+}
+
+async fn tell_dropped(relay: Arc<Relay>) {
+    loop {
+        tokio::time::sleep(TELL_DROPPED_EVERY).await;
+        relay.events.tell_dropped();
+    }
+}
+
+fn install_recorder() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // Fails only if an embedder has installed its own, which then gets the
+    // metrics.
+    let _ = metrics::set_global_recorder(recorder);
+    handle
+}
+
+/// Milliseconds of the time of day at the start. It only tells two runs
+/// apart; nothing rests on its order.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let millis = since.map_or(0, |since| since.as_millis());
+    u64::try_from(millis).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -0,0 +1,294 @@
+//! Looks after the path of a running request.
+//!
+//! A stage that is lost, leaving or reassigned is replaced by an order to the
+//! first engine, which keeps the request. What tells: the fleet changed, or
+//! the stream stands still and probes of the path's engines stay unanswered.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use metrics::counter;
+use metrics::histogram;
+use rookferry_core::ModelShape;
+use rookferry_core::PathFinder;
+use rookferry_core::PathStage;
+use rookferry_core::PipelinePath;
+use rookferry_core::ServingService;
+use slog::warn;
+use tokio::sync::watch;
+
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::load::LoadGuard;
+use crate::probe;
+use crate::relay::Relay;
+use crate::request::CallerRequest;
+
+/// How long a stream may stand still before its path is probed. Events come
+/// every 20 to 50 ms at the published step times; a pause of 200 ms makes an
+/// answer late, and probing and repair need part of that.
+const STALL_AFTER: Duration = Duration::from_millis(90);
+/// The same before the first event, which waits for the prompt to be read.
+const FIRST_EVENT_AFTER: Duration = Duration::from_millis(220);
+/// Time between probes of a stream that goes on standing still.
+const STALL_AGAIN: Duration = Duration::from_millis(150);
+/// How long the order to move a request may take.
+const REPATH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Paths tried for one repair.
+const MAX_REPAIR_TRIES: usize = 3;
+
+/// The path of a running request.
+pub(crate) struct PathKeeper {
+    relay: Arc<Relay>,
+    request: Arc<CallerRequest>,
+    service: ServingService,
+    model: Arc<ModelShape>,
+    path: PipelinePath,
+    fleet: watch::Receiver<u64>,
+    look_at: Instant,
+    stalled_since: Instant,
+    refused: Vec<SocketAddr>,
+    repairs: u32,
+    /// Whether the path has to be looked through; stays set while a look is
+    /// cut off by events that come.
+    must_check: bool,
+    load: LoadGuard,
+}
+
+enum Moved {
+    Done,
+    /// The engine named, if any, has no room or isn't there.
+    Refused(Option<SocketAddr>),
+    /// The request isn't running there.
+    Unknown,
+    Failed,
+}
+
+impl PathKeeper {
+    pub(crate) fn new(
+        relay: &Arc<Relay>,
+        request: &Arc<CallerRequest>,
+        service: &ServingService,
+        model: &Arc<ModelShape>,
+        path: PipelinePath,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            load: enter(relay, request, &path),
+            fleet: relay.fleet_changes.subscribe(),
+            relay: relay.clone(),
+            request: request.clone(),
+            service: service.clone(),
+            model: model.clone(),
+            path,
+            look_at: now + FIRST_EVENT_AFTER,
+            stalled_since: now,
+            refused: Vec::new(),
+            repairs: 0,
+            must_check: false,
+        }
+    }
+
+    pub(crate) const fn path(&self) -> &PipelinePath {
+        &self.path
+    }
+
+    pub(crate) const fn repairs(&self) -> u32 {
+        self.repairs
+    }
+
+    /// The path as a line for logs.
+    pub(crate) fn describe(&self) -> String {
+        let stages = self.path.stages().iter();
+        let parts: Vec<String> = stages
+            .map(|stage| format!("{}={}-{}", stage.addr, stage.layers.start, stage.layers.end))
+            .collect();
+        parts.join(",")
+    }
+
+    /// Events came.
+    pub(crate) fn progressed(&mut self, now: Instant) {
+        self.stalled_since = now;
+        self.look_at = now + STALL_AFTER;
+    }
+
+    /// Waits until the path must be looked at, and looks after it. Tells
+    /// whether the first engine can still be used.
+    pub(crate) async fn watch(&mut self) -> bool {
+        if !self.must_check {
+            let look_at = tokio::time::Instant::from_std(self.look_at);
+            tokio::select! {
+                () = tokio::time::sleep_until(look_at) => self.look().await,
+                _ = self.fleet.changed() => {}
+            }
+            self.must_check = true;
+        }
+        let is_usable = self.repair().await;
+        self.must_check = false;
+        is_usable
+    }
+
+    /// The stream stands still: asks every engine of the path for a sign.
+    async fn look(&mut self) {
+        let stalled = self.stalled_since.elapsed();
+        let probes = self.path.stages().iter().map(|stage| {
+            let upstream = self.relay.upstream(stage.addr, &self.service);
+            probe::check(&self.relay, upstream)
+        });
+        let found = join_all(probes).await;
+        let lost = found.iter().filter(|is_alive| !**is_alive).count();
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            warn!(log, "stream: it stands still"; "event" => "path_stalled",
+                "request" => &self.request.attempt, "stalled_ms" => millis(stalled),
+                "path" => self.describe(), "lost" => lost);
+        }
+        self.look_at = Instant::now() + STALL_AGAIN;
+    }
+
+    fn is_lost(&self, stage: &PathStage) -> bool {
+        let view = self.relay.view.load();
+        let Some(table) = &view.servers else {
+            return false;
+        };
+        self.refused.contains(&stage.addr) || !self.relay.is_usable(table, stage)
+    }
+
+    /// Replaces stages that can't be used; tells whether the first one can.
+    async fn repair(&mut self) -> bool {
+        for _ in 0..MAX_REPAIR_TRIES {
+            let lost: Vec<PathStage> = self
+                .path
+                .stages()
+                .iter()
+                .filter(|stage| self.is_lost(stage))
+                .cloned()
+                .collect();
+            if lost.is_empty() {
+                return true;
+            }
+            let first = self.path.first().addr;
+            // A first engine that leaves goes on with what it has.
+            if lost.iter().any(|stage| stage.addr == first) {
+                return !self.relay.health().is_out(first);
+            }
+            let Some(path) = self.replacement(&lost) else {
+                return true;
+            };
+            match self.move_to(&path).await {
+                Moved::Done => {
+                    self.note_repaired(&lost, &path);
+                    self.load = enter(&self.relay, &self.request, &path);
+                    self.path = path;
+                    self.refused.clear();
+                    self.look_at = Instant::now() + STALL_AGAIN;
+                    return true;
+                }
+                Moved::Refused(Some(addr)) => self.refused.push(addr),
+                Moved::Refused(None) | Moved::Unknown | Moved::Failed => return true,
+            }
+        }
+        true
+    }
+
+    fn replacement(&self, lost: &[PathStage]) -> Option<PipelinePath> {
+        let view = self.relay.view.load();
+        let table = view.servers.as_ref()?;
+        let engines = self
+            .relay
+            .pipeline_engines(table, &self.service, &self.model);
+        let usable = engines
+            .iter()
+            .filter(|engine| !self.refused.contains(&engine.addr));
+        let finder = PathFinder::new(self.model.layers, usable);
+        finder.repair(
+            &self.path,
+            &self.relay.settings.domain,
+            self.request.tokens(),
+            |stage| lost.contains(stage),
+        )
+    }
+
+    /// Orders the first engine to move the request to another path.
+    async fn move_to(&self, path: &PipelinePath) -> Moved {
+        let protocol = &self.relay.protocol;
+        let call = protocol.repath_call(&self.request.attempt, path);
+        let upstream = self.relay.upstream(path.first().addr, &self.service);
+        let request = engine_request(upstream.addr, &call);
+        let answer = self
+            .relay
+            .pool
+            .call(upstream, request, REPATH_TIMEOUT)
+            .await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.note_failed(&error.to_string());
+                return Moved::Failed;
+            }
+        };
+        match answer.status {
+            status if status.is_success() => Moved::Done,
+            StatusCode::NOT_FOUND => {
+                self.note_failed("not running there");
+                Moved::Unknown
+            }
+            status => {
+                self.note_failed(status.as_str());
+                Moved::Refused(protocol.refused_stage(&answer.body))
+            }
+        }
+    }
+
+    fn note_failed(&self, cause: &str) {
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            warn!(log, "stream: its path could not be changed"; "event" => "order_failed",
+                "request" => &self.request.attempt, "order" => "repath", "cause" => cause);
+        }
+    }
+
+    fn note_repaired(&mut self, lost: &[PathStage], path: &PipelinePath) {
+        self.repairs += 1;
+        let stalled = self.stalled_since.elapsed();
+        counter!("rookferry_path_repairs_total").increment(1);
+        histogram!("rookferry_path_repair_seconds").record(stalled.as_secs_f64());
+        let Some(log) = self.relay.events.line(Weight::Notable) else {
+            return;
+        };
+        let lost: Vec<String> = lost.iter().map(|stage| stage.addr.to_string()).collect();
+        warn!(log, "stream: lost stages are replaced"; "event" => "path_repaired",
+            "request" => &self.request.attempt, "lost" => lost.join(","),
+            "since_last_event_ms" => millis(stalled), "stages" => path.stages().len());
+    }
+}
+
+fn enter(relay: &Relay, request: &CallerRequest, path: &PipelinePath) -> LoadGuard {
+    let addrs = path.stages().iter().map(|stage| stage.addr).collect();
+    relay.loads.enter(addrs, request.tokens())
+}
+
+/// A call to an engine's own interface as a request.
+pub(crate) fn engine_request(
+    addr: SocketAddr,
+    call: &crate::protocol::EngineCall,
+) -> Request<Full<bytes::Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.uri_mut() = http::Uri::from_static(call.path);
+    if let Ok(host) = http::HeaderValue::from_str(&addr.to_string()) {
+        request.headers_mut().insert(http::header::HOST, host);
+    }
+    if !call.body.is_empty() {
+        *request.method_mut() = Method::POST;
+        let json = http::HeaderValue::from_static("application/json");
+        request
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, json);
+    }
+    request
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/placement.rs
@@ -0,0 +1,328 @@
+//! Orders engines to hold layers, under the site's lease.
+//!
+//! One instance holds the lease and plans for the whole site from what the
+//! engines' entries say, so that a new holder goes on from what stands. An
+//! order names the engine's sequence as last reported; an engine that has
+//! taken another order meanwhile refuses it, which fences orders of a former
+//! holder.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use http::StatusCode;
+use rookferry_core::LayoutEngine;
+use rookferry_core::LayoutPlanner;
+use rookferry_core::Lease;
+use rookferry_core::LeaseAction;
+use rookferry_core::LeaseTiming;
+use rookferry_core::ModelShape;
+use rookferry_core::NeededPlacement;
+use rookferry_core::ServingService;
+use rookferry_wire::EngineId;
+use rookferry_wire::Incarnation;
+use rookferry_wire::LayerRange;
+use rookferry_wire::ServiceId;
+use slog::info;
+use slog::warn;
+
+use crate::event_log::Weight;
+use crate::path_keeper::engine_request;
+use crate::relay::Relay;
+use crate::store::StoreError;
+use crate::view::ServerTable;
+
+/// How long the lease lasts; a dead holder is replaced after about this.
+const LEASE: Duration = Duration::from_secs(6);
+/// How long a sender may be paused between its check and its sending. Orders
+/// name the engine's sequence, so nothing waits for it.
+const PAUSE_BOUND: Duration = Duration::from_secs(1);
+/// How often a rival looks at the lease.
+const RIVAL_READS: Duration = Duration::from_secs(2);
+/// Longest time between two plans; a change of the fleet brings one forward.
+const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// Least time between two plans.
+const PLAN_PAUSE: Duration = Duration::from_millis(60);
+/// How long an order may take.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long an ordered engine may take to show its layers before it is asked.
+const PLACED_AFTER: Duration = Duration::from_secs(4);
+/// How long a server is out before its layers count as lost. A crashed
+/// engine comes back empty, so waiting longer gains nothing; a lost packet
+/// or a short pause is over by then.
+const LOST_AFTER: Duration = Duration::from_secs(1);
+/// Heartbeats of the engines to wait for, where none holds a layer, before
+/// the first plan; a plan for a part of them would have to be undone.
+const FIRST_PLAN_HEARTBEATS: f64 = 1.2;
+/// The part of a site's engines that may be out before it is more likely
+/// that this instance is cut off than that they are lost.
+const MAX_LOST_PART: f64 = 0.34;
+
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    layers: LayerRange,
+    at: Instant,
+}
+
+/// Plans and orders while this instance holds the lease.
+pub(crate) struct Placement {
+    relay: Arc<Relay>,
+    lease: Lease,
+    read_at: Option<Instant>,
+    was_held: bool,
+    ordered: BTreeMap<EngineId, Ordered>,
+    /// When engines of a service were first seen.
+    first_seen: BTreeMap<ServiceId, Instant>,
+}
+
+impl Placement {
+    pub(crate) fn new(relay: Arc<Relay>, incarnation: Incarnation) -> Self {
+        let timing = LeaseTiming {
+            duration: LEASE,
+            pause_bound: PAUSE_BOUND,
+        };
+        Self {
+            lease: Lease::new(relay.settings.instance.clone(), incarnation, timing),
+            relay,
+            read_at: None,
+            was_held: false,
+            ordered: BTreeMap::new(),
+            first_seen: BTreeMap::new(),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(mut self) {
+        let mut fleet = self.relay.fleet_changes.subscribe();
+        loop {
+            if !self.relay.is_leaving() {
+                self.keep_lease().await;
+                self.plan_all().await;
+            }
+            tokio::time::sleep(PLAN_PAUSE).await;
+            tokio::select! {
+                () = tokio::time::sleep(PLAN_EVERY) => {}
+                _ = fleet.changed(), if self.is_holder() => {}
+            }
+        }
+    }
+
+    fn is_holder(&self) -> bool {
+        self.lease.fence_for(Instant::now(), true).is_some()
+    }
+
+    async fn keep_lease(&mut self) {
+        let asked_at = Instant::now();
+        let is_due = !self.is_holder()
+            && self
+                .read_at
+                .is_none_or(|read_at| read_at.elapsed() >= RIVAL_READS);
+        if is_due {
+            self.read_at = Some(asked_at);
+            // A failure shows as a lost dependency where the servers are read.
+            let Ok(current) = self.relay.store.lease().await else {
+                return;
+            };
+            self.lease.observed(asked_at, current.as_ref());
+        }
+        if let LeaseAction::Write { expected, object } = self.lease.next(Instant::now()) {
+            let sent_at = Instant::now();
+            match self.relay.store.write_lease(expected, &object).await {
+                Ok(version) => self.lease.written(sent_at, version, object),
+                Err(StoreError::Conflict { current }) => {
+                    self.lease.observed(Instant::now(), current.as_ref());
+                }
+                // Whether it was written is read back next time.
+                Err(_) => self.read_at = None,
+            }
+        }
+        self.note_lease();
+    }
+
+    fn note_lease(&mut self) {
+        let is_held = self.is_holder();
+        if is_held == self.was_held {
+            return;
+        }
+        self.was_held = is_held;
+        self.ordered.clear();
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            let holder = self.lease.holder().map(|lease| lease.holder.to_string());
+            let fence = self.lease.holder().map(|lease| lease.fence);
+            let event = if is_held { "lease_held" } else { "lease_lost" };
+            info!(log, "placement: the lease changed"; "event" => event,
+                "holder" => holder, "fence" => fence);
+        }
+    }
+
+    async fn plan_all(&mut self) {
+        if !self.is_holder() {
+            return;
+        }
+        let view = self.relay.view.load_full();
+        let (Some(index), Some(table)) = (&view.index, &view.servers) else {
+            return;
+        };
+        for service in &index.config().services {
+            if let Some(model) = &service.model {
+                self.plan(service, model, table).await;
+            }
+        }
+    }
+
+    async fn plan(&mut self, service: &ServingService, model: &ModelShape, table: &ServerTable) {
+        self.settle(service, table).await;
+        let engines = self.layout(service, table);
+        if engines.is_empty() || self.is_filling(service, &engines) {
+            return;
+        }
+        let needed = LayoutPlanner::new(model).plan(&engines);
+        if needed.is_empty() {
+            return;
+        }
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            info!(log, "placement: layers are needed"; "event" => "placement_planned",
+                "service" => &*service.name, "engines" => engines.len(),
+                "orders" => needed.len(),
+                "missing" => needed.iter().filter(|placement| placement.is_missing).count());
+        }
+        let orders = needed
+            .into_iter()
+            .map(|placement| self.order(service, table, placement));
+        let taken = join_all(orders).await;
+        let at = Instant::now();
+        for placement in taken.into_iter().flatten() {
+            let layers = placement.layers;
+            self.ordered
+                .insert(placement.engine, Ordered { layers, at });
+        }
+    }
+
+    /// Whether the engines have just begun to show, and hold nothing yet.
+    fn is_filling(&mut self, service: &ServingService, engines: &[LayoutEngine]) -> bool {
+        let first_seen = self.first_seen.entry(service.name.clone());
+        let seen_for = first_seen.or_insert_with(Instant::now).elapsed();
+        let heartbeat = Duration::from_millis(self.relay.settings.bounds.heartbeat_ms);
+        let is_early = seen_for < heartbeat.mul_f64(FIRST_PLAN_HEARTBEATS);
+        is_early && engines.iter().all(|engine| engine.held.is_none())
+    }
+
+    /// The engines that stay, with what they hold or were ordered to hold.
+    fn layout(&self, service: &ServingService, table: &ServerTable) -> Vec<LayoutEngine> {
+        let now = Instant::now();
+        let staying: Vec<_> = table
+            .of(&service.name)
+            .filter(|server| !server.is_leaving)
+            .collect();
+        let health = self.relay.health();
+        let is_lost = |addr| {
+            let since = health.out_since(addr);
+            since.is_some_and(|since| now.saturating_duration_since(since) >= LOST_AFTER)
+        };
+        let lost = staying.iter().filter(|server| is_lost(server.addr)).count();
+        let trusts_health = lost as f64 <= staying.len() as f64 * MAX_LOST_PART;
+        let layout = staying
+            .iter()
+            .filter(|server| !(trusts_health && is_lost(server.addr)))
+            .map(|server| {
+                let ordered = self.ordered.get(&server.id);
+                LayoutEngine {
+                    engine: server.id.clone(),
+                    domain: server.domain.clone(),
+                    kind: server.accelerator.clone().unwrap_or_default(),
+                    held: ordered.map(|ordered| ordered.layers).or(server.held),
+                    is_busy: ordered.is_some(),
+                }
+            });
+        layout.collect()
+    }
+
+    /// Forgets orders that show in the engines' entries, or didn't come about.
+    async fn settle(&mut self, service: &ServingService, table: &ServerTable) {
+        let mut overdue = Vec::new();
+        self.ordered.retain(|id, ordered| {
+            let server = table.of(&service.name).find(|server| server.id == *id);
+            let Some(server) = server else {
+                return false;
+            };
+            if server.held == Some(ordered.layers) {
+                return false;
+            }
+            if ordered.at.elapsed() >= PLACED_AFTER {
+                overdue.push((id.clone(), server.addr));
+            }
+            true
+        });
+        for (id, addr) in overdue {
+            let upstream = self.relay.upstream(addr, service);
+            let request = engine_request(addr, &self.relay.protocol.report_call());
+            let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
+            let report = answer
+                .ok()
+                .and_then(|answer| self.relay.protocol.read_report(&answer.body).ok());
+            let Some(ordered) = self.ordered.get_mut(&id) else {
+                continue;
+            };
+            if report.is_some_and(|report| report.is_busy || report.held == Some(ordered.layers)) {
+                ordered.at = Instant::now();
+            } else {
+                self.ordered.remove(&id);
+            }
+        }
+    }
+
+    /// Orders an engine to hold layers; tells if it may have taken the order.
+    async fn order(
+        &self,
+        service: &ServingService,
+        table: &ServerTable,
+        placement: NeededPlacement,
+    ) -> Option<NeededPlacement> {
+        let protocol = &self.relay.protocol;
+        let server = table
+            .of(&service.name)
+            .find(|server| server.id == placement.engine)?;
+        let upstream = self.relay.upstream(server.addr, service);
+        let report = engine_request(server.addr, &protocol.report_call());
+        let answer = self.relay.pool.call(upstream, report, ORDER_TIMEOUT).await;
+        let report = answer
+            .ok()
+            .and_then(|answer| protocol.read_report(&answer.body).ok())?;
+        if report.is_busy {
+            return Some(placement);
+        }
+        // The lease may have run out while the engine was asked.
+        self.lease.fence_for(Instant::now(), true)?;
+        let call = protocol.place_call(placement.layers, Some(report.sequence));
+        let request = engine_request(server.addr, &call);
+        let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
+        let outcome = match &answer {
+            Ok(answer) => answer.status.as_str().to_owned(),
+            Err(error) => error.to_string(),
+        };
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            info!(log, "placement: an engine is ordered"; "event" => "order_sent",
+                "engine" => &*placement.engine, "addr" => %server.addr, "order" => "place",
+                "layers" => format!("{}-{}", placement.layers.start, placement.layers.end),
+                "missing" => placement.is_missing, "sequence" => report.sequence,
+                "outcome" => &outcome);
+        }
+        match answer {
+            Ok(answer) if answer.status.is_success() => Some(placement),
+            Ok(answer) if answer.status == StatusCode::CONFLICT => None,
+            Ok(answer) => {
+                if let Some(log) = self.relay.events.line(Weight::Notable) {
+                    warn!(log, "placement: an order was refused"; "event" => "order_failed",
+                        "engine" => &*placement.engine, "order" => "place",
+                        "cause" => answer.status.as_str());
+                }
+                None
+            }
+            // It may have been taken.
+            Err(error) if !error.is_unsent() => Some(placement),
+            Err(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/plain.rs
@@ -0,0 +1,223 @@
+//! Requests to plain services: one server answers each.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use gotham::helpers::http::Body;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use rookferry_core::BackendServer;
+use rookferry_core::ServingService;
+use slog::warn;
+
+use crate::event_log::Weight;
+use crate::front::Served;
+use crate::front::note_served;
+use crate::refusal::Refusal;
+use crate::relay::Relay;
+use crate::request::CallerRequest;
+use crate::request::end_to_end;
+use crate::upstream::UpstreamError;
+use crate::upstream::WholeAnswer;
+use crate::view::ServerTable;
+
+/// What a server in another failure domain counts for, in requests under way;
+/// its way is a quarter of a millisecond longer.
+const FAR_COST: f64 = 0.5;
+/// What a server that fails all its requests counts for, in requests.
+const FAILING_COST: f64 = 30.0;
+/// How often a request may be turned away by servers, or find none reachable.
+const MAX_UNRUN_TRIES: usize = 4;
+/// The least time left in which sending makes sense.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
+
+enum Tried {
+    Answer(WholeAnswer),
+    /// The server says that it didn't run the request.
+    NotRun,
+    Failed(UpstreamError),
+    TimeOver,
+}
+
+/// Serves a request.
+pub(crate) async fn serve(relay: &Relay, request: CallerRequest) -> Served {
+    relay.note_fresh(&request.service);
+    let view = relay.view.load_full();
+    let (Some(index), Some(table)) = (&view.index, &view.servers) else {
+        return Served::Withdrawn;
+    };
+    let Some(service) = index.service(&request.service) else {
+        return Served::Refused(Refusal::NoServer);
+    };
+    let may_repeat = request.route.repeatability.may_repeat();
+    let mut avoided: Vec<SocketAddr> = Vec::new();
+    let mut has_run = 0;
+    let mut arrived = 0;
+    let mut last_answer = None;
+    for _ in 0..MAX_UNRUN_TRIES {
+        if request.time_left() < MIN_TIME_LEFT {
+            break;
+        }
+        if arrived > 0 && !relay.take_retry(&request.service) {
+            break;
+        }
+        let Some(server) = choose(relay, table, service, &avoided) else {
+            break;
+        };
+        avoided.push(server.addr);
+        match send(relay, &request, service, server).await {
+            Tried::Answer(answer) => {
+                has_run += 1;
+                arrived += 1;
+                let is_final = !(answer.status.is_server_error() && may_repeat);
+                if is_final {
+                    return answered(relay, &request, server, answer);
+                }
+                note_failed(relay, &request, server, answer.status.as_str());
+                relay.health().failed(server.addr, Instant::now());
+                last_answer = Some((server.clone(), answer));
+            }
+            Tried::NotRun => {
+                arrived += 1;
+                note_failed(relay, &request, server, "not run");
+                relay.health().failed(server.addr, Instant::now());
+            }
+            Tried::Failed(UpstreamError::Withdrawn) => {
+                if arrived == 0 {
+                    return Served::Withdrawn;
+                }
+                break;
+            }
+            Tried::Failed(error) if error.is_unsent() => {
+                note_failed(relay, &request, server, &error.to_string());
+                relay.server_lost(server.addr, &error.to_string());
+            }
+            Tried::Failed(error) => {
+                has_run += 1;
+                arrived += 1;
+                note_failed(relay, &request, server, &error.to_string());
+                relay.health().failed(server.addr, Instant::now());
+            }
+            Tried::TimeOver => return Served::Refused(Refusal::TimeOver),
+        }
+        let may_go_on = may_repeat || has_run == 0;
+        if !may_go_on || has_run >= request.route.max_servers.max(1) {
+            break;
+        }
+    }
+    if let Some((server, answer)) = last_answer {
+        return answered(relay, &request, &server, answer);
+    }
+    Served::Refused(match (has_run > 0, request.time_left() < MIN_TIME_LEFT) {
+        (true, true) => Refusal::TimeOver,
+        (true, false) => Refusal::Unknown,
+        (false, true) => Refusal::TimeOverNotRun,
+        (false, false) => Refusal::NoServer,
+    })
+}
+
+/// The server with the least to do.
+fn choose<'a>(
+    relay: &Relay,
+    table: &'a ServerTable,
+    service: &ServingService,
+    avoided: &[SocketAddr],
+) -> Option<&'a BackendServer> {
+    let now = Instant::now();
+    let health = relay.health();
+    let usable = table.of(&service.name).filter(|server| {
+        !server.is_leaving && !health.is_out(server.addr) && !avoided.contains(&server.addr)
+    });
+    let cost = |server: &BackendServer| {
+        let is_far = server.domain != relay.settings.domain;
+        f64::from(relay.loads.of(server.addr).requests)
+            + if is_far { FAR_COST } else { 0.0 }
+            + health.failing_share(server.addr, now) * FAILING_COST
+    };
+    usable.min_by(|left, right| cost(left).total_cmp(&cost(right)))
+}
+
+async fn send(
+    relay: &Relay,
+    request: &CallerRequest,
+    service: &ServingService,
+    server: &BackendServer,
+) -> Tried {
+    let names = relay.protocol.names();
+    let _load = relay.loads.enter(vec![server.addr], request.tokens());
+    let outbound = request.to_server(names, &server.id, None);
+    let upstream = relay.upstream(server.addr, service);
+    let may_send = || may_send(relay, request, server);
+    let exchange = async {
+        let answer = relay.pool.send(upstream, outbound, may_send).await?;
+        if !answer.is_for(names, &request.attempt) {
+            return Err(UpstreamError::Crossed { addr: server.addr });
+        }
+        if answer.is_not_run(names) {
+            answer.collect(server.addr).await?;
+            return Ok(None);
+        }
+        answer.collect(server.addr).await.map(Some)
+    };
+    match tokio::time::timeout(request.time_left(), exchange).await {
+        Ok(Ok(Some(answer))) if is_sound(relay, &answer) => {
+            relay.server_answered(server.addr);
+            Tried::Answer(answer)
+        }
+        Ok(Ok(Some(_))) => Tried::Failed(UpstreamError::Lost {
+            addr: server.addr,
+            message: "a success without the server's signature".to_owned(),
+        }),
+        Ok(Ok(None)) => Tried::NotRun,
+        Ok(Err(error)) => Tried::Failed(error),
+        Err(_) => Tried::TimeOver,
+    }
+}
+
+/// Whether what was decided still holds, right before the first byte leaves.
+pub(crate) fn may_send(relay: &Relay, request: &CallerRequest, server: &BackendServer) -> bool {
+    let view = relay.view.load();
+    let (Some(index), Some(table)) = (&view.index, &view.servers) else {
+        return false;
+    };
+    relay.is_config_fresh()
+        && request.is_allowed_by(index)
+        && table
+            .at(server.addr)
+            .is_some_and(|known| known.id == server.id && !known.is_leaving)
+}
+
+/// A success counts only with the server's signature.
+fn is_sound(relay: &Relay, answer: &WholeAnswer) -> bool {
+    let signature = &relay.protocol.names().signature;
+    !answer.status.is_success() || answer.headers.contains_key(signature)
+}
+
+fn answered(
+    relay: &Relay,
+    request: &CallerRequest,
+    server: &BackendServer,
+    answer: WholeAnswer,
+) -> Served {
+    note_served(relay, request, answer.status.as_u16(), &server.id);
+    let body = Full::new(answer.body).map_err(|never| match never {});
+    let mut response: Response<Body> = Response::new(UnsyncBoxBody::new(body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = end_to_end(&answer.headers);
+    if answer.status != StatusCode::NOT_MODIFIED {
+        response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    }
+    Served::Answer(response)
+}
+
+fn note_failed(relay: &Relay, request: &CallerRequest, server: &BackendServer, cause: &str) {
+    if let Some(log) = relay.events.line(Weight::Notable) {
+        warn!(log, "request: a try failed"; "event" => "attempt_failed",
+            "request" => &request.attempt, "server" => &*server.id, "addr" => %server.addr,
+            "cause" => cause, "left_ms" => crate::event_log::millis(request.time_left()));
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/pool.rs
@@ -0,0 +1,255 @@
+//! Connections to backend servers, kept for the next request.
+//!
+//! One request at a time is on a connection. A connection is kept only after
+//! its answer was read whole, and used again only well before the time that
+//! the server named for closing it, since a request that meets the close may
+//! have run.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::HeaderMap;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+
+/// How long a connect may take; within a site a round trip takes under a
+/// millisecond, and a lost packet is sent again after about 200 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long sent bytes may stay unacknowledged before the connection counts
+/// as dead; the same bound as for a connect, doubled for one loss more.
+const UNACKNOWLEDGED_MS: u32 = 1_500;
+/// How long a connection is kept when its server names no time.
+const DEFAULT_KEEP: Duration = Duration::from_secs(8);
+/// How long before the named end a connection isn't used any more.
+const KEEP_MARGIN: Duration = Duration::from_secs(1);
+
+/// Why there is no connection; no byte of a request has left.
+#[derive(Debug, Snafu)]
+pub(crate) enum ConnectError {
+    /// The server's connections are used up by this instance.
+    #[snafu(display("all {limit} connections to {addr} are in use"))]
+    Full { addr: SocketAddr, limit: usize },
+    /// No connection was made.
+    #[snafu(display("could not connect to {addr}: {message}"))]
+    Failed { addr: SocketAddr, message: String },
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    use_until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct ServerPool {
+    idle: Mutex<Vec<Idle>>,
+    open: Arc<AtomicUsize>,
+}
+
+/// The connections of an instance, by server.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamPool {
+    servers: ArcSwap<HashMap<SocketAddr, Arc<ServerPool>>>,
+}
+
+/// A connection in use by one request.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) is_reused: bool,
+    pool: Arc<ServerPool>,
+    _slot: OpenSlot,
+}
+
+/// Counts a connection until its task ends.
+#[derive(Debug, Clone)]
+struct OpenSlot {
+    _held: Arc<SlotHeld>,
+}
+
+#[derive(Debug)]
+struct SlotHeld {
+    open: Arc<AtomicUsize>,
+}
+
+impl Drop for SlotHeld {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl UpstreamPool {
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// A kept connection, or a new one if fewer than `limit` are open.
+    pub(crate) async fn checkout(
+        &self,
+        addr: SocketAddr,
+        limit: usize,
+    ) -> Result<Connection, ConnectError> {
+        let pool = self.server(addr);
+        while let Some(mut idle) = pool.take_idle() {
+            if idle.sender.ready().await.is_ok() {
+                return Ok(Connection {
+                    sender: idle.sender,
+                    is_reused: true,
+                    _slot: OpenSlot::uncounted(),
+                    pool,
+                });
+            }
+        }
+        if pool.open.fetch_add(1, Ordering::Relaxed) >= limit {
+            pool.open.fetch_sub(1, Ordering::Relaxed);
+            return Err(ConnectError::Full { addr, limit });
+        }
+        let slot = OpenSlot {
+            _held: Arc::new(SlotHeld {
+                open: pool.open.clone(),
+            }),
+        };
+        let sender = connect(addr, slot.clone()).await?;
+        Ok(Connection {
+            sender,
+            is_reused: false,
+            pool,
+            _slot: slot,
+        })
+    }
+
+    /// Drops what is kept for servers that `is_known` doesn't know, and
+    /// connections whose time is over.
+    pub(crate) fn tidy(&self, now: Instant, is_known: impl Fn(SocketAddr) -> bool) {
+        let servers = self.servers.load();
+        for pool in servers.values() {
+            pool.lock().retain(|idle| idle.use_until > now);
+        }
+        if servers.keys().all(|addr| is_known(*addr)) {
+            return;
+        }
+        self.servers.rcu(|servers| {
+            let kept = servers.iter().filter(|(addr, _)| is_known(**addr));
+            kept.map(|(addr, pool)| (*addr, pool.clone()))
+                .collect::<HashMap<_, _>>()
+        });
+    }
+
+    fn server(&self, addr: SocketAddr) -> Arc<ServerPool> {
+        if let Some(pool) = self.servers.load().get(&addr) {
+            return pool.clone();
+        }
+        let fresh = Arc::new(ServerPool::default());
+        self.servers.rcu(|servers| {
+            let mut servers = HashMap::clone(servers);
+            servers.entry(addr).or_insert_with(|| fresh.clone());
+            servers
+        });
+        self.servers.load().get(&addr).cloned().unwrap_or(fresh)
+    }
+}
+
+impl OpenSlot {
+    /// For a connection that its own task counts already.
+    fn uncounted() -> Self {
+        Self {
+            _held: Arc::new(SlotHeld {
+                open: Arc::new(AtomicUsize::new(1)),
+            }),
+        }
+    }
+}
+
+impl ServerPool {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_idle(&self) -> Option<Idle> {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        while let Some(last) = idle.pop() {
+            if last.use_until > now && !last.sender.is_closed() {
+                return Some(last);
+            }
+        }
+        None
+    }
+}
+
+impl Connection {
+    /// Keeps the connection, after its answer was read whole.
+    pub(crate) fn keep(self, headers: &HeaderMap) {
+        let keep = keep_time(headers);
+        if keep.is_zero() || self.sender.is_closed() {
+            return;
+        }
+        let idle = Idle {
+            use_until: Instant::now() + keep,
+            sender: self.sender,
+        };
+        self.pool.lock().push(idle);
+    }
+}
+
+/// How long an answer's headers allow to keep its connection.
+fn keep_time(headers: &HeaderMap) -> Duration {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let is_close = text(http::header::CONNECTION)
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if is_close {
+        return Duration::ZERO;
+    }
+    let named_s = text(http::HeaderName::from_static("keep-alive")).and_then(|value| {
+        let mut parts = value.split(',').map(str::trim);
+        parts.find_map(|part| part.strip_prefix("timeout=")?.parse::<u64>().ok())
+    });
+    named_s.map_or(DEFAULT_KEEP, |seconds| {
+        Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN)
+    })
+}
+
+async fn connect(
+    addr: SocketAddr,
+    slot: OpenSlot,
+) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
+    let failed = |message: String| ConnectError::Failed { addr, message };
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let stream = match connecting {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(failed(error.to_string())),
+        Err(_) => {
+            return Err(failed(format!(
+                "no answer in {} ms",
+                CONNECT_TIMEOUT.as_millis()
+            )));
+        }
+    };
+    stream
+        .set_nodelay(true)
+        .map_err(|error| failed(error.to_string()))?;
+    rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_MS)
+        .map_err(|error| failed(error.to_string()))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    tokio::spawn(async move {
+        // Its end is seen by the request on it, or by the next checkout.
+        let _ = connection.await;
+        drop(slot);
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/probe.rs
@@ -0,0 +1,98 @@
+//! Asks servers for a sign of life.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::HeaderValue;
+use http::Request;
+use http::Uri;
+use http_body_util::Full;
+
+use crate::path_keeper::engine_request;
+use crate::relay::Relay;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamError;
+
+/// How long an engine may take to answer; within a site a round trip takes
+/// under a millisecond.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(80);
+/// First time between probes of a server that is out; doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest time between them.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
+/// How often servers that are out are looked through.
+const ROUND: Duration = Duration::from_millis(150);
+
+/// Whether an engine gives a sign within the bound; marks it lost if not.
+pub(crate) async fn check(relay: &Relay, upstream: Upstream) -> bool {
+    if relay.health().is_out(upstream.addr) {
+        return false;
+    }
+    let call = relay.protocol.report_call();
+    let request = engine_request(upstream.addr, &call);
+    match relay.pool.call(upstream, request, PROBE_TIMEOUT).await {
+        Ok(_) => true,
+        Err(error) => {
+            relay.server_lost(upstream.addr, &error.to_string());
+            false
+        }
+    }
+}
+
+/// Probes servers that are out until they answer again.
+pub(crate) async fn watch_lost(relay: Arc<Relay>) {
+    let mut due: HashMap<SocketAddr, (Instant, Duration)> = HashMap::new();
+    loop {
+        tokio::time::sleep(ROUND).await;
+        let out = relay.health().out();
+        due.retain(|addr, _| out.contains(addr));
+        let now = Instant::now();
+        for addr in out {
+            let (at, pause) = due.entry(addr).or_insert((now + FIRST_PAUSE, FIRST_PAUSE));
+            if *at > now {
+                continue;
+            }
+            *pause = (*pause * 2).min(LONGEST_PAUSE);
+            *at = now + *pause;
+            tokio::spawn(probe_lost(relay.clone(), addr));
+        }
+    }
+}
+
+async fn probe_lost(relay: Arc<Relay>, addr: SocketAddr) {
+    let view = relay.view.load_full();
+    let (Some(index), Some(table)) = (&view.index, &view.servers) else {
+        return;
+    };
+    let Some(service) = table
+        .at(addr)
+        .and_then(|server| index.service(&server.service))
+    else {
+        return;
+    };
+    let request = if service.model.is_some() {
+        engine_request(addr, &relay.protocol.report_call())
+    } else {
+        let Some(request) = health_request(addr, &service.health_path) else {
+            return;
+        };
+        request
+    };
+    let upstream = relay.upstream(addr, service);
+    // Any answer shows that it is there; one that is full answers too.
+    match relay.pool.call(upstream, request, PROBE_TIMEOUT * 3).await {
+        Ok(_) | Err(UpstreamError::Crossed { .. }) => relay.server_answered(addr),
+        Err(_) => {}
+    }
+}
+
+fn health_request(addr: SocketAddr, path: &str) -> Option<Request<Full<bytes::Bytes>>> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path.parse::<Uri>().ok()?;
+    let host = HeaderValue::from_str(&addr.to_string()).ok()?;
+    request.headers_mut().insert(http::header::HOST, host);
+    Some(request)
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/protocol.rs
@@ -0,0 +1,126 @@
+//! The names and formats that callers and backend servers speak.
+//!
+//! The relay decides; an implementation of [`ServerProtocol`] only encodes
+//! and decodes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use rookferry_core::PipelinePath;
+use rookferry_wire::LayerRange;
+use snafu::Snafu;
+
+/// Names of the headers that carry what the relay reads or sets.
+#[derive(Clone, Debug)]
+pub struct HeaderNames {
+    /// The caller's id of the attempt.
+    pub attempt: HeaderName,
+    /// Milliseconds that the caller, or the relay, will still wait.
+    pub time_left_ms: HeaderName,
+    /// The last event that a resumed stream has delivered.
+    pub last_event: HeaderName,
+    /// The server's signature of an answer.
+    pub signature: HeaderName,
+    /// The client account, set by the relay.
+    pub account: HeaderName,
+    /// The start of a server that alone may run the request.
+    pub expected_server: HeaderName,
+    /// Set by servers on answers to requests that they didn't run.
+    pub not_run: HeaderName,
+    /// The engines that a request passes.
+    pub path: HeaderName,
+    /// The engine at fault, in refusals.
+    pub faulty_server: HeaderName,
+}
+
+/// What a caller's headers say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallerHead {
+    /// The attempt's id, if there is one that reads.
+    pub attempt: Option<String>,
+    /// How long the caller will wait, in milliseconds.
+    pub time_left_ms: Option<u64>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub answer_tokens: u32,
+    /// The last event that an earlier attempt delivered.
+    pub last_event: Option<u64>,
+}
+
+/// An engine's report on itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineReport {
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// Orders taken since its start.
+    pub sequence: u64,
+    /// The layers it holds, ready to run.
+    pub held: Option<LayerRange>,
+    /// Requests that stand still, and the engines that they wait for.
+    pub stalled: Vec<StalledRequest>,
+}
+
+/// A request that stands still at its first engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StalledRequest {
+    /// The attempt's id.
+    pub attempt: String,
+    /// The engine that it waits for.
+    pub waits_for: Option<SocketAddr>,
+}
+
+/// A call to an engine's own interface.
+#[derive(Clone, Debug)]
+pub struct EngineCall {
+    /// Path of the call.
+    pub path: &'static str,
+    /// JSON body; empty for a read.
+    pub body: Bytes,
+}
+
+/// A body that doesn't read.
+#[derive(Debug, Snafu)]
+#[snafu(display("the engine's body doesn't read: {message}"))]
+pub struct FormatError {
+    /// The cause.
+    pub message: String,
+}
+
+/// Encodes and decodes what callers and backend servers speak.
+pub trait ServerProtocol: Send + Sync {
+    /// The names of headers.
+    fn names(&self) -> &HeaderNames;
+
+    /// Reads a caller's headers.
+    fn caller_head(&self, headers: &HeaderMap) -> CallerHead;
+
+    /// A path as the header that names it.
+    fn path_value(&self, path: &PipelinePath) -> HeaderValue;
+
+    /// The call that asks an engine for its report.
+    fn report_call(&self) -> EngineCall;
+
+    /// Reads a report.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't read.
+    fn read_report(&self, body: &[u8]) -> Result<EngineReport, FormatError>;
+
+    /// The order to hold layers; an engine whose sequence isn't the expected
+    /// one doesn't take it.
+    fn place_call(&self, layers: LayerRange, expected_sequence: Option<u64>) -> EngineCall;
+
+    /// The order to move a running request to another path with the same
+    /// first stage.
+    fn repath_call(&self, attempt: &str, path: &PipelinePath) -> EngineCall;
+
+    /// The engine that a refused order names.
+    fn refused_stage(&self, body: &[u8]) -> Option<SocketAddr>;
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/relay.rs
@@ -0,0 +1,300 @@
+//! What the parts of an instance share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use rookferry_core::BackendServer;
+use rookferry_core::ConfigAge;
+use rookferry_core::ModelShape;
+use rookferry_core::PathStage;
+use rookferry_core::PipelineEngine;
+use rookferry_core::RetryWindow;
+use rookferry_core::ServerHealth;
+use rookferry_core::ServingConfig;
+use rookferry_core::ServingIndex;
+use rookferry_core::ServingService;
+use rookferry_wire::ServiceId;
+use slog::info;
+use slog::warn;
+use tokio::sync::watch;
+
+use crate::event_log::EventLog;
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::load::LoadTable;
+use crate::pool::UpstreamPool;
+use crate::protocol::ServerProtocol;
+use crate::settings::RelaySettings;
+use crate::store::SiteStore;
+use crate::upstream::Upstream;
+use crate::view::ServerTable;
+use crate::view::SiteView;
+
+/// State that all parts of an instance share.
+pub(crate) struct Relay {
+    pub(crate) settings: RelaySettings,
+    pub(crate) protocol: Arc<dyn ServerProtocol>,
+    pub(crate) store: Arc<dyn SiteStore>,
+    pub(crate) pool: UpstreamPool,
+    pub(crate) view: ArcSwap<SiteView>,
+    pub(crate) loads: LoadTable,
+    pub(crate) events: EventLog,
+    /// Raised whenever paths may have to be looked at again.
+    pub(crate) fleet_changes: watch::Sender<u64>,
+    /// Instances that share the site's budgets, this one included.
+    pub(crate) instances: AtomicUsize,
+    leaving: AtomicBool,
+    leaving_since: Mutex<Option<Instant>>,
+    config_age: Mutex<ConfigAge>,
+    health: Mutex<ServerHealth>,
+    retries: Mutex<HashMap<ServiceId, RetryWindow>>,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        settings: RelaySettings,
+        protocol: Arc<dyn ServerProtocol>,
+        store: Arc<dyn SiteStore>,
+        events: EventLog,
+    ) -> Self {
+        Self {
+            settings,
+            protocol,
+            store,
+            pool: UpstreamPool::new(),
+            view: ArcSwap::default(),
+            loads: LoadTable::default(),
+            events,
+            fleet_changes: watch::Sender::new(0),
+            instances: AtomicUsize::new(1),
+            leaving: AtomicBool::new(false),
+            leaving_since: Mutex::new(None),
+            config_age: Mutex::new(ConfigAge::new()),
+            health: Mutex::new(ServerHealth::new()),
+            retries: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Whether the instance has been told to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// How long ago it was told to stop.
+    pub(crate) fn leaving_for(&self) -> Option<Duration> {
+        let since = *lock(&self.leaving_since);
+        since.map(|since| since.elapsed())
+    }
+
+    pub(crate) fn leave(&self) {
+        lock(&self.leaving_since).get_or_insert_with(Instant::now);
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether requests can be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        let view = self.view.load();
+        !self.is_leaving()
+            && view.index.is_some()
+            && view.servers.is_some()
+            && self.is_config_fresh()
+    }
+
+    /// Whether the configuration was known to be the newest a short time ago.
+    pub(crate) fn is_config_fresh(&self) -> bool {
+        let bound = self.settings.bounds.max_config_age();
+        lock(&self.config_age).is_fresh(Instant::now(), bound)
+    }
+
+    /// The configuration's age and version.
+    pub(crate) fn config_age(&self) -> ConfigAge {
+        *lock(&self.config_age)
+    }
+
+    /// A version was the newest at some time, seen here or told by a peer.
+    pub(crate) fn confirm_config(&self, version: u64, at: Instant) {
+        lock(&self.config_age).confirm(version, at);
+    }
+
+    /// Puts a newer configuration in force.
+    pub(crate) fn adopt_config(&self, config: ServingConfig, source: &'static str, at: Instant) {
+        let version = config.version;
+        let before = self.config_version();
+        if before.is_none_or(|before| before < version) {
+            let routes = config.routes.len();
+            let accounts = config.accounts.len();
+            let index = Arc::new(ServingIndex::new(config));
+            self.update_view(|view| SiteView {
+                index: Some(index.clone()),
+                servers: view.servers.clone(),
+            });
+            if let Some(log) = self.events.line(Weight::Notable) {
+                info!(log, "config: a version is in force"; "event" => "config_adopted",
+                    "version" => version, "before" => before, "source" => source,
+                    "routes" => routes, "accounts" => accounts);
+            }
+            self.note_fleet_change();
+        }
+        self.confirm_config(version, at);
+    }
+
+    /// The version in force.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        let view = self.view.load();
+        view.index.as_ref().map(|index| index.config().version)
+    }
+
+    /// Replaces the table of backend servers.
+    pub(crate) fn adopt_servers(&self, servers: ServerTable) {
+        let servers = Arc::new(servers);
+        self.update_view(|view| SiteView {
+            index: view.index.clone(),
+            servers: Some(servers.clone()),
+        });
+        let is_known = |addr| servers.at(addr).is_some();
+        lock(&self.health).retain(is_known);
+        self.pool.tidy(Instant::now(), is_known);
+        self.note_fleet_change();
+    }
+
+    fn update_view(&self, update: impl Fn(&SiteView) -> SiteView) {
+        self.view.rcu(|view| Arc::new(update(view)));
+    }
+
+    /// Wakes the streams, so that they look at their paths again.
+    pub(crate) fn note_fleet_change(&self) {
+        self.fleet_changes.send_modify(|changes| *changes += 1);
+    }
+
+    pub(crate) fn health(&self) -> MutexGuard<'_, ServerHealth> {
+        lock(&self.health)
+    }
+
+    /// A server didn't answer at all: it is out until a probe finds it.
+    pub(crate) fn server_lost(&self, addr: SocketAddr, cause: &str) {
+        if !self.health().lost(addr, Instant::now()) {
+            return;
+        }
+        if let Some(log) = self.events.line(Weight::Notable) {
+            warn!(log, "health: a server doesn't answer"; "event" => "server_lost",
+                "server" => %addr, "cause" => cause);
+        }
+        self.note_fleet_change();
+    }
+
+    /// A server answered.
+    pub(crate) fn server_answered(&self, addr: SocketAddr) {
+        let mut health = self.health();
+        let out_since = health.out_since(addr);
+        health.succeeded(addr, Instant::now());
+        drop(health);
+        let Some(since) = out_since else {
+            return;
+        };
+        if let Some(log) = self.events.line(Weight::Notable) {
+            info!(log, "health: a server answers again"; "event" => "server_regained",
+                "server" => %addr, "away_ms" => millis(since.elapsed()));
+        }
+        self.note_fleet_change();
+    }
+
+    /// Counts a fresh request for a service.
+    pub(crate) fn note_fresh(&self, service: &ServiceId) {
+        self.with_retries(service, |window| window.note_fresh(Instant::now()));
+    }
+
+    /// Takes one repeat out of the budget.
+    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
+        let instances = self.instances.load(Ordering::Relaxed);
+        self.with_retries(service, |window| window.take(Instant::now(), instances))
+    }
+
+    fn with_retries<T>(&self, service: &ServiceId, run: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let mut retries = lock(&self.retries);
+        let window = retries.entry(service.clone()).or_insert_with(|| {
+            RetryWindow::new(
+                bounds.retry_window(),
+                bounds.retry_ratio,
+                bounds.retry_slack,
+            )
+        });
+        run(window)
+    }
+
+    /// The engines of a service that may be a stage now.
+    pub(crate) fn pipeline_engines(
+        &self,
+        table: &ServerTable,
+        service: &ServingService,
+        model: &ModelShape,
+    ) -> Vec<PipelineEngine> {
+        let health = self.health();
+        let usable = table
+            .of(&service.name)
+            .filter(|server| !server.is_leaving && !health.is_out(server.addr));
+        usable
+            .filter_map(|server| self.pipeline_engine(server, model))
+            .collect()
+    }
+
+    fn pipeline_engine(
+        &self,
+        server: &BackendServer,
+        model: &ModelShape,
+    ) -> Option<PipelineEngine> {
+        let held = server.held.filter(|held| !held.is_empty())?;
+        let kind = server
+            .accelerator
+            .as_deref()
+            .and_then(|name| model.kind(name));
+        Some(PipelineEngine {
+            engine: server.id.clone(),
+            addr: server.addr,
+            domain: server.domain.clone(),
+            held,
+            layer_step_ms: model.layer_step_ms(kind),
+            cache_tokens: kind.map_or(0.0, |kind| model.cache_tokens(kind, held.len())),
+            used_tokens: self.loads.of(server.addr).tokens,
+        })
+    }
+
+    /// Whether a stage still holds its layers and answers.
+    pub(crate) fn is_usable(&self, table: &ServerTable, stage: &PathStage) -> bool {
+        if self.health().is_out(stage.addr) {
+            return false;
+        }
+        let Some(server) = table.at(stage.addr) else {
+            return false;
+        };
+        server.id == stage.engine
+            && !server.is_leaving
+            && server.held.is_some_and(|held| {
+                held.start <= stage.layers.start && stage.layers.end <= held.end
+            })
+    }
+
+    /// A server with this instance's part of its connections.
+    pub(crate) fn upstream(&self, addr: SocketAddr, service: &ServingService) -> Upstream {
+        let instances = self.instances.load(Ordering::Relaxed).max(1);
+        let limit = usize::try_from(service.max_connections).unwrap_or(usize::MAX);
+        Upstream {
+            addr,
+            max_connections: (limit / instances).max(1),
+        }
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/request.rs
@@ -0,0 +1,151 @@
+//! A caller's request, as it is sent on.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http_body_util::Full;
+use rookferry_core::ServingIndex;
+use rookferry_core::ServingRoute;
+use rookferry_wire::AccountId;
+use rookferry_wire::EngineId;
+use rookferry_wire::ServiceId;
+
+use crate::protocol::CallerHead;
+use crate::protocol::HeaderNames;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A request that was let in.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) attempt: String,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) head: CallerHead,
+    pub(crate) account: Option<AccountId>,
+    pub(crate) key: Option<String>,
+    pub(crate) route: ServingRoute,
+    pub(crate) service: ServiceId,
+    pub(crate) received_at: Instant,
+    pub(crate) deadline: Instant,
+    /// Version of the configuration that let it in.
+    pub(crate) config_version: u64,
+}
+
+impl CallerRequest {
+    /// The time that is left.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Tokens that it will hold in an engine's cache at its end.
+    pub(crate) fn tokens(&self) -> f64 {
+        f64::from(self.head.prompt_tokens) + f64::from(self.head.answer_tokens)
+    }
+
+    /// Whether a configuration still lets it in and leads to its service.
+    pub(crate) fn is_allowed_by(&self, index: &ServingIndex) -> bool {
+        if index.config().version == self.config_version {
+            return true;
+        }
+        let Some(host) = host_of(&self.headers) else {
+            return false;
+        };
+        let Some(route) = index.route(&host, self.uri.path()) else {
+            return false;
+        };
+        let is_target = route
+            .targets
+            .iter()
+            .any(|target| target.service == self.service);
+        let has_key = route.is_public
+            || !index.needs_keys()
+            || self
+                .key
+                .as_deref()
+                .and_then(|key| index.account(key))
+                .is_some_and(|account| Some(&account.name) == self.account.as_ref());
+        is_target && has_key
+    }
+
+    /// The request for a server, with the time that is left.
+    pub(crate) fn to_server(
+        &self,
+        names: &HeaderNames,
+        expected: &EngineId,
+        extra: impl IntoIterator<Item = (HeaderName, HeaderValue)>,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = end_to_end(&self.headers);
+        headers.remove(http::header::AUTHORIZATION);
+        headers.remove(&names.account);
+        headers.remove(&names.path);
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.remove(http::header::EXPECT);
+        let left_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
+        headers.insert(names.time_left_ms.clone(), HeaderValue::from(left_ms));
+        insert_text(&mut headers, &names.expected_server, expected);
+        if let Some(account) = &self.account {
+            insert_text(&mut headers, &names.account, account);
+        }
+        headers.extend(extra);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// The host that a request names.
+pub(crate) fn host_of(headers: &HeaderMap) -> Option<String> {
+    let host = headers.get(http::header::HOST)?.to_str().ok()?;
+    Some(host.to_owned())
+}
+
+/// The headers that pass through to the other side.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let passes = |name: &HeaderName| {
+        let name = name.as_str();
+        !CONNECTION_HEADERS.contains(&name) && !named.iter().any(|other| other == name)
+    };
+    let kept = headers.iter().filter(|(name, _)| passes(name));
+    kept.map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Sets a header to text; text that no header can hold is left out, which
+/// the server then refuses.
+fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &Arc<str>) {
+    headers.remove(name);
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name.clone(), value);
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/sync.rs
@@ -0,0 +1,222 @@
+//! Keeps configuration and backend servers as the platform's store has them.
+//!
+//! A watch that ends without news confirms what is known, as of when it was
+//! sent. So watches are short: they bound the age of a configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::Directory;
+use rookferry_core::DirectoryChange;
+use rookferry_wire::EngineId;
+use rookferry_wire::ObjectVersion;
+use slog::info;
+use slog::warn;
+
+use crate::event_log::Weight;
+use crate::relay::Relay;
+use crate::store::AsOf;
+use crate::store::StoreError;
+use crate::view::ServerTable;
+
+/// How long a watch of the configuration waits; with the store's answer it
+/// keeps the configuration's age well within the bound for removed keys.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a watch of the servers waits; bounds how long a connection that
+/// died silently hides changes.
+const SERVERS_WAIT: Duration = Duration::from_secs(2);
+/// The same while entries are missing whose time is running.
+const MISSING_WAIT: Duration = Duration::from_millis(300);
+/// First and longest pause after a failed call; doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// How long after an outage removals may be lapses.
+const LAPSES_AFTER: Duration = Duration::from_secs(3);
+
+/// Calls that fail, and how long to wait before the next.
+struct Outage {
+    name: &'static str,
+    since: Option<Instant>,
+    pause: Duration,
+}
+
+impl Outage {
+    const fn none(name: &'static str) -> Self {
+        Self {
+            name,
+            since: None,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    /// A call went well; tells whether that ends an outage.
+    fn ended(&mut self, relay: &Relay) -> bool {
+        self.pause = FIRST_PAUSE;
+        let Some(since) = self.since.take() else {
+            return false;
+        };
+        relay.events.dependency_regained(self.name, since.elapsed());
+        true
+    }
+
+    async fn failed(&mut self, relay: &Relay, error: &StoreError) {
+        if self.since.is_none() {
+            self.since = Some(Instant::now());
+            relay.events.dependency_lost(self.name, error);
+        }
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Keeps the configuration.
+pub(crate) async fn keep_config(relay: Arc<Relay>) {
+    let mut after: Option<ObjectVersion> = None;
+    let mut outage = Outage::none("store: configuration");
+    loop {
+        let asked_at = Instant::now();
+        let read = match after {
+            None => relay.store.config().await,
+            Some(after) => relay.store.watch_config(after, CONFIG_WAIT).await,
+        };
+        match read {
+            Ok(AsOf { version, value }) => {
+                outage.ended(&relay);
+                after = Some(version);
+                if let Some(config) = value {
+                    relay.adopt_config(config, "store", asked_at);
+                } else if let Some(version) = relay.config_version() {
+                    relay.confirm_config(version, asked_at);
+                }
+            }
+            Err(StoreError::Forgotten) => after = None,
+            Err(error) => outage.failed(&relay, &error).await,
+        }
+    }
+}
+
+/// Keeps the backend servers.
+pub(crate) async fn keep_servers(relay: Arc<Relay>) {
+    let mut after: Option<ObjectVersion> = None;
+    let mut outage = Outage::none("store: servers");
+    let mut directory = Directory::new();
+    let mut lapses_until: Option<Instant> = None;
+    loop {
+        let wait = if directory.has_missing() {
+            MISSING_WAIT
+        } else {
+            SERVERS_WAIT
+        };
+        let read = match after {
+            None => list(&relay).await,
+            Some(after) => relay
+                .store
+                .watch_servers(after, wait)
+                .await
+                .map(Read::Changes),
+        };
+        let now = Instant::now();
+        let is_changed = match read {
+            Ok(read) => {
+                if outage.ended(&relay) {
+                    lapses_until = Some(now + LAPSES_AFTER);
+                }
+                let may_have_lapsed = lapses_until.is_some_and(|until| now < until);
+                after = Some(read.version());
+                take_in(&relay, &mut directory, read, may_have_lapsed, now)
+            }
+            Err(StoreError::Forgotten) => {
+                after = None;
+                false
+            }
+            Err(error) => {
+                outage.failed(&relay, &error).await;
+                false
+            }
+        };
+        let expired = directory.expire(now, relay.settings.bounds.lapse_grace());
+        for id in &expired {
+            note_removed(&relay, id, "it did not come back after the outage");
+        }
+        if is_changed || !expired.is_empty() {
+            relay.adopt_servers(ServerTable::new(directory.servers().cloned()));
+        }
+    }
+}
+
+enum Read {
+    List(AsOf<Vec<rookferry_core::BackendServer>>),
+    Changes(AsOf<Vec<DirectoryChange>>),
+}
+
+impl Read {
+    const fn version(&self) -> ObjectVersion {
+        match self {
+            Self::List(list) => list.version,
+            Self::Changes(changes) => changes.version,
+        }
+    }
+}
+
+async fn list(relay: &Relay) -> Result<Read, StoreError> {
+    relay.store.servers().await.map(Read::List)
+}
+
+/// Takes news in; tells whether anything changed.
+fn take_in(
+    relay: &Relay,
+    directory: &mut Directory,
+    read: Read,
+    may_have_lapsed: bool,
+    now: Instant,
+) -> bool {
+    match read {
+        Read::List(list) => {
+            directory.replace(list.value, may_have_lapsed, now);
+            true
+        }
+        Read::Changes(changes) => {
+            let is_changed = !changes.value.is_empty();
+            for change in changes.value {
+                take_change(relay, directory, change, may_have_lapsed, now);
+            }
+            is_changed
+        }
+    }
+}
+
+fn take_change(
+    relay: &Relay,
+    directory: &mut Directory,
+    change: DirectoryChange,
+    may_have_lapsed: bool,
+    now: Instant,
+) {
+    match change {
+        DirectoryChange::Removed(id) if may_have_lapsed => directory.lapse(&id, now),
+        DirectoryChange::Removed(id) => {
+            note_removed(relay, &id, "its entry is gone");
+            directory.apply(DirectoryChange::Removed(id));
+        }
+        DirectoryChange::Updated(server) => {
+            let before = directory.get(&server.id);
+            if before != Some(&server)
+                && let Some(log) = relay.events.line(Weight::Notable)
+            {
+                info!(log, "directory: a server's entry changed"; "event" => "server_changed",
+                    "server" => &*server.id, "addr" => %server.addr,
+                    "leaving" => server.is_leaving,
+                    "layers" => server.held.map(|held| format!("{}-{}", held.start, held.end)));
+            }
+            directory.apply(DirectoryChange::Updated(server));
+        }
+    }
+}
+
+fn note_removed(relay: &Relay, id: &EngineId, cause: &str) {
+    if let Some(log) = relay.events.line(Weight::Notable) {
+        warn!(log, "directory: a server is gone"; "event" => "server_removed",
+            "server" => &**id, "cause" => cause);
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -0,0 +1,183 @@
+//! One exchange with a backend server, and what is known when it fails.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use snafu::Snafu;
+
+use crate::pool::ConnectError;
+use crate::pool::Connection;
+use crate::pool::UpstreamPool;
+use crate::protocol::HeaderNames;
+
+/// Kept connections that may turn out closed before one request gives up.
+const MAX_STALE_CONNECTIONS: usize = 4;
+/// Largest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
+/// Why there is no answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum UpstreamError {
+    /// No byte of the request has left.
+    #[snafu(display("not sent: {source}"))]
+    NotConnected { source: ConnectError },
+    /// The check before sending forbade it; no byte has left.
+    #[snafu(display("not sent: what was decided no longer holds"))]
+    Withdrawn,
+    /// The request may have run.
+    #[snafu(display("the answer of {addr} is lost: {message}"))]
+    Lost { addr: SocketAddr, message: String },
+    /// What came belongs to another request; this one may have run.
+    #[snafu(display("{addr} answered another request"))]
+    Crossed { addr: SocketAddr },
+}
+
+impl UpstreamError {
+    /// Whether no byte of the request has left.
+    pub(crate) const fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotConnected { .. } | Self::Withdrawn)
+    }
+}
+
+/// An answer's head, and its body yet to be read.
+#[derive(Debug)]
+pub(crate) struct UpstreamAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+}
+
+/// An answer read whole.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Where to send, and how many connections to it may be open.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Upstream {
+    pub(crate) addr: SocketAddr,
+    pub(crate) max_connections: usize,
+}
+
+impl UpstreamPool {
+    /// Sends a request and waits for the answer's head.
+    ///
+    /// `may_send` is asked when a connection is there, right before the first
+    /// byte leaves.
+    pub(crate) async fn send(
+        &self,
+        upstream: Upstream,
+        mut request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<UpstreamAnswer, UpstreamError> {
+        let addr = upstream.addr;
+        let mut stale = 0;
+        loop {
+            let mut connection = self
+                .checkout(addr, upstream.max_connections)
+                .await
+                .map_err(|source| UpstreamError::NotConnected { source })?;
+            if !may_send() {
+                return Err(UpstreamError::Withdrawn);
+            }
+            let sent = connection.sender.try_send_request(request).await;
+            let mut error = match sent {
+                Ok(response) => {
+                    let (parts, body) = response.into_parts();
+                    return Ok(UpstreamAnswer {
+                        status: parts.status,
+                        headers: parts.headers,
+                        body,
+                        connection,
+                    });
+                }
+                Err(error) => error,
+            };
+            // The message comes back only if no byte of it was written.
+            match error.take_message() {
+                Some(unsent) if connection.is_reused && stale < MAX_STALE_CONNECTIONS => {
+                    stale += 1;
+                    request = unsent;
+                }
+                Some(_) => {
+                    let message = error.error().to_string();
+                    let source = ConnectError::Failed { addr, message };
+                    return Err(UpstreamError::NotConnected { source });
+                }
+                None => {
+                    let message = error.error().to_string();
+                    return Err(UpstreamError::Lost { addr, message });
+                }
+            }
+        }
+    }
+
+    /// Sends a call of the relay's own and reads the whole answer.
+    pub(crate) async fn call(
+        &self,
+        upstream: Upstream,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<WholeAnswer, UpstreamError> {
+        let addr = upstream.addr;
+        let whole = async {
+            let answer = self.send(upstream, request, || true).await?;
+            answer.collect(addr).await
+        };
+        let Ok(answer) = tokio::time::timeout(wait, whole).await else {
+            let message = format!("nothing within {} ms", wait.as_millis());
+            return Err(UpstreamError::Lost { addr, message });
+        };
+        answer
+    }
+}
+
+impl UpstreamAnswer {
+    /// Whether the answer is for an attempt; anything else is someone else's.
+    pub(crate) fn is_for(&self, names: &HeaderNames, attempt: &str) -> bool {
+        self.headers
+            .get(&names.attempt)
+            .is_some_and(|value| value.as_bytes() == attempt.as_bytes())
+    }
+
+    /// Whether the server says that it didn't run the request.
+    pub(crate) fn is_not_run(&self, names: &HeaderNames) -> bool {
+        self.status == StatusCode::MISDIRECTED_REQUEST || self.headers.contains_key(&names.not_run)
+    }
+
+    /// Reads the body whole and keeps the connection.
+    pub(crate) async fn collect(self, addr: SocketAddr) -> Result<WholeAnswer, UpstreamError> {
+        let Self {
+            status,
+            headers,
+            body,
+            connection,
+        } = self;
+        let body = Limited::new(body, MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|error| UpstreamError::Lost {
+                addr,
+                message: error.to_string(),
+            })?
+            .to_bytes();
+        connection.keep(&headers);
+        Ok(WholeAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/view.rs
@@ -0,0 +1,69 @@
+//! What an instance knows of the site, as requests read it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rookferry_core::BackendServer;
+use rookferry_core::ServingIndex;
+use rookferry_wire::ServiceId;
+
+/// A snapshot of configuration and backend servers.
+#[derive(Debug, Default)]
+pub struct SiteView {
+    /// The configuration in force, once there is one.
+    pub index: Option<Arc<ServingIndex>>,
+    /// The backend servers, once they were listed.
+    pub servers: Option<Arc<ServerTable>>,
+}
+
+/// The backend servers with their look-ups.
+#[derive(Debug, Default)]
+pub struct ServerTable {
+    servers: Vec<BackendServer>,
+    by_service: HashMap<ServiceId, Vec<usize>>,
+    by_addr: HashMap<SocketAddr, usize>,
+}
+
+impl ServerTable {
+    /// A table of servers.
+    pub fn new(servers: impl IntoIterator<Item = BackendServer>) -> Self {
+        let servers: Vec<BackendServer> = servers.into_iter().collect();
+        let mut by_service: HashMap<ServiceId, Vec<usize>> = HashMap::new();
+        let mut by_addr = HashMap::new();
+        for (index, server) in servers.iter().enumerate() {
+            by_service
+                .entry(server.service.clone())
+                .or_default()
+                .push(index);
+            // Of two starts at one address the one that stays is meant.
+            let is_taken = by_addr.contains_key(&server.addr);
+            if !is_taken || !server.is_leaving {
+                by_addr.insert(server.addr, index);
+            }
+        }
+        Self {
+            servers,
+            by_service,
+            by_addr,
+        }
+    }
+
+    /// All servers.
+    #[must_use]
+    pub fn all(&self) -> &[BackendServer] {
+        &self.servers
+    }
+
+    /// The servers of a service.
+    pub fn of(&self, service: &ServiceId) -> impl Iterator<Item = &BackendServer> {
+        let indexes = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        indexes.iter().map(|index| &self.servers[*index])
+    }
+
+    /// The server at an address.
+    #[must_use]
+    pub fn at(&self, addr: SocketAddr) -> Option<&BackendServer> {
+        Some(&self.servers[*self.by_addr.get(&addr)?])
+    }
+}
