--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -19,8 +19,9 @@
 const STAGE_MS: f64 = 0.7;
 /// What a crossing between failure domains counts for. The link's delay is a
 /// quarter of a millisecond; the rest stands for a prompt's activations on
-/// the shared link, so that crossings are for gaps, not for small gains.
-const CROSSING_MS: f64 = 6.0;
+/// the shared link, about 18 ms each, so that crossings are for gaps and full
+/// engines, not for small gains.
+const CROSSING_MS: f64 = 40.0;
 /// How much a full cache lengthens the expected step, as a share; spreads
 /// requests over engines that hold the same layers.
 const LOAD_WEIGHT: f64 = 1.0;
--- a/crates/rookferry_core/src/pipeline/model.rs
+++ b/crates/rookferry_core/src/pipeline/model.rs
@@ -1,10 +1,13 @@
 //! Published figures of a model and of the accelerators that run it.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Bytes in the megabyte that memory figures are published in.
 const BYTES_PER_MB: f64 = 1_000_000.0;
 
 /// A kind of accelerator.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AcceleratorKind {
     /// Its name.
     pub name: String,
@@ -17,7 +20,7 @@
 }
 
 /// What a model needs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelShape {
     /// Number of layers.
     pub layers: u16,
--- a/crates/rookferry_core/src/serving/config.rs
+++ b/crates/rookferry_core/src/serving/config.rs
@@ -41,7 +41,7 @@
 }
 
 /// A service that a route leads to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// The service.
     pub service: ServiceId,
@@ -50,7 +50,7 @@
 }
 
 /// A route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServingRoute {
     /// Its name.
     pub name: Arc<str>,
@@ -75,7 +75,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServingService {
     /// Its name.
     pub name: ServiceId,
@@ -88,7 +88,7 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServingAccount {
     /// Its name.
     pub name: AccountId,
@@ -97,7 +97,7 @@
 }
 
 /// What callers are held to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Longest body.
     pub max_body_bytes: usize,
@@ -110,7 +110,7 @@
 }
 
 /// A configuration of a site.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServingConfig {
     /// Its version; rises with each change.
     pub version: u64,
--- a/crates/rookferry_core/src/serving/directory.rs
+++ b/crates/rookferry_core/src/serving/directory.rs
@@ -13,9 +13,11 @@
 use rookferry_wire::EngineId;
 use rookferry_wire::LayerRange;
 use rookferry_wire::ServiceId;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// A backend server.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BackendServer {
     /// Its name, a new one with each start.
     pub id: EngineId,
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod load;
 mod node;
 mod path_keeper;
+mod peers;
 mod placement;
 mod plain;
 mod pool;
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -23,12 +23,16 @@
 use slog::info;
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::front;
+use crate::peers::Heartbeats;
+use crate::peers::answer_peers;
 use crate::placement::Placement;
 use crate::probe;
 use crate::protocol::ServerProtocol;
@@ -129,10 +133,21 @@
         });
         let handler = endpoint(&app, figures.connections(), tell_figures);
         tokio::spawn(figures.serve(handler, std::future::pending()));
+        let incarnation = incarnation();
+        let socket = UdpSocket::bind(listen.peers).await.context(ListenSnafu {
+            addr: listen.peers,
+            purpose: "peers",
+        })?;
+        let listener = TcpListener::bind(listen.peers).await.context(ListenSnafu {
+            addr: listen.peers,
+            purpose: "peers",
+        })?;
+        tokio::spawn(Heartbeats::new(relay.clone(), socket, incarnation).run());
+        tokio::spawn(answer_peers(relay.clone(), listener));
         tokio::spawn(sync::keep_config(relay.clone()));
         tokio::spawn(sync::keep_servers(relay.clone()));
         tokio::spawn(probe::watch_lost(relay.clone()));
-        tokio::spawn(Placement::new(relay.clone(), incarnation()).run());
+        tokio::spawn(Placement::new(relay.clone(), incarnation).run());
         tokio::spawn(tell_dropped(relay.clone()));
         Ok(Self {
             relay,
--- /dev/null
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -0,0 +1,121 @@
+//! Questions between instances over TCP: a length, then the message.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::BackendServer;
+use rookferry_wire::ObjectVersion;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use super::message::PeerAnswer;
+use super::message::PeerRequest;
+use crate::relay::Relay;
+
+/// How long a question may take, the connect included.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Largest message, in bytes; a configuration with thousands of routes fits.
+const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
+/// Pause after a failed accept, which is a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers questions until the process ends.
+pub(crate) async fn answer_peers(relay: Arc<Relay>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let relay = relay.clone();
+        tokio::spawn(async move {
+            // Whoever asked sees a failure as a missing answer.
+            let _ = tokio::time::timeout(EXCHANGE_TIMEOUT, answer(&relay, stream)).await;
+        });
+    }
+}
+
+async fn answer(relay: &Relay, mut stream: TcpStream) -> io::Result<()> {
+    let request: PeerRequest = receive(&mut stream).await?;
+    let view = relay.view.load_full();
+    let answer = match request {
+        PeerRequest::Config { newer_than } => match &view.index {
+            Some(index) if index.config().version > newer_than => {
+                PeerAnswer::Config(Box::new(index.config().clone()))
+            }
+            _ => PeerAnswer::NothingNewer,
+        },
+        PeerRequest::Servers { newer_than } => {
+            let version = relay.servers_version.load(Ordering::Relaxed);
+            match &view.servers {
+                Some(table) if version > newer_than => PeerAnswer::Servers {
+                    version,
+                    servers: table.all().to_vec(),
+                },
+                _ => PeerAnswer::NothingNewer,
+            }
+        }
+    };
+    send(&mut stream, &answer).await
+}
+
+/// Puts a peer's configuration in force if it is newer.
+pub(crate) async fn fetch_config(relay: &Relay, from: SocketAddr) {
+    let newer_than = relay.config_version().unwrap_or(0);
+    let asked_at = Instant::now();
+    let asked = ask(from, PeerRequest::Config { newer_than }).await;
+    if let Some(PeerAnswer::Config(config)) = asked {
+        // A peer has no newer one than the store, so its age isn't claimed.
+        let unconfirmed_at = asked_at
+            .checked_sub(relay.settings.bounds.max_config_age())
+            .unwrap_or(asked_at);
+        relay.adopt_config(*config, "peer", unconfirmed_at);
+    }
+}
+
+/// A peer's backend servers, if they are newer.
+pub(crate) async fn fetch_servers(
+    from: SocketAddr,
+    newer_than: ObjectVersion,
+) -> Option<(ObjectVersion, Vec<BackendServer>)> {
+    match ask(from, PeerRequest::Servers { newer_than }).await {
+        Some(PeerAnswer::Servers { version, servers }) => Some((version, servers)),
+        _ => None,
+    }
+}
+
+async fn ask(to: SocketAddr, request: PeerRequest) -> Option<PeerAnswer> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(to).await?;
+        send(&mut stream, &request).await?;
+        receive(&mut stream).await
+    };
+    let answer = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
+    answer.ok()?.ok()
+}
+
+async fn send<T: Serialize>(stream: &mut TcpStream, message: &T) -> io::Result<()> {
+    let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_all(&length.to_be_bytes()).await?;
+    stream.write_all(&bytes).await
+}
+
+async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    let length = u32::from_be_bytes(length);
+    if length > MAX_MESSAGE_BYTES {
+        return Err(io::Error::other("the message is too long"));
+    }
+    let mut bytes = vec![0; usize::try_from(length).map_err(io::Error::other)?];
+    stream.read_exact(&mut bytes).await?;
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -0,0 +1,228 @@
+//! Sends and receives heartbeats.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::seq::IndexedRandom;
+use rookferry_wire::Incarnation;
+use slog::info;
+use slog::warn;
+use tokio::net::UdpSocket;
+
+use super::exchange;
+use super::message::ConfigState;
+use super::message::Heartbeat;
+use super::message::LoadEntry;
+use super::table::PeerTable;
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::relay::Relay;
+use crate::relay::lock;
+
+/// Time between heartbeats to members of the same failure domain; they share
+/// its engines, so loads must be fresh.
+const NEAR_EVERY: Duration = Duration::from_millis(150);
+/// Rounds between heartbeats to members of other domains.
+const FAR_ROUNDS: u32 = 4;
+/// Most members of other domains written to in one round.
+const FAR_MEMBERS: usize = 8;
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Most loads and members in one heartbeat.
+const MAX_ENTRIES: usize = 64;
+/// How long an own watch may take to bring a version that a peer has.
+const OWN_WATCH_FIRST: Duration = Duration::from_millis(120);
+
+/// The heartbeats of an instance.
+pub(crate) struct Heartbeats {
+    relay: Arc<Relay>,
+    socket: UdpSocket,
+    table: Arc<Mutex<PeerTable>>,
+    incarnation: Incarnation,
+    epoch: Instant,
+}
+
+impl Heartbeats {
+    pub(crate) fn new(relay: Arc<Relay>, socket: UdpSocket, incarnation: Incarnation) -> Self {
+        let table = relay.peers.clone();
+        let now = Instant::now();
+        Self {
+            relay,
+            socket,
+            table,
+            incarnation,
+            epoch: now,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(self) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let mut next_round = tokio::time::Instant::now();
+        let mut round = 0_u32;
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    // A failed receive is an earlier send's, to a dead member.
+                    if let Ok((length, from)) = received {
+                        self.take(&buffer[..length], from);
+                    }
+                }
+                () = tokio::time::sleep_until(next_round) => {
+                    next_round = tokio::time::Instant::now() + NEAR_EVERY;
+                    self.send_round(round);
+                    round = round.wrapping_add(1);
+                }
+            }
+        }
+    }
+
+    fn send_round(&self, round: u32) {
+        let now = Instant::now();
+        let own = self.relay.settings.listen.peers;
+        let (addresses, lost) = {
+            let mut table = lock(&self.table);
+            let lost = table.expire(now);
+            // A seed that was down may be back, or be another one by now.
+            for seed in &self.relay.settings.seeds {
+                table.learn(*seed, now);
+            }
+            (table.addresses(&self.relay.settings.domain), lost)
+        };
+        for instance in lost {
+            if let Some(log) = self.relay.events.line(Weight::Notable) {
+                warn!(log, "peers: an instance is silent"; "event" => "peer_lost",
+                    "peer" => &*instance);
+            }
+        }
+        let near = addresses.iter().filter(|(_, is_near)| *is_near);
+        let mut targets: Vec<SocketAddr> = near.map(|(addr, _)| *addr).collect();
+        if round.is_multiple_of(FAR_ROUNDS) {
+            let far: Vec<SocketAddr> = addresses
+                .iter()
+                .filter(|(_, is_near)| !*is_near)
+                .map(|(addr, _)| *addr)
+                .collect();
+            targets.extend(far.sample(&mut rand::rng(), FAR_MEMBERS));
+        }
+        let beat = self.heartbeat(now);
+        for target in targets.into_iter().filter(|target| *target != own) {
+            let mut beat = beat.clone();
+            beat.echo = lock(&self.table).echo(target, now);
+            if let Ok(bytes) = postcard::to_stdvec(&beat) {
+                // A full queue or a dead member; the next round tries again.
+                let _ = self.socket.try_send_to(&bytes, target);
+            }
+        }
+    }
+
+    fn heartbeat(&self, now: Instant) -> Heartbeat {
+        let age = self.relay.config_age();
+        let config = self.relay.config_version().and_then(|version| {
+            let age = age.age(now).filter(|_| age.version() == version)?;
+            Some(ConfigState {
+                version,
+                age_ms: millis(age) + 1,
+            })
+        });
+        let loads = self.relay.loads.snapshot().into_iter().take(MAX_ENTRIES);
+        let mut members = lock(&self.table).members(now);
+        members.truncate(MAX_ENTRIES);
+        Heartbeat {
+            instance: self.relay.settings.instance.clone(),
+            incarnation: self.incarnation,
+            domain: self.relay.settings.domain.clone(),
+            sent_ms: millis(now.saturating_duration_since(self.epoch)),
+            echo: None,
+            config,
+            servers_version: self.relay.servers_version.load(Ordering::Relaxed),
+            is_serving: !self.relay.is_leaving(),
+            loads: loads
+                .map(|(addr, load)| load_entry(addr, load.requests, load.tokens))
+                .collect(),
+            members,
+        }
+    }
+
+    fn take(&self, bytes: &[u8], from: SocketAddr) {
+        let Ok(beat) = postcard::from_bytes::<Heartbeat>(bytes) else {
+            return;
+        };
+        let now = Instant::now();
+        let heard = {
+            let mut table = lock(&self.table);
+            for member in &beat.members {
+                table.learn(*member, now);
+            }
+            table.heard(from, &beat, now)
+        };
+        self.count_members(now);
+        if heard.is_new
+            && let Some(log) = self.relay.events.line(Weight::Notable)
+        {
+            info!(log, "peers: an instance is heard"; "event" => "peer_joined",
+                "peer" => &*beat.instance, "incarnation" => beat.incarnation, "addr" => %from);
+        }
+        self.take_config(&beat, from);
+    }
+
+    fn count_members(&self, now: Instant) {
+        let members = lock(&self.table).members(now).len();
+        // Budgets shrink at once and grow back only with a restart: a member
+        // that is cut off still spends its part.
+        self.relay
+            .instances
+            .fetch_max(members + 1, Ordering::Relaxed);
+        let loads = lock(&self.table).loads(now);
+        self.relay.peer_loads.store(Arc::new(loads));
+    }
+
+    /// A peer's word on the configuration: a newer version is fetched, the
+    /// same one is confirmed as of the peer's confirmation.
+    ///
+    /// The peer's age counts from when it got this instance's own clock, so
+    /// that a message that was long on its way only looks older.
+    fn take_config(&self, beat: &Heartbeat, from: SocketAddr) {
+        let Some(config) = beat.config else {
+            return;
+        };
+        let own = self.relay.config_version();
+        if own.is_none_or(|own| own < config.version) {
+            let relay = self.relay.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(OWN_WATCH_FIRST).await;
+                exchange::fetch_config(&relay, from).await;
+            });
+            return;
+        }
+        if own != Some(config.version) {
+            return;
+        }
+        let Some(echo) = beat.echo else {
+            return;
+        };
+        let since_epoch_ms = (echo.sent_ms + echo.held_ms).checked_sub(config.age_ms);
+        if let Some(since_epoch_ms) = since_epoch_ms {
+            let at = self.epoch + Duration::from_millis(since_epoch_ms);
+            self.relay
+                .confirm_config(config.version, at.min(Instant::now()));
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast of a float saturates, and tokens aren't below 0"
+)]
+const fn load_entry(addr: SocketAddr, requests: u32, tokens: f64) -> LoadEntry {
+    LoadEntry {
+        addr,
+        requests,
+        tokens: tokens as u32,
+    }
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -0,0 +1,81 @@
+//! Messages between instances.
+
+use std::net::SocketAddr;
+
+use rookferry_core::BackendServer;
+use rookferry_core::ServingConfig;
+use rookferry_wire::DomainId;
+use rookferry_wire::Incarnation;
+use rookferry_wire::InstanceId;
+use rookferry_wire::ObjectVersion;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A heartbeat; one datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Heartbeat {
+    pub(crate) instance: InstanceId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) domain: DomainId,
+    /// The sender's steady clock, for the receiver to send back.
+    pub(crate) sent_ms: u64,
+    /// What the sender last got from the receiver.
+    pub(crate) echo: Option<Echo>,
+    pub(crate) config: Option<ConfigState>,
+    /// The store's version that the sender's servers are from.
+    pub(crate) servers_version: ObjectVersion,
+    /// Whether the sender takes new requests.
+    pub(crate) is_serving: bool,
+    /// What is under way at servers by the sender's requests.
+    pub(crate) loads: Vec<LoadEntry>,
+    /// Other members that the sender hears.
+    pub(crate) members: Vec<SocketAddr>,
+}
+
+/// A receiver's clock, sent back with the time that it was held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Echo {
+    /// The receiver's own steady clock when it sent.
+    pub(crate) sent_ms: u64,
+    /// Time from the sender's getting it to this message.
+    pub(crate) held_ms: u64,
+}
+
+/// The configuration that a sender has in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ConfigState {
+    pub(crate) version: u64,
+    /// How long ago it was known to be the newest.
+    pub(crate) age_ms: u64,
+}
+
+/// What a sender has under way at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoadEntry {
+    pub(crate) addr: SocketAddr,
+    pub(crate) requests: u32,
+    pub(crate) tokens: u32,
+}
+
+/// A question over TCP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerRequest {
+    /// The configuration, if it is newer than a version.
+    Config { newer_than: u64 },
+    /// The backend servers, if from a newer version of the store.
+    Servers { newer_than: ObjectVersion },
+}
+
+/// Its answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum PeerAnswer {
+    /// A newer configuration.
+    Config(Box<ServingConfig>),
+    /// Newer backend servers.
+    Servers {
+        version: ObjectVersion,
+        servers: Vec<BackendServer>,
+    },
+    /// Nothing newer.
+    NothingNewer,
+}
--- /dev/null
+++ b/crates/rookferry_relay/src/peers/mod.rs
@@ -0,0 +1,16 @@
+//! What the instances of a site tell each other.
+//!
+//! Heartbeats by UDP carry the version and age of the configuration, what is
+//! under way at the servers, and other members. Bodies, which are larger, are
+//! fetched by TCP from a peer that has a newer one. Suspicion decides only
+//! whom to ask and how budgets are shared; no safety rests on it.
+
+mod exchange;
+mod heartbeat;
+mod message;
+mod table;
+
+pub(crate) use exchange::answer_peers;
+pub(crate) use exchange::fetch_servers;
+pub(crate) use heartbeat::Heartbeats;
+pub(crate) use table::PeerTable;
--- /dev/null
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -0,0 +1,177 @@
+//! The members that are heard, and what they said last.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_wire::DomainId;
+use rookferry_wire::Incarnation;
+use rookferry_wire::InstanceId;
+use rookferry_wire::ObjectVersion;
+
+use super::message::Echo;
+use super::message::Heartbeat;
+use super::message::LoadEntry;
+use crate::load::ServerLoad;
+
+/// How long a silent member's load counts. Several heartbeats to its own
+/// failure domain fit in.
+const LOAD_KEPT: Duration = Duration::from_millis(1_200);
+/// How long a silent member counts as one of those that share budgets.
+const MEMBER_KEPT: Duration = Duration::from_secs(5);
+/// How long an address that never answered, or fell silent, is written to.
+const ADDRESS_KEPT: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Debug)]
+struct Peer {
+    domain: Option<DomainId>,
+    instance: Option<InstanceId>,
+    incarnation: Incarnation,
+    heard_at: Option<Instant>,
+    known_since: Instant,
+    /// The peer's clock as last received, and when.
+    clock: Option<(u64, Instant)>,
+    config_version: u64,
+    servers_version: ObjectVersion,
+    loads: Vec<LoadEntry>,
+}
+
+/// What became of a heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Heard {
+    /// A member that wasn't heard before, or not for long.
+    pub(crate) is_new: bool,
+}
+
+/// The members by address.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerTable {
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl PeerTable {
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Learns of an address that may be a member's.
+    pub(crate) fn learn(&mut self, addr: SocketAddr, now: Instant) {
+        self.peers.entry(addr).or_insert(Peer {
+            domain: None,
+            instance: None,
+            incarnation: 0,
+            heard_at: None,
+            known_since: now,
+            clock: None,
+            config_version: 0,
+            servers_version: 0,
+            loads: Vec::new(),
+        });
+    }
+
+    /// Takes a heartbeat in.
+    pub(crate) fn heard(&mut self, from: SocketAddr, beat: &Heartbeat, now: Instant) -> Heard {
+        self.learn(from, now);
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return Heard::default();
+        };
+        let is_recent = peer
+            .heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < MEMBER_KEPT);
+        let is_same = peer.incarnation == beat.incarnation;
+        peer.domain = Some(beat.domain.clone());
+        peer.instance = Some(beat.instance.clone());
+        peer.incarnation = beat.incarnation;
+        peer.heard_at = Some(now);
+        peer.clock = Some((beat.sent_ms, now));
+        peer.config_version = beat.config.map_or(0, |config| config.version);
+        peer.servers_version = beat.servers_version;
+        peer.loads.clone_from(&beat.loads);
+        Heard {
+            is_new: !(is_recent && is_same),
+        }
+    }
+
+    /// Drops addresses that have been silent for long; tells which instances
+    /// fell out of those that share budgets since the last call.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
+        let mut lost = Vec::new();
+        for peer in self.peers.values_mut() {
+            let is_silent = peer
+                .heard_at
+                .is_some_and(|at| now.saturating_duration_since(at) >= MEMBER_KEPT);
+            if is_silent && let Some(instance) = peer.instance.take() {
+                lost.push(instance);
+            }
+        }
+        self.peers.retain(|_, peer| {
+            let seen_at = peer.heard_at.unwrap_or(peer.known_since);
+            now.saturating_duration_since(seen_at) < ADDRESS_KEPT
+        });
+        lost
+    }
+
+    /// All addresses, and whether each is in a domain, as far as known.
+    pub(crate) fn addresses(&self, home: &DomainId) -> Vec<(SocketAddr, bool)> {
+        let peers = self.peers.iter();
+        peers
+            .map(|(addr, peer)| (*addr, peer.domain.as_ref() == Some(home)))
+            .collect()
+    }
+
+    /// Members heard lately.
+    pub(crate) fn members(&self, now: Instant) -> Vec<SocketAddr> {
+        let heard = self.peers.iter().filter(|(_, peer)| {
+            peer.heard_at
+                .is_some_and(|at| now.saturating_duration_since(at) < MEMBER_KEPT)
+        });
+        heard.map(|(addr, _)| *addr).collect()
+    }
+
+    /// The clock to send back to a member.
+    pub(crate) fn echo(&self, to: SocketAddr, now: Instant) -> Option<Echo> {
+        let (sent_ms, at) = self.peers.get(&to)?.clock?;
+        let held = now.saturating_duration_since(at);
+        Some(Echo {
+            sent_ms,
+            held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// What members have under way at each server.
+    pub(crate) fn loads(&self, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
+        let mut loads: BTreeMap<SocketAddr, ServerLoad> = BTreeMap::new();
+        for peer in self.peers.values() {
+            let is_recent = peer
+                .heard_at
+                .is_some_and(|at| now.saturating_duration_since(at) < LOAD_KEPT);
+            if !is_recent {
+                continue;
+            }
+            for entry in &peer.loads {
+                let load = loads.entry(entry.addr).or_default();
+                load.requests += entry.requests;
+                load.tokens += f64::from(entry.tokens);
+            }
+        }
+        loads
+    }
+
+    /// A member with newer servers than a version.
+    pub(crate) fn newer_servers(&self, version: ObjectVersion, now: Instant) -> Option<SocketAddr> {
+        self.freshest(now, |peer| peer.servers_version)
+            .filter(|(_, newest)| *newest > version)
+            .map(|(addr, _)| addr)
+    }
+
+    fn freshest(&self, now: Instant, version: impl Fn(&Peer) -> u64) -> Option<(SocketAddr, u64)> {
+        let heard = self.peers.iter().filter(|(_, peer)| {
+            peer.heard_at
+                .is_some_and(|at| now.saturating_duration_since(at) < LOAD_KEPT)
+        });
+        heard
+            .map(|(addr, peer)| (*addr, version(peer)))
+            .max_by_key(|(_, version)| *version)
+    }
+}
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -134,7 +134,7 @@
     });
     let cost = |server: &BackendServer| {
         let is_far = server.domain != relay.settings.domain;
-        f64::from(relay.loads.of(server.addr).requests)
+        f64::from(relay.load_of(server.addr).requests)
             + if is_far { FAR_COST } else { 0.0 }
             + health.failing_share(server.addr, now) * FAILING_COST
     };
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -1,5 +1,6 @@
 //! What the parts of an instance share.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +25,7 @@
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
 use rookferry_core::ServingService;
+use rookferry_wire::ObjectVersion;
 use rookferry_wire::ServiceId;
 use slog::info;
 use slog::warn;
@@ -32,6 +35,8 @@
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::load::LoadTable;
+use crate::load::ServerLoad;
+use crate::peers::PeerTable;
 use crate::pool::UpstreamPool;
 use crate::protocol::ServerProtocol;
 use crate::settings::RelaySettings;
@@ -53,6 +58,11 @@
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Instances that share the site's budgets, this one included.
     pub(crate) instances: AtomicUsize,
+    pub(crate) peers: Arc<Mutex<PeerTable>>,
+    /// What other instances have under way at each server.
+    pub(crate) peer_loads: ArcSwap<BTreeMap<SocketAddr, ServerLoad>>,
+    /// The store's version that the servers are from.
+    pub(crate) servers_version: AtomicU64,
     leaving: AtomicBool,
     leaving_since: Mutex<Option<Instant>>,
     config_age: Mutex<ConfigAge>,
@@ -77,6 +87,9 @@
             events,
             fleet_changes: watch::Sender::new(0),
             instances: AtomicUsize::new(1),
+            peers: Arc::new(Mutex::new(PeerTable::new())),
+            peer_loads: ArcSwap::default(),
+            servers_version: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::new(None),
             config_age: Mutex::new(ConfigAge::new()),
@@ -155,7 +168,8 @@
     }
 
     /// Replaces the table of backend servers.
-    pub(crate) fn adopt_servers(&self, servers: ServerTable) {
+    pub(crate) fn adopt_servers(&self, servers: ServerTable, version: ObjectVersion) {
+        self.servers_version.store(version, Ordering::Relaxed);
         let servers = Arc::new(servers);
         self.update_view(|view| SiteView {
             index: view.index.clone(),
@@ -265,10 +279,21 @@
             held,
             layer_step_ms: model.layer_step_ms(kind),
             cache_tokens: kind.map_or(0.0, |kind| model.cache_tokens(kind, held.len())),
-            used_tokens: self.loads.of(server.addr).tokens,
+            used_tokens: self.load_of(server.addr).tokens,
         })
     }
 
+    /// What is under way at a server by this instance and those it hears.
+    pub(crate) fn load_of(&self, addr: SocketAddr) -> ServerLoad {
+        let own = self.loads.of(addr);
+        let others = self.peer_loads.load();
+        let others = others.get(&addr).copied().unwrap_or_default();
+        ServerLoad {
+            requests: own.requests + others.requests,
+            tokens: own.tokens + others.tokens,
+        }
+    }
+
     /// Whether a stage still holds its layers and answers.
     pub(crate) fn is_usable(&self, table: &ServerTable, stage: &PathStage) -> bool {
         if self.health().is_out(stage.addr) {
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -15,7 +15,9 @@
 use slog::warn;
 
 use crate::event_log::Weight;
+use crate::peers;
 use crate::relay::Relay;
+use crate::relay::lock;
 use crate::store::AsOf;
 use crate::store::StoreError;
 use crate::view::ServerTable;
@@ -132,7 +134,13 @@
             }
             Err(error) => {
                 outage.failed(&relay, &error).await;
-                false
+                let from_peer = ask_peers(&relay, after).await;
+                let is_newer = from_peer.is_some();
+                if let Some((version, servers)) = from_peer {
+                    after = Some(version);
+                    directory.replace(servers, true, now);
+                }
+                is_newer
             }
         };
         let expired = directory.expire(now, relay.settings.bounds.lapse_grace());
@@ -140,11 +148,22 @@
             note_removed(&relay, id, "it did not come back after the outage");
         }
         if is_changed || !expired.is_empty() {
-            relay.adopt_servers(ServerTable::new(directory.servers().cloned()));
+            let servers = ServerTable::new(directory.servers().cloned());
+            relay.adopt_servers(servers, after.unwrap_or(0));
         }
     }
 }
 
+/// A peer's servers, where the store can't be asked.
+async fn ask_peers(
+    relay: &Relay,
+    after: Option<ObjectVersion>,
+) -> Option<(ObjectVersion, Vec<rookferry_core::BackendServer>)> {
+    let own = after.unwrap_or(0);
+    let peer = lock(&relay.peers).newer_servers(own, Instant::now())?;
+    peers::fetch_servers(peer, own).await
+}
+
 enum Read {
     List(AsOf<Vec<rookferry_core::BackendServer>>),
     Changes(AsOf<Vec<DirectoryChange>>),
