--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -25,6 +25,11 @@
 /// How much a full cache lengthens the expected step, as a share; spreads
 /// requests over engines that hold the same layers.
 const LOAD_WEIGHT: f64 = 1.0;
+/// The filled share of a cache from which an engine is avoided more and more,
+/// up to [`FULL_MS`]; beyond it, newer requests are put off for room.
+const CROWDED: f64 = 0.6;
+/// What an engine counts for whose cache is full: less than a crossing.
+const FULL_MS: f64 = 20.0;
 /// Added for an engine without room for the request, so that it is taken
 /// only where no other holds the layers.
 const NO_ROOM_MS: f64 = 200.0;
@@ -226,7 +231,8 @@
     } else {
         NO_ROOM_MS
     };
-    STAGE_MS + crossing_ms + room_ms
+    let crowding = ((fill(engine) - CROWDED) / (1.0 - CROWDED)).max(0.0);
+    STAGE_MS + crossing_ms + room_ms + crowding * crowding * FULL_MS
 }
 
 fn fill(engine: &PipelineEngine) -> f64 {
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod request;
 mod settings;
+mod signs;
 mod store;
 mod stream;
 mod sync;
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -30,11 +30,15 @@
 use crate::probe;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
+use crate::signs::Sign;
 
 /// How long a stream may stand still before its path is probed. Events come
 /// every 20 to 50 ms at the published step times; a pause of 200 ms makes an
 /// answer late, and probing and repair need part of that.
 const STALL_AFTER: Duration = Duration::from_millis(90);
+/// How long an engine may have given no sign, through any stream, before a
+/// stream that stands still has it probed.
+const SILENT_AFTER: Duration = Duration::from_millis(60);
 /// The same before the first event, which waits for the prompt to be read.
 const FIRST_EVENT_AFTER: Duration = Duration::from_millis(220);
 /// Time between probes of a stream that goes on standing still.
@@ -59,6 +63,7 @@
     /// Whether the path has to be looked through; stays set while a look is
     /// cut off by events that come.
     must_check: bool,
+    signs: Vec<Sign>,
     load: LoadGuard,
 }
 
@@ -82,6 +87,7 @@
         let now = Instant::now();
         Self {
             load: enter(relay, request, &path),
+            signs: signs(relay, &path),
             fleet: relay.fleet_changes.subscribe(),
             relay: relay.clone(),
             request: request.clone(),
@@ -117,6 +123,9 @@
     pub(crate) fn progressed(&mut self, now: Instant) {
         self.stalled_since = now;
         self.look_at = now + STALL_AFTER;
+        for sign in &self.signs {
+            sign.note(now);
+        }
     }
 
     /// Waits until the path must be looked at, and looks after it. Tells
@@ -138,16 +147,23 @@
     /// The stream stands still: asks every engine of the path for a sign.
     async fn look(&mut self) {
         let stalled = self.stalled_since.elapsed();
-        let probes = self.path.stages().iter().map(|stage| {
-            let upstream = self.relay.upstream(stage.addr, &self.service);
-            probe::check(&self.relay, upstream)
-        });
+        let now = Instant::now();
+        let silent = self.path.stages().iter().zip(&self.signs);
+        let probes = silent
+            .filter(|(_, sign)| sign.age(now) >= SILENT_AFTER)
+            .map(|(stage, _)| {
+                let upstream = self.relay.upstream(stage.addr, &self.service);
+                probe::check(&self.relay, upstream)
+            });
         let found = join_all(probes).await;
         let lost = found.iter().filter(|is_alive| !**is_alive).count();
-        if let Some(log) = self.relay.events.line(Weight::Notable) {
+        let asked = found.len();
+        if asked > 0
+            && let Some(log) = self.relay.events.line(Weight::Notable)
+        {
             warn!(log, "stream: it stands still"; "event" => "path_stalled",
                 "request" => &self.request.attempt, "stalled_ms" => millis(stalled),
-                "path" => self.describe(), "lost" => lost);
+                "path" => self.describe(), "probed" => asked, "lost" => lost);
         }
         self.look_at = Instant::now() + STALL_AGAIN;
     }
@@ -185,6 +201,7 @@
                 Moved::Done => {
                     self.note_repaired(&lost, &path);
                     self.load = enter(&self.relay, &self.request, &path);
+                    self.signs = signs(&self.relay, &path);
                     self.path = path;
                     self.refused.clear();
                     self.look_at = Instant::now() + STALL_AGAIN;
@@ -273,6 +290,11 @@
     relay.loads.enter(addrs, request.tokens())
 }
 
+fn signs(relay: &Relay, path: &PipelinePath) -> Vec<Sign> {
+    let stages = path.stages().iter();
+    stages.map(|stage| relay.signs.of(stage.addr)).collect()
+}
+
 /// A call to an engine's own interface as a request.
 pub(crate) fn engine_request(
     addr: SocketAddr,
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -34,7 +34,10 @@
     let call = relay.protocol.report_call();
     let request = engine_request(upstream.addr, &call);
     match relay.pool.call(upstream, request, PROBE_TIMEOUT).await {
-        Ok(_) => true,
+        Ok(_) => {
+            relay.signs.of(upstream.addr).note(Instant::now());
+            true
+        }
         Err(error) => {
             relay.server_lost(upstream.addr, &error.to_string());
             false
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -40,6 +40,7 @@
 use crate::pool::UpstreamPool;
 use crate::protocol::ServerProtocol;
 use crate::settings::RelaySettings;
+use crate::signs::Signs;
 use crate::store::SiteStore;
 use crate::upstream::Upstream;
 use crate::view::ServerTable;
@@ -53,6 +54,7 @@
     pub(crate) pool: UpstreamPool,
     pub(crate) view: ArcSwap<SiteView>,
     pub(crate) loads: LoadTable,
+    pub(crate) signs: Signs,
     pub(crate) events: EventLog,
     /// Raised whenever paths may have to be looked at again.
     pub(crate) fleet_changes: watch::Sender<u64>,
@@ -84,6 +86,7 @@
             pool: UpstreamPool::new(),
             view: ArcSwap::default(),
             loads: LoadTable::default(),
+            signs: Signs::new(),
             events,
             fleet_changes: watch::Sender::new(0),
             instances: AtomicUsize::new(1),
@@ -177,6 +180,7 @@
         });
         let is_known = |addr| servers.at(addr).is_some();
         lock(&self.health).retain(is_known);
+        self.signs.retain(is_known);
         self.pool.tidy(Instant::now(), is_known);
         self.note_fleet_change();
     }
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -59,9 +59,9 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Tokens that it will hold in an engine's cache at its end.
+    /// Tokens that it holds in an engine's cache, over its life on average.
     pub(crate) fn tokens(&self) -> f64 {
-        f64::from(self.head.prompt_tokens) + f64::from(self.head.answer_tokens)
+        f64::from(self.head.prompt_tokens) + f64::from(self.head.answer_tokens) / 2.0
     }
 
     /// Whether a configuration still lets it in and leads to its service.
