fix(placement): the first plan waits for all engines; full engines are left alone for a moment

Cause: the first plan ran when part of the engines had written their entries, so it aimed at little cache (8,700 tokens) and mixed two layouts; engines that refused for want of room were asked again at once by every instance.

--- a/crates/rookferry_core/src/serving/health.rs
+++ b/crates/rookferry_core/src/serving/health.rs
@@ -11,6 +11,9 @@
 
 /// Time after which a failure counts for about a third.
 const DECAY: Duration = Duration::from_secs(3);
+/// How long a server that turned a request away for want of room counts as
+/// full; about the time in which a few requests end there.
+const FULL_FOR: Duration = Duration::from_millis(150);
 /// Weight of one request in the failing share.
 const SAMPLE_WEIGHT: f64 = 0.25;
 
@@ -19,6 +22,7 @@
     failing_share: f64,
     updated_at: Instant,
     out_since: Option<Instant>,
+    full_at: Option<Instant>,
 }
 
 /// What requests met at each server.
@@ -58,6 +62,18 @@
         is_news
     }
 
+    /// A server turned a request away.
+    pub fn turned_away(&mut self, addr: SocketAddr, now: Instant) {
+        self.record(addr, now).full_at = Some(now);
+    }
+
+    /// Whether a server turned a request away a moment ago.
+    #[must_use]
+    pub fn is_full(&self, addr: SocketAddr, now: Instant) -> bool {
+        let full_at = self.records.get(&addr).and_then(|record| record.full_at);
+        full_at.is_some_and(|at| now.saturating_duration_since(at) < FULL_FOR)
+    }
+
     /// Whether a server is out.
     #[must_use]
     pub fn is_out(&self, addr: SocketAddr) -> bool {
@@ -98,6 +114,7 @@
             failing_share: 0.0,
             updated_at: now,
             out_since: None,
+            full_at: None,
         })
     }
 }
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -207,7 +207,10 @@
                     self.look_at = Instant::now() + STALL_AGAIN;
                     return true;
                 }
-                Moved::Refused(Some(addr)) => self.refused.push(addr),
+                Moved::Refused(Some(addr)) => {
+                    self.relay.health().turned_away(addr, Instant::now());
+                    self.refused.push(addr);
+                }
                 Moved::Refused(None) | Moved::Unknown | Moved::Failed => return true,
             }
         }
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -168,6 +168,25 @@
                 "peer" => &*beat.instance, "incarnation" => beat.incarnation, "addr" => %from);
         }
         self.take_config(&beat, from);
+        self.take_servers(&beat, from);
+    }
+
+    /// A peer has newer servers: they are asked for, unless the own watch
+    /// brings them first.
+    fn take_servers(&self, beat: &Heartbeat, from: SocketAddr) {
+        let is_newer =
+            |relay: &Relay| relay.servers_version.load(Ordering::Relaxed) < beat.servers_version;
+        if !is_newer(&self.relay) {
+            return;
+        }
+        let relay = self.relay.clone();
+        let version = beat.servers_version;
+        tokio::spawn(async move {
+            tokio::time::sleep(OWN_WATCH_FIRST).await;
+            if relay.servers_version.load(Ordering::Relaxed) < version {
+                relay.newer_servers_at.send_replace(Some(from));
+            }
+        });
     }
 
     fn count_members(&self, now: Instant) {
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -8,7 +8,6 @@
 use rookferry_wire::DomainId;
 use rookferry_wire::Incarnation;
 use rookferry_wire::InstanceId;
-use rookferry_wire::ObjectVersion;
 
 use super::message::Echo;
 use super::message::Heartbeat;
@@ -32,8 +31,6 @@
     known_since: Instant,
     /// The peer's clock as last received, and when.
     clock: Option<(u64, Instant)>,
-    config_version: u64,
-    servers_version: ObjectVersion,
     loads: Vec<LoadEntry>,
 }
 
@@ -64,8 +61,6 @@
             heard_at: None,
             known_since: now,
             clock: None,
-            config_version: 0,
-            servers_version: 0,
             loads: Vec::new(),
         });
     }
@@ -85,8 +80,6 @@
         peer.incarnation = beat.incarnation;
         peer.heard_at = Some(now);
         peer.clock = Some((beat.sent_ms, now));
-        peer.config_version = beat.config.map_or(0, |config| config.version);
-        peer.servers_version = beat.servers_version;
         peer.loads.clone_from(&beat.loads);
         Heard {
             is_new: !(is_recent && is_same),
@@ -157,21 +150,4 @@
         }
         loads
     }
-
-    /// A member with newer servers than a version.
-    pub(crate) fn newer_servers(&self, version: ObjectVersion, now: Instant) -> Option<SocketAddr> {
-        self.freshest(now, |peer| peer.servers_version)
-            .filter(|(_, newest)| *newest > version)
-            .map(|(addr, _)| addr)
-    }
-
-    fn freshest(&self, now: Instant, version: impl Fn(&Peer) -> u64) -> Option<(SocketAddr, u64)> {
-        let heard = self.peers.iter().filter(|(_, peer)| {
-            peer.heard_at
-                .is_some_and(|at| now.saturating_duration_since(at) < LOAD_KEPT)
-        });
-        heard
-            .map(|(addr, peer)| (*addr, version(peer)))
-            .max_by_key(|(_, version)| *version)
-    }
 }
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -56,6 +56,8 @@
 /// Heartbeats of the engines to wait for, where none holds a layer, before
 /// the first plan; a plan for a part of them would have to be undone.
 const FIRST_PLAN_HEARTBEATS: f64 = 1.2;
+/// The same since the last engine was first seen.
+const FIRST_PLAN_QUIET_HEARTBEATS: f64 = 0.6;
 /// The part of a site's engines that may be out before it is more likely
 /// that this instance is cut off than that they are lost.
 const MAX_LOST_PART: f64 = 0.34;
@@ -66,6 +68,13 @@
     at: Instant,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Arrivals {
+    first_at: Instant,
+    last_at: Instant,
+    engines: usize,
+}
+
 /// Plans and orders while this instance holds the lease.
 pub(crate) struct Placement {
     relay: Arc<Relay>,
@@ -73,8 +82,8 @@
     read_at: Option<Instant>,
     was_held: bool,
     ordered: BTreeMap<EngineId, Ordered>,
-    /// When engines of a service were first seen.
-    first_seen: BTreeMap<ServiceId, Instant>,
+    /// How the engines of a service began to show.
+    arrivals: BTreeMap<ServiceId, Arrivals>,
 }
 
 impl Placement {
@@ -89,7 +98,7 @@
             read_at: None,
             was_held: false,
             ordered: BTreeMap::new(),
-            first_seen: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
         }
     }
 
@@ -202,10 +211,20 @@
 
     /// Whether the engines have just begun to show, and hold nothing yet.
     fn is_filling(&mut self, service: &ServingService, engines: &[LayoutEngine]) -> bool {
-        let first_seen = self.first_seen.entry(service.name.clone());
-        let seen_for = first_seen.or_insert_with(Instant::now).elapsed();
+        let now = Instant::now();
+        let arrivals = self.arrivals.entry(service.name.clone());
+        let arrivals = arrivals.or_insert(Arrivals {
+            first_at: now,
+            last_at: now,
+            engines: 0,
+        });
+        if arrivals.engines < engines.len() {
+            arrivals.engines = engines.len();
+            arrivals.last_at = now;
+        }
         let heartbeat = Duration::from_millis(self.relay.settings.bounds.heartbeat_ms);
-        let is_early = seen_for < heartbeat.mul_f64(FIRST_PLAN_HEARTBEATS);
+        let is_early = arrivals.first_at.elapsed() < heartbeat.mul_f64(FIRST_PLAN_HEARTBEATS)
+            || arrivals.last_at.elapsed() < heartbeat.mul_f64(FIRST_PLAN_QUIET_HEARTBEATS);
         is_early && engines.iter().all(|engine| engine.held.is_none())
     }
 
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -65,6 +65,8 @@
     pub(crate) peer_loads: ArcSwap<BTreeMap<SocketAddr, ServerLoad>>,
     /// The store's version that the servers are from.
     pub(crate) servers_version: AtomicU64,
+    /// A peer that has newer servers than this instance.
+    pub(crate) newer_servers_at: watch::Sender<Option<SocketAddr>>,
     leaving: AtomicBool,
     leaving_since: Mutex<Option<Instant>>,
     config_age: Mutex<ConfigAge>,
@@ -93,6 +95,7 @@
             peers: Arc::new(Mutex::new(PeerTable::new())),
             peer_loads: ArcSwap::default(),
             servers_version: AtomicU64::new(0),
+            newer_servers_at: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::new(None),
             config_age: Mutex::new(ConfigAge::new()),
@@ -257,13 +260,19 @@
         service: &ServingService,
         model: &ModelShape,
     ) -> Vec<PipelineEngine> {
+        let now = Instant::now();
         let health = self.health();
         let usable = table
             .of(&service.name)
             .filter(|server| !server.is_leaving && !health.is_out(server.addr));
-        usable
-            .filter_map(|server| self.pipeline_engine(server, model))
-            .collect()
+        let engines = usable.filter_map(|server| {
+            let mut engine = self.pipeline_engine(server, model)?;
+            if health.is_full(server.addr, now) {
+                engine.used_tokens = engine.cache_tokens;
+            }
+            Some(engine)
+        });
+        engines.collect()
     }
 
     fn pipeline_engine(
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -206,8 +206,11 @@
                 }
                 Opened::NotRun { at_fault } => {
                     self.arrived += 1;
-                    self.note_failed(&keeper, "not run");
-                    self.avoided.push(at_fault.unwrap_or(first));
+                    let named = at_fault.map_or_else(String::new, |addr| format!(": {addr}"));
+                    self.note_failed(&keeper, &format!("not run{named}"));
+                    let refusing = at_fault.unwrap_or(first);
+                    self.relay.health().turned_away(refusing, Instant::now());
+                    self.avoided.push(refusing);
                 }
                 Opened::Failed(UpstreamError::Withdrawn) => {
                     if self.arrived == 0 {
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -3,21 +3,24 @@
 //! A watch that ends without news confirms what is known, as of when it was
 //! sent. So watches are short: they bound the age of a configuration.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use rookferry_core::BackendServer;
 use rookferry_core::Directory;
 use rookferry_core::DirectoryChange;
 use rookferry_wire::EngineId;
 use rookferry_wire::ObjectVersion;
 use slog::info;
 use slog::warn;
+use tokio::sync::watch;
 
 use crate::event_log::Weight;
 use crate::peers;
 use crate::relay::Relay;
-use crate::relay::lock;
 use crate::store::AsOf;
 use crate::store::StoreError;
 use crate::view::ServerTable;
@@ -104,24 +107,21 @@
     let mut outage = Outage::none("store: servers");
     let mut directory = Directory::new();
     let mut lapses_until: Option<Instant> = None;
+    let mut newer_at = relay.newer_servers_at.subscribe();
     loop {
         let wait = if directory.has_missing() {
             MISSING_WAIT
         } else {
             SERVERS_WAIT
         };
-        let read = match after {
-            None => list(&relay).await,
-            Some(after) => relay
-                .store
-                .watch_servers(after, wait)
-                .await
-                .map(Read::Changes),
+        let read = tokio::select! {
+            read = read_servers(&relay, after, wait) => read,
+            read = ask_peers(&relay, &mut newer_at, after) => Ok(read),
         };
         let now = Instant::now();
         let is_changed = match read {
             Ok(read) => {
-                if outage.ended(&relay) {
+                if !read.is_from_peer() && outage.ended(&relay) {
                     lapses_until = Some(now + LAPSES_AFTER);
                 }
                 let may_have_lapsed = lapses_until.is_some_and(|until| now < until);
@@ -134,13 +134,7 @@
             }
             Err(error) => {
                 outage.failed(&relay, &error).await;
-                let from_peer = ask_peers(&relay, after).await;
-                let is_newer = from_peer.is_some();
-                if let Some((version, servers)) = from_peer {
-                    after = Some(version);
-                    directory.replace(servers, true, now);
-                }
-                is_newer
+                false
             }
         };
         let expired = directory.expire(now, relay.settings.bounds.lapse_grace());
@@ -154,32 +148,61 @@
     }
 }
 
-/// A peer's servers, where the store can't be asked.
+/// A peer's servers, once one has newer ones.
 async fn ask_peers(
     relay: &Relay,
+    newer_at: &mut watch::Receiver<Option<SocketAddr>>,
     after: Option<ObjectVersion>,
-) -> Option<(ObjectVersion, Vec<rookferry_core::BackendServer>)> {
-    let own = after.unwrap_or(0);
-    let peer = lock(&relay.peers).newer_servers(own, Instant::now())?;
-    peers::fetch_servers(peer, own).await
+) -> Read {
+    loop {
+        if newer_at.changed().await.is_err() {
+            // The sender lives as long as the process.
+            std::future::pending::<()>().await;
+        }
+        let Some(peer) = *newer_at.borrow_and_update() else {
+            continue;
+        };
+        let own = relay.servers_version.load(Ordering::Relaxed);
+        let fetched = peers::fetch_servers(peer, own.max(after.unwrap_or(0))).await;
+        if let Some((version, value)) = fetched {
+            return Read::Peer(AsOf { version, value });
+        }
+    }
+}
+
+async fn read_servers(
+    relay: &Relay,
+    after: Option<ObjectVersion>,
+    wait: Duration,
+) -> Result<Read, StoreError> {
+    match after {
+        None => relay.store.servers().await.map(Read::List),
+        Some(after) => relay
+            .store
+            .watch_servers(after, wait)
+            .await
+            .map(Read::Changes),
+    }
 }
 
 enum Read {
-    List(AsOf<Vec<rookferry_core::BackendServer>>),
+    List(AsOf<Vec<BackendServer>>),
     Changes(AsOf<Vec<DirectoryChange>>),
+    /// A peer's list.
+    Peer(AsOf<Vec<BackendServer>>),
 }
 
 impl Read {
     const fn version(&self) -> ObjectVersion {
         match self {
-            Self::List(list) => list.version,
+            Self::List(list) | Self::Peer(list) => list.version,
             Self::Changes(changes) => changes.version,
         }
     }
-}
 
-async fn list(relay: &Relay) -> Result<Read, StoreError> {
-    relay.store.servers().await.map(Read::List)
+    const fn is_from_peer(&self) -> bool {
+        matches!(self, Self::Peer(_))
+    }
 }
 
 /// Takes news in; tells whether anything changed.
@@ -195,6 +218,10 @@
             directory.replace(list.value, may_have_lapsed, now);
             true
         }
+        Read::Peer(list) => {
+            directory.replace(list.value, false, now);
+            true
+        }
         Read::Changes(changes) => {
             let is_changed = !changes.value.is_empty();
             for change in changes.value {
