fix(stream): a resumed stream names only its own last event

Cause: a caller that resumes sends Last-Event-Id itself; when the relay resumed that request again, its own header was added beside the caller's, and engines take the first.

--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -108,7 +108,10 @@
         if let Some(account) = &self.account {
             insert_text(&mut headers, &names.account, account);
         }
-        headers.extend(extra);
+        // Not `extend`, which would keep the caller's own beside them.
+        for (name, value) in extra {
+            headers.insert(name, value);
+        }
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
