--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -36,8 +36,9 @@
 /// First and longest pause after a failed call; doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// How long after an outage removals may be lapses.
-const LAPSES_AFTER: Duration = Duration::from_secs(3);
+/// How long after an outage removals may be lapses; they show in the first
+/// answers, and a later removal is a server that left.
+const LAPSES_AFTER: Duration = Duration::from_millis(300);
 
 /// Calls that fail, and how long to wait before the next.
 struct Outage {
