--- a/crates/rookferry_core/src/lease.rs
+++ b/crates/rookferry_core/src/lease.rs
@@ -174,6 +174,23 @@
         });
     }
 
+    /// The write that gives the lease up, so that a rival needn't wait; `None`
+    /// if it isn't held. The lease counts as lost from then on.
+    #[must_use]
+    pub fn release(&mut self) -> Option<(ObjectVersion, LeaseObject)> {
+        let held = self.held.take()?;
+        let seen = self.seen.as_ref()?;
+        let renewals = seen.object.as_ref().map_or(0, |object| object.renewals + 1);
+        let object = LeaseObject {
+            holder: self.own.clone(),
+            incarnation: self.incarnation,
+            fence: held.fence,
+            duration_ms: 0,
+            renewals,
+        };
+        Some((seen.version, object))
+    }
+
     /// The fence, if an order may be sent at this moment.
     ///
     /// To be called just before each sending. For an engine that doesn't
--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -22,6 +22,9 @@
 /// the shared link, about 18 ms each, so that crossings are for gaps and full
 /// engines, not for small gains.
 const CROSSING_MS: f64 = 40.0;
+/// What it counts for to enter in another failure domain than the caller's:
+/// only the request and single tokens go that way, not activations.
+const ENTRY_CROSSING_MS: f64 = 8.0;
 /// How much a full cache lengthens the expected step, as a share; spreads
 /// requests over engines that hold the same layers.
 const LOAD_WEIGHT: f64 = 1.0;
@@ -176,7 +179,7 @@
             if !holds_next || is_used {
                 continue;
             }
-            let entry_ms = entry_cost_ms(engine, domain, tokens);
+            let entry_ms = Self::entry_cost_ms(engine, domain, position, tokens);
             let layer_ms = engine.layer_step_ms * (1.0 + LOAD_WEIGHT * fill(engine));
             for &end in cuts.range(position + 1..=engine.held.end) {
                 let cost_ms = state.cost_ms + entry_ms + f64::from(end - position) * layer_ms;
@@ -194,6 +197,22 @@
         }
     }
 
+    /// What it counts for to take an engine in after the stages so far.
+    fn entry_cost_ms(engine: &PipelineEngine, from: &DomainId, position: u16, tokens: f64) -> f64 {
+        let crossing_ms = match (engine.domain == *from, position) {
+            (true, _) => 0.0,
+            (false, 0) => ENTRY_CROSSING_MS,
+            (false, _) => CROSSING_MS,
+        };
+        let room_ms = if engine.has_room(tokens) {
+            0.0
+        } else {
+            NO_ROOM_MS
+        };
+        let crowding = ((fill(engine) - CROWDED) / (1.0 - CROWDED)).max(0.0);
+        STAGE_MS + crossing_ms + room_ms + crowding * crowding * FULL_MS
+    }
+
     fn cuts(&self, range: LayerRange, usable: &[usize]) -> BTreeSet<u16> {
         let mut cuts = BTreeSet::from([range.start, range.end]);
         for &index in usable {
@@ -220,21 +239,6 @@
     }
 }
 
-fn entry_cost_ms(engine: &PipelineEngine, from: &DomainId, tokens: f64) -> f64 {
-    let crossing_ms = if engine.domain == *from {
-        0.0
-    } else {
-        CROSSING_MS
-    };
-    let room_ms = if engine.has_room(tokens) {
-        0.0
-    } else {
-        NO_ROOM_MS
-    };
-    let crowding = ((fill(engine) - CROWDED) / (1.0 - CROWDED)).max(0.0);
-    STAGE_MS + crossing_ms + room_ms + crowding * crowding * FULL_MS
-}
-
 fn fill(engine: &PipelineEngine) -> f64 {
     if engine.cache_tokens <= 0.0 {
         return 1.0;
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -29,6 +29,7 @@
 use crate::load::LoadGuard;
 use crate::probe;
 use crate::relay::Relay;
+use crate::relay::StageState;
 use crate::request::CallerRequest;
 use crate::signs::Sign;
 
@@ -41,7 +42,7 @@
 const SILENT_AFTER: Duration = Duration::from_millis(60);
 /// The same before the first event, which waits for the prompt to be read.
 const FIRST_EVENT_AFTER: Duration = Duration::from_millis(220);
-/// Time between probes of a stream that goes on standing still.
+/// Time until a stream that goes on standing still is looked at again; doubles.
 const STALL_AGAIN: Duration = Duration::from_millis(150);
 /// How long the order to move a request may take.
 const REPATH_TIMEOUT: Duration = Duration::from_millis(250);
@@ -57,6 +58,7 @@
     path: PipelinePath,
     fleet: watch::Receiver<u64>,
     look_at: Instant,
+    look_pause: Duration,
     stalled_since: Instant,
     refused: Vec<SocketAddr>,
     repairs: u32,
@@ -95,6 +97,7 @@
             model: model.clone(),
             path,
             look_at: now + FIRST_EVENT_AFTER,
+            look_pause: STALL_AGAIN,
             stalled_since: now,
             refused: Vec::new(),
             repairs: 0,
@@ -123,6 +126,7 @@
     pub(crate) fn progressed(&mut self, now: Instant) {
         self.stalled_since = now;
         self.look_at = now + STALL_AFTER;
+        self.look_pause = STALL_AGAIN;
         for sign in &self.signs {
             sign.note(now);
         }
@@ -165,41 +169,44 @@
                 "request" => &self.request.attempt, "stalled_ms" => millis(stalled),
                 "path" => self.describe(), "probed" => asked, "lost" => lost);
         }
-        self.look_at = Instant::now() + STALL_AGAIN;
+        self.look_at = Instant::now() + self.look_pause;
+        self.look_pause *= 2;
     }
 
-    fn is_lost(&self, stage: &PathStage) -> bool {
+    fn state_of(&self, stage: &PathStage) -> StageState {
         let view = self.relay.view.load();
         let Some(table) = &view.servers else {
-            return false;
+            return StageState::Usable;
         };
-        self.refused.contains(&stage.addr) || !self.relay.is_usable(table, stage)
+        if self.refused.contains(&stage.addr) {
+            return StageState::Lost;
+        }
+        self.relay.stage_state(table, stage)
+    }
+
+    fn stages_in(&self, state: StageState) -> Vec<PathStage> {
+        let stages = self.path.stages().iter();
+        stages
+            .filter(|stage| self.state_of(stage) == state)
+            .cloned()
+            .collect()
     }
 
     /// Replaces stages that can't be used; tells whether the first one can.
     async fn repair(&mut self) -> bool {
         for _ in 0..MAX_REPAIR_TRIES {
-            let lost: Vec<PathStage> = self
-                .path
-                .stages()
-                .iter()
-                .filter(|stage| self.is_lost(stage))
-                .cloned()
-                .collect();
-            if lost.is_empty() {
-                return true;
-            }
-            let first = self.path.first().addr;
-            // A first engine that leaves goes on with what it has.
-            if lost.iter().any(|stage| stage.addr == first) {
-                return !self.relay.health().is_out(first);
+            let lost = self.stages_in(StageState::Lost);
+            let leaving = self.stages_in(StageState::Leaving);
+            let first = self.path.first().clone();
+            if lost.contains(&first) {
+                return !self.relay.health().is_out(first.addr);
             }
-            let Some(path) = self.replacement(&lost) else {
+            let Some((replaced, path)) = self.replacement(&lost, &leaving) else {
                 return true;
             };
             match self.move_to(&path).await {
                 Moved::Done => {
-                    self.note_repaired(&lost, &path);
+                    self.note_repaired(&replaced, &path);
                     self.load = enter(&self.relay, &self.request, &path);
                     self.signs = signs(&self.relay, &path);
                     self.path = path;
@@ -217,7 +224,34 @@
         true
     }
 
-    fn replacement(&self, lost: &[PathStage]) -> Option<PipelinePath> {
+    /// A path without lost stages, and without leaving ones where that takes
+    /// no more crossings: a leaving engine serves a while yet, and moving a
+    /// request over the link between domains takes longer than most have left.
+    fn replacement(
+        &self,
+        lost: &[PathStage],
+        leaving: &[PathStage],
+    ) -> Option<(Vec<PathStage>, PipelinePath)> {
+        let first = self.path.first();
+        let movable = leaving.iter().filter(|stage| *stage != first);
+        let both: Vec<PathStage> = lost.iter().chain(movable).cloned().collect();
+        if both.len() > lost.len()
+            && let Some(path) = self.path_without(&both)
+        {
+            let view = self.relay.view.load();
+            let table = view.servers.as_ref()?;
+            let before = Relay::crossings(table, &self.path);
+            if !lost.is_empty() || Relay::crossings(table, &path) <= before {
+                return Some((both, path));
+            }
+        }
+        if lost.is_empty() {
+            return None;
+        }
+        Some((lost.to_vec(), self.path_without(lost)?))
+    }
+
+    fn path_without(&self, lost: &[PathStage]) -> Option<PipelinePath> {
         let view = self.relay.view.load();
         let table = view.servers.as_ref()?;
         let engines = self
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -141,6 +141,7 @@
             config,
             servers_version: self.relay.servers_version.load(Ordering::Relaxed),
             is_serving: !self.relay.is_leaving(),
+            holds_lease: self.relay.holds_lease.load(Ordering::Relaxed),
             loads: loads
                 .map(|(addr, load)| load_entry(addr, load.requests, load.tokens))
                 .collect(),
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -26,6 +26,8 @@
     pub(crate) servers_version: ObjectVersion,
     /// Whether the sender takes new requests.
     pub(crate) is_serving: bool,
+    /// Whether the sender holds the lease for orders to engines.
+    pub(crate) holds_lease: bool,
     /// What is under way at servers by the sender's requests.
     pub(crate) loads: Vec<LoadEntry>,
     /// Other members that the sender hears.
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -17,6 +17,9 @@
 /// How long a silent member's load counts. Several heartbeats to its own
 /// failure domain fit in.
 const LOAD_KEPT: Duration = Duration::from_millis(1_200);
+/// How long a silent holder of the lease counts as one; two heartbeats to
+/// other failure domains fit in.
+const HOLDER_KEPT: Duration = Duration::from_millis(1_400);
 /// How long a silent member counts as one of those that share budgets.
 const MEMBER_KEPT: Duration = Duration::from_secs(5);
 /// How long an address that never answered, or fell silent, is written to.
@@ -31,6 +34,7 @@
     known_since: Instant,
     /// The peer's clock as last received, and when.
     clock: Option<(u64, Instant)>,
+    holds_lease: bool,
     loads: Vec<LoadEntry>,
 }
 
@@ -61,6 +65,7 @@
             heard_at: None,
             known_since: now,
             clock: None,
+            holds_lease: false,
             loads: Vec::new(),
         });
     }
@@ -80,6 +85,7 @@
         peer.incarnation = beat.incarnation;
         peer.heard_at = Some(now);
         peer.clock = Some((beat.sent_ms, now));
+        peer.holds_lease = beat.holds_lease;
         peer.loads.clone_from(&beat.loads);
         Heard {
             is_new: !(is_recent && is_same),
@@ -132,6 +138,14 @@
         })
     }
 
+    /// Whether a member that holds the lease was heard lately.
+    pub(crate) fn hears_holder(&self, now: Instant) -> bool {
+        self.peers.values().any(|peer| {
+            let heard_at = peer.heard_at.filter(|_| peer.holds_lease);
+            heard_at.is_some_and(|at| now.saturating_duration_since(at) < HOLDER_KEPT)
+        })
+    }
+
     /// What members have under way at each server.
     pub(crate) fn loads(&self, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
         let mut loads: BTreeMap<SocketAddr, ServerLoad> = BTreeMap::new();
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,16 +32,20 @@
 use crate::event_log::Weight;
 use crate::path_keeper::engine_request;
 use crate::relay::Relay;
+use crate::relay::lock;
 use crate::store::StoreError;
 use crate::view::ServerTable;
 
 /// How long the lease lasts; a dead holder is replaced after about this.
-const LEASE: Duration = Duration::from_secs(6);
+const LEASE: Duration = Duration::from_secs(2);
 /// How long a sender may be paused between its check and its sending. Orders
 /// name the engine's sequence, so nothing waits for it.
 const PAUSE_BOUND: Duration = Duration::from_secs(1);
-/// How often a rival looks at the lease.
-const RIVAL_READS: Duration = Duration::from_secs(2);
+/// How often a rival looks at the lease while it hears no holder.
+const RIVAL_READS: Duration = Duration::from_millis(500);
+/// The same while it hears one; covers a holder that has lost the lease to
+/// another without knowing.
+const QUIET_READS: Duration = Duration::from_secs(15);
 /// Longest time between two plans; a change of the fleet brings one forward.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// Least time between two plans.
@@ -106,14 +111,15 @@
     pub(crate) async fn run(mut self) {
         let mut fleet = self.relay.fleet_changes.subscribe();
         loop {
-            if !self.relay.is_leaving() {
-                self.keep_lease().await;
-                self.plan_all().await;
+            if self.relay.is_leaving() {
+                return self.give_up().await;
             }
+            self.keep_lease().await;
+            self.plan_all().await;
             tokio::time::sleep(PLAN_PAUSE).await;
             tokio::select! {
                 () = tokio::time::sleep(PLAN_EVERY) => {}
-                _ = fleet.changed(), if self.is_holder() => {}
+                _ = fleet.changed(), if self.is_holder() || self.relay.is_leaving() => {}
             }
         }
     }
@@ -122,12 +128,23 @@
         self.lease.fence_for(Instant::now(), true).is_some()
     }
 
+    /// Lets another instance take the lease at once.
+    async fn give_up(&mut self) {
+        if let Some((expected, object)) = self.lease.release() {
+            // If it fails, the lease runs out by itself.
+            let _ = self.relay.store.write_lease(expected, &object).await;
+        }
+        self.note_lease();
+    }
+
     async fn keep_lease(&mut self) {
         let asked_at = Instant::now();
+        let is_heard = lock(&self.relay.peers).hears_holder(asked_at);
+        let pause = if is_heard { QUIET_READS } else { RIVAL_READS };
         let is_due = !self.is_holder()
             && self
                 .read_at
-                .is_none_or(|read_at| read_at.elapsed() >= RIVAL_READS);
+                .is_none_or(|read_at| read_at.elapsed() >= pause);
         if is_due {
             self.read_at = Some(asked_at);
             // A failure shows as a lost dependency where the servers are read.
@@ -152,6 +169,7 @@
 
     fn note_lease(&mut self) {
         let is_held = self.is_holder();
+        self.relay.holds_lease.store(is_held, Ordering::Relaxed);
         if is_held == self.was_held {
             return;
         }
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -20,6 +20,7 @@
 use rookferry_core::ModelShape;
 use rookferry_core::PathStage;
 use rookferry_core::PipelineEngine;
+use rookferry_core::PipelinePath;
 use rookferry_core::RetryWindow;
 use rookferry_core::ServerHealth;
 use rookferry_core::ServingConfig;
@@ -46,6 +47,17 @@
 use crate::view::ServerTable;
 use crate::view::SiteView;
 
+/// What is known of a stage of a path in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StageState {
+    /// It holds its layers, and nothing speaks against it.
+    Usable,
+    /// It will go, and serves what it has until then.
+    Leaving,
+    /// It doesn't answer, is gone, or gives the layers up.
+    Lost,
+}
+
 /// State that all parts of an instance share.
 pub(crate) struct Relay {
     pub(crate) settings: RelaySettings,
@@ -67,6 +79,8 @@
     pub(crate) servers_version: AtomicU64,
     /// A peer that has newer servers than this instance.
     pub(crate) newer_servers_at: watch::Sender<Option<SocketAddr>>,
+    /// Whether this instance orders engines.
+    pub(crate) holds_lease: AtomicBool,
     leaving: AtomicBool,
     leaving_since: Mutex<Option<Instant>>,
     config_age: Mutex<ConfigAge>,
@@ -96,6 +110,7 @@
             peer_loads: ArcSwap::default(),
             servers_version: AtomicU64::new(0),
             newer_servers_at: watch::Sender::new(None),
+            holds_lease: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::new(None),
             config_age: Mutex::new(ConfigAge::new()),
@@ -307,19 +322,33 @@
         }
     }
 
-    /// Whether a stage still holds its layers and answers.
-    pub(crate) fn is_usable(&self, table: &ServerTable, stage: &PathStage) -> bool {
+    /// What is known of a stage of a path in use.
+    pub(crate) fn stage_state(&self, table: &ServerTable, stage: &PathStage) -> StageState {
         if self.health().is_out(stage.addr) {
-            return false;
+            return StageState::Lost;
         }
         let Some(server) = table.at(stage.addr) else {
-            return false;
+            return StageState::Lost;
         };
-        server.id == stage.engine
-            && !server.is_leaving
-            && server.held.is_some_and(|held| {
-                held.start <= stage.layers.start && stage.layers.end <= held.end
-            })
+        let holds_layers = server
+            .held
+            .is_some_and(|held| held.start <= stage.layers.start && stage.layers.end <= held.end);
+        if server.id != stage.engine || !holds_layers {
+            return StageState::Lost;
+        }
+        if server.is_leaving {
+            return StageState::Leaving;
+        }
+        StageState::Usable
+    }
+
+    /// How often a path goes from one failure domain to another.
+    pub(crate) fn crossings(table: &ServerTable, path: &PipelinePath) -> usize {
+        let domain = |stage: &PathStage| table.at(stage.addr).map(|server| &server.domain);
+        let pairs = path.stages().windows(2);
+        pairs
+            .filter(|pair| domain(&pair[0]) != domain(&pair[1]))
+            .count()
     }
 
     /// A server with this instance's part of its connections.
