feat(stream): another run within a domain before a repair across domains

Cause: moving forty streams to an engine in another domain sends all their tokens over one link (19 ms each), which stalls them and everything behind. Another run elsewhere reads the prompt in 50 ms and needs no link.

--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -65,10 +65,24 @@
     /// Whether the path has to be looked through; stays set while a look is
     /// cut off by events that come.
     must_check: bool,
+    may_cross: bool,
     signs: Vec<Sign>,
     load: LoadGuard,
 }
 
+/// What became of a look at the path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Watched {
+    /// The path is as good as it gets.
+    Fine,
+    /// The first engine is lost, and the run with it.
+    FirstLost,
+    /// A lost stage could only be replaced in another failure domain. The
+    /// link there would carry all the request's tokens again, which takes
+    /// longer than another run within one domain.
+    Costly,
+}
+
 enum Moved {
     Done,
     /// The engine named, if any, has no room or isn't there.
@@ -102,6 +116,7 @@
             refused: Vec::new(),
             repairs: 0,
             must_check: false,
+            may_cross: false,
         }
     }
 
@@ -132,9 +147,8 @@
         }
     }
 
-    /// Waits until the path must be looked at, and looks after it. Tells
-    /// whether the first engine can still be used.
-    pub(crate) async fn watch(&mut self) -> bool {
+    /// Waits until the path must be looked at, and looks after it.
+    pub(crate) async fn watch(&mut self) -> Watched {
         if !self.must_check {
             let look_at = tokio::time::Instant::from_std(self.look_at);
             tokio::select! {
@@ -143,9 +157,9 @@
             }
             self.must_check = true;
         }
-        let is_usable = self.repair().await;
+        let watched = self.repair().await;
         self.must_check = false;
-        is_usable
+        watched
     }
 
     /// The stream stands still: asks every engine of the path for a sign.
@@ -192,18 +206,32 @@
             .collect()
     }
 
-    /// Replaces stages that can't be used; tells whether the first one can.
-    async fn repair(&mut self) -> bool {
+    /// Crossings of the link between domains count for nothing from now on.
+    pub(crate) fn accept_crossings(&mut self) {
+        self.may_cross = true;
+        self.must_check = true;
+    }
+
+    /// Replaces stages that can't be used.
+    async fn repair(&mut self) -> Watched {
         for _ in 0..MAX_REPAIR_TRIES {
             let lost = self.stages_in(StageState::Lost);
             let leaving = self.stages_in(StageState::Leaving);
             let first = self.path.first().clone();
             if lost.contains(&first) {
-                return !self.relay.health().is_out(first.addr);
+                let is_out = self.relay.health().is_out(first.addr);
+                return if is_out {
+                    Watched::FirstLost
+                } else {
+                    Watched::Fine
+                };
             }
             let Some((replaced, path)) = self.replacement(&lost, &leaving) else {
-                return true;
+                return Watched::Fine;
             };
+            if !self.may_cross && self.adds_crossings(&path) {
+                return Watched::Costly;
+            }
             match self.move_to(&path).await {
                 Moved::Done => {
                     self.note_repaired(&replaced, &path);
@@ -212,16 +240,24 @@
                     self.path = path;
                     self.refused.clear();
                     self.look_at = Instant::now() + STALL_AGAIN;
-                    return true;
+                    return Watched::Fine;
                 }
                 Moved::Refused(Some(addr)) => {
                     self.relay.health().turned_away(addr, Instant::now());
                     self.refused.push(addr);
                 }
-                Moved::Refused(None) | Moved::Unknown | Moved::Failed => return true,
+                Moved::Refused(None) | Moved::Unknown | Moved::Failed => return Watched::Fine,
             }
         }
-        true
+        Watched::Fine
+    }
+
+    fn adds_crossings(&self, path: &PipelinePath) -> bool {
+        let view = self.relay.view.load();
+        let Some(table) = &view.servers else {
+            return false;
+        };
+        Relay::crossings(table, path) > Relay::crossings(table, &self.path)
     }
 
     /// A path without lost stages, and without leaving ones where that takes
@@ -237,13 +273,9 @@
         let both: Vec<PathStage> = lost.iter().chain(movable).cloned().collect();
         if both.len() > lost.len()
             && let Some(path) = self.path_without(&both)
+            && !self.adds_crossings(&path)
         {
-            let view = self.relay.view.load();
-            let table = view.servers.as_ref()?;
-            let before = Relay::crossings(table, &self.path);
-            if !lost.is_empty() || Relay::crossings(table, &path) <= before {
-                return Some((both, path));
-            }
+            return Some((both, path));
         }
         if lost.is_empty() {
             return None;
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -57,7 +57,7 @@
 /// How long a server is out before its layers count as lost. A crashed
 /// engine comes back empty, so waiting longer gains nothing; a lost packet
 /// or a short pause is over by then.
-const LOST_AFTER: Duration = Duration::from_secs(1);
+const LOST_AFTER: Duration = Duration::from_millis(400);
 /// Heartbeats of the engines to wait for, where none holds a layer, before
 /// the first plan; a plan for a part of them would have to be undone.
 const FIRST_PLAN_HEARTBEATS: f64 = 1.2;
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -52,9 +52,9 @@
 pub(crate) enum StageState {
     /// It holds its layers, and nothing speaks against it.
     Usable,
-    /// It will go, and serves what it has until then.
+    /// It goes, or gives the layers up, and serves what it has until then.
     Leaving,
-    /// It doesn't answer, is gone, or gives the layers up.
+    /// It doesn't answer, or is gone.
     Lost,
 }
 
@@ -333,10 +333,11 @@
         let holds_layers = server
             .held
             .is_some_and(|held| held.start <= stage.layers.start && stage.layers.end <= held.end);
-        if server.id != stage.engine || !holds_layers {
+        if server.id != stage.engine {
             return StageState::Lost;
         }
-        if server.is_leaving {
+        // Layers that are given up still serve what is passing through.
+        if server.is_leaving || !holds_layers {
             return StageState::Leaving;
         }
         StageState::Usable
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -39,6 +39,7 @@
 use crate::front::Served;
 use crate::front::note_served;
 use crate::path_keeper::PathKeeper;
+use crate::path_keeper::Watched;
 use crate::plain::may_send;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
@@ -285,13 +286,20 @@
             tokio::select! {
                 sent = &mut sending => break sent,
                 () = tokio::time::sleep_until(deadline) => return Opened::TimeOver,
-                is_usable = keeper.watch() => {
-                    if !is_usable {
-                        break Err(UpstreamError::Lost {
-                            addr: first.addr,
-                            message: "the first engine is lost".to_owned(),
-                        });
-                    }
+                watched = keeper.watch() => {
+                    let message = match watched {
+                        Watched::Fine => continue,
+                        Watched::FirstLost => "the first engine is lost",
+                        Watched::Costly if self.runs > 0 => {
+                            keeper.accept_crossings();
+                            continue;
+                        }
+                        Watched::Costly => "a stage is lost that nothing near stands in for",
+                    };
+                    break Err(UpstreamError::Lost {
+                        addr: first.addr,
+                        message: message.to_owned(),
+                    });
                 }
             }
         };
@@ -355,6 +363,8 @@
     Nothing,
     Ended,
     Broken(String),
+    /// A repair would take longer than another run.
+    Costly,
     TimeOver,
 }
 
@@ -376,7 +386,18 @@
                     return None;
                 }
                 Step::TimeOver => return Some(self.cut("the time is over")),
+                Step::Costly => {
+                    if !self
+                        .resume("a stage is lost that nothing near stands in for")
+                        .await
+                    {
+                        self.keeper.accept_crossings();
+                    }
+                }
                 Step::Broken(cause) => {
+                    let first = self.keeper.path().first().addr;
+                    self.relay.health().failed(first, Instant::now());
+                    self.avoided.push(first);
                     if !self.resume(&cause).await {
                         return Some(self.cut(&cause));
                     }
@@ -407,12 +428,10 @@
                 None => Step::Ended,
             },
             () = tokio::time::sleep_until(deadline) => Step::TimeOver,
-            is_usable = self.keeper.watch() => {
-                if is_usable {
-                    Step::Nothing
-                } else {
-                    Step::Broken("the first engine is lost".to_owned())
-                }
+            watched = self.keeper.watch() => match watched {
+                Watched::Fine => Step::Nothing,
+                Watched::FirstLost => Step::Broken("the first engine is lost".to_owned()),
+                Watched::Costly => Step::Costly,
             }
         }
     }
@@ -473,10 +492,6 @@
         if !may_run {
             return false;
         }
-        self.splitter.drop_partial();
-        let first = self.keeper.path().first().addr;
-        self.relay.health().failed(first, Instant::now());
-        self.avoided.push(first);
         let after = self.splitter.last_id();
         let mut opener = Opener {
             relay: &self.relay,
@@ -502,6 +517,7 @@
                 "request" => &self.request.attempt, "cause" => cause, "after_event" => after,
                 "paused_ms" => millis(paused), "runs" => self.runs, "path" => keeper.describe());
         }
+        self.splitter.drop_partial();
         self.answer = answer;
         self.keeper = keeper;
         true
