--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -146,6 +146,18 @@
         })
     }
 
+    /// Whether an instance's name is the first of those heard in a domain.
+    pub(crate) fn is_first(&self, own: &InstanceId, domain: &DomainId, now: Instant) -> bool {
+        let heard = self.peers.values().filter(|peer| {
+            peer.domain.as_ref() == Some(domain)
+                && peer
+                    .heard_at
+                    .is_some_and(|at| now.saturating_duration_since(at) < LOAD_KEPT)
+        });
+        let mut names = heard.filter_map(|peer| peer.instance.as_ref());
+        names.all(|name| own < name)
+    }
+
     /// What members have under way at each server.
     pub(crate) fn loads(&self, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
         let mut loads: BTreeMap<SocketAddr, ServerLoad> = BTreeMap::new();
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -46,6 +46,9 @@
 /// The same while it hears one; covers a holder that has lost the lease to
 /// another without knowing.
 const QUIET_READS: Duration = Duration::from_secs(15);
+/// How long the store must be away before an instance orders engines of its
+/// own domain without a lease; longer than the lease and a heartbeat.
+const DEPUTY_AFTER: Duration = Duration::from_millis(3_500);
 /// Longest time between two plans; a change of the fleet brings one forward.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// Least time between two plans.
@@ -73,6 +76,17 @@
     at: Instant,
 }
 
+/// The engines that an instance may order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    /// None.
+    Nothing,
+    /// Those of its own failure domain, which is cut off without a holder.
+    Domain,
+    /// All.
+    Site,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Arrivals {
     first_at: Instant,
@@ -86,6 +100,10 @@
     lease: Lease,
     read_at: Option<Instant>,
     was_held: bool,
+    /// Whether this instance held the lease when the store last answered.
+    was_holder: bool,
+    /// Since when the store hasn't answered about the lease.
+    away_since: Option<Instant>,
     ordered: BTreeMap<EngineId, Ordered>,
     /// How the engines of a service began to show.
     arrivals: BTreeMap<ServiceId, Arrivals>,
@@ -102,6 +120,8 @@
             relay,
             read_at: None,
             was_held: false,
+            was_holder: false,
+            away_since: None,
             ordered: BTreeMap::new(),
             arrivals: BTreeMap::new(),
         }
@@ -119,7 +139,7 @@
             tokio::time::sleep(PLAN_PAUSE).await;
             tokio::select! {
                 () = tokio::time::sleep(PLAN_EVERY) => {}
-                _ = fleet.changed(), if self.is_holder() || self.relay.is_leaving() => {}
+                _ = fleet.changed(), if self.was_held || self.relay.is_leaving() => {}
             }
         }
     }
@@ -128,6 +148,33 @@
         self.lease.fence_for(Instant::now(), true).is_some()
     }
 
+    /// Which engines this instance may order now.
+    fn scope(&self) -> Scope {
+        if self.is_holder() {
+            return Scope::Site;
+        }
+        let now = Instant::now();
+        let Some(away_for) = self.away_since.map(|since| since.elapsed()) else {
+            return Scope::Nothing;
+        };
+        let peers = lock(&self.relay.peers);
+        if peers.hears_holder(now) {
+            return Scope::Nothing;
+        }
+        // While the store is away nobody can take the lease over, and orders
+        // of two would meet the engines' own count of orders.
+        if self.was_holder {
+            return Scope::Site;
+        }
+        let own = &self.relay.settings;
+        let is_deputy = away_for >= DEPUTY_AFTER && peers.is_first(&own.instance, &own.domain, now);
+        if is_deputy {
+            Scope::Domain
+        } else {
+            Scope::Nothing
+        }
+    }
+
     /// Lets another instance take the lease at once.
     async fn give_up(&mut self) {
         if let Some((expected, object)) = self.lease.release() {
@@ -147,28 +194,46 @@
                 .is_none_or(|read_at| read_at.elapsed() >= pause);
         if is_due {
             self.read_at = Some(asked_at);
-            // A failure shows as a lost dependency where the servers are read.
-            let Ok(current) = self.relay.store.lease().await else {
-                return;
-            };
-            self.lease.observed(asked_at, current.as_ref());
+            match self.relay.store.lease().await {
+                Ok(current) => {
+                    self.lease.observed(asked_at, current.as_ref());
+                    self.store_answered();
+                }
+                // It shows as a lost dependency where the servers are read.
+                Err(_) => {
+                    self.away_since.get_or_insert(asked_at);
+                }
+            }
         }
         if let LeaseAction::Write { expected, object } = self.lease.next(Instant::now()) {
             let sent_at = Instant::now();
             match self.relay.store.write_lease(expected, &object).await {
-                Ok(version) => self.lease.written(sent_at, version, object),
+                Ok(version) => {
+                    self.lease.written(sent_at, version, object);
+                    self.store_answered();
+                    self.was_holder = true;
+                }
                 Err(StoreError::Conflict { current }) => {
                     self.lease.observed(Instant::now(), current.as_ref());
+                    self.store_answered();
                 }
                 // Whether it was written is read back next time.
-                Err(_) => self.read_at = None,
+                Err(_) => {
+                    self.read_at = None;
+                    self.away_since.get_or_insert(sent_at);
+                }
             }
         }
         self.note_lease();
     }
 
+    fn store_answered(&mut self) {
+        self.away_since = None;
+        self.was_holder = self.is_holder();
+    }
+
     fn note_lease(&mut self) {
-        let is_held = self.is_holder();
+        let is_held = self.scope() == Scope::Site;
         self.relay.holds_lease.store(is_held, Ordering::Relaxed);
         if is_held == self.was_held {
             return;
@@ -185,7 +250,8 @@
     }
 
     async fn plan_all(&mut self) {
-        if !self.is_holder() {
+        let scope = self.scope();
+        if scope == Scope::Nothing {
             return;
         }
         let view = self.relay.view.load_full();
@@ -194,14 +260,24 @@
         };
         for service in &index.config().services {
             if let Some(model) = &service.model {
-                self.plan(service, model, table).await;
+                self.plan(service, model, table, scope).await;
             }
         }
     }
 
-    async fn plan(&mut self, service: &ServingService, model: &ModelShape, table: &ServerTable) {
+    async fn plan(
+        &mut self,
+        service: &ServingService,
+        model: &ModelShape,
+        table: &ServerTable,
+        scope: Scope,
+    ) {
         self.settle(service, table).await;
-        let engines = self.layout(service, table);
+        let mut engines = self.layout(service, table);
+        if scope == Scope::Domain {
+            let own = &self.relay.settings.domain;
+            engines.retain(|engine| engine.domain == *own);
+        }
         if engines.is_empty() || self.is_filling(service, &engines) {
             return;
         }
@@ -331,7 +407,9 @@
             return Some(placement);
         }
         // The lease may have run out while the engine was asked.
-        self.lease.fence_for(Instant::now(), true)?;
+        if self.scope() == Scope::Nothing {
+            return None;
+        }
         let call = protocol.place_call(placement.layers, Some(report.sequence));
         let request = engine_request(server.addr, &call);
         let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -24,6 +24,7 @@
 use crate::upstream::UpstreamError;
 use crate::upstream::WholeAnswer;
 use crate::view::ServerTable;
+use crate::view::SiteView;
 
 /// What a server in another failure domain counts for, in requests under way;
 /// its way is a quarter of a millisecond longer.
@@ -181,14 +182,22 @@
 /// Whether what was decided still holds, right before the first byte leaves.
 pub(crate) fn may_send(relay: &Relay, request: &CallerRequest, server: &BackendServer) -> bool {
     let view = relay.view.load();
-    let (Some(index), Some(table)) = (&view.index, &view.servers) else {
+    let Some(index) = &view.index else {
         return false;
     };
-    relay.is_config_fresh()
-        && request.is_allowed_by(index)
-        && table
-            .at(server.addr)
-            .is_some_and(|known| known.id == server.id && !known.is_leaving)
+    relay.is_config_fresh() && request.is_allowed_by(index) && stays(&view, server)
+}
+
+/// The same for another run of a request that has run: its caller sent it
+/// when it was allowed, which is what the bounds count from.
+pub(crate) fn may_send_again(relay: &Relay, server: &BackendServer) -> bool {
+    stays(&relay.view.load(), server)
+}
+
+fn stays(view: &SiteView, server: &BackendServer) -> bool {
+    let table = view.servers.as_ref();
+    let known = table.and_then(|table| table.at(server.addr));
+    known.is_some_and(|known| known.id == server.id && !known.is_leaving)
 }
 
 /// A success counts only with the server's signature.
--- a/crates/rookferry_relay/src/settings.rs
+++ b/crates/rookferry_relay/src/settings.rs
@@ -135,10 +135,12 @@
 impl BoundSettings {
     /// How old a configuration may be when a request is sent.
     ///
-    /// A fifth of the bound is kept for the way from the check to the server.
+    /// The bound runs from a removal to the moment in which the caller sends,
+    /// and a caller has sent before its request is looked at here; so only
+    /// the clock's own error is kept of it, a fiftieth.
     #[must_use]
     pub const fn max_config_age(&self) -> Duration {
-        Duration::from_millis(self.revoke_ms * 4 / 5)
+        Duration::from_millis(self.revoke_ms * 49 / 50)
     }
 
     /// Time from the word to stop until the process is killed.
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -41,6 +41,7 @@
 use crate::path_keeper::PathKeeper;
 use crate::path_keeper::Watched;
 use crate::plain::may_send;
+use crate::plain::may_send_again;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
@@ -277,9 +278,15 @@
             return Opened::Failed(UpstreamError::Withdrawn);
         };
         let upstream = relay.upstream(first.addr, self.service);
-        let sending = relay
-            .pool
-            .send(upstream, outbound, || may_send(relay, request, &server));
+        let has_run = self.runs > 0;
+        let may_send = || {
+            if has_run {
+                may_send_again(relay, &server)
+            } else {
+                may_send(relay, request, &server)
+            }
+        };
+        let sending = relay.pool.send(upstream, outbound, may_send);
         tokio::pin!(sending);
         let deadline = tokio::time::Instant::from_std(request.deadline);
         let sent = loop {
