--- a/crates/rookferry_core/src/pipeline/layout.rs
+++ b/crates/rookferry_core/src/pipeline/layout.rs
@@ -20,8 +20,9 @@
 /// Requests that an engine should have cache for, in the order in which they
 /// are tried: a domain with few engines keeps fewer requests, so that it
 /// still holds every layer. The first is the peak of a domain's share at the
-/// published rates (about 25 requests a second for two to three seconds).
-const CACHED_REQUESTS: [f64; 6] = [70.0, 40.0, 20.0, 10.0, 5.0, 1.0];
+/// published rates (about 25 requests a second for two to three seconds), and
+/// half of another one.
+const CACHED_REQUESTS: [f64; 6] = [90.0, 45.0, 20.0, 10.0, 5.0, 1.0];
 
 /// An engine as the planner sees it.
 #[derive(Clone, Debug)]
