--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -36,6 +36,10 @@
 const MAX_ENTRIES: usize = 64;
 /// How long an own watch may take to bring a version that a peer has.
 const OWN_WATCH_FIRST: Duration = Duration::from_millis(120);
+/// Least time between two rounds when news bring one forward.
+const NEWS_PAUSE: Duration = Duration::from_millis(30);
+/// How long a version that is being fetched isn't fetched again.
+const FETCH_AGAIN: Duration = Duration::from_millis(400);
 
 /// The heartbeats of an instance.
 pub(crate) struct Heartbeats {
@@ -44,6 +48,26 @@
     table: Arc<Mutex<PeerTable>>,
     incarnation: Incarnation,
     epoch: Instant,
+    config_fetch: Mutex<FetchGate>,
+    servers_fetch: Mutex<FetchGate>,
+}
+
+/// Lets a version be fetched once, though many peers tell of it.
+#[derive(Debug, Default)]
+struct FetchGate {
+    begun: Option<(u64, Instant)>,
+}
+
+impl FetchGate {
+    fn begin(&mut self, version: u64) -> bool {
+        let is_begun = self
+            .begun
+            .is_some_and(|(begun, at)| begun >= version && at.elapsed() < FETCH_AGAIN);
+        if !is_begun {
+            self.begun = Some((version, Instant::now()));
+        }
+        !is_begun
+    }
 }
 
 impl Heartbeats {
@@ -56,6 +80,8 @@
             table,
             incarnation,
             epoch: now,
+            config_fetch: Mutex::default(),
+            servers_fetch: Mutex::default(),
         }
     }
 
@@ -64,6 +90,7 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut next_round = tokio::time::Instant::now();
         let mut round = 0_u32;
+        let mut news = self.relay.versions.subscribe();
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
@@ -77,6 +104,10 @@
                     self.send_round(round);
                     round = round.wrapping_add(1);
                 }
+                _ = news.changed() => {
+                    let soon = tokio::time::Instant::now() + NEWS_PAUSE;
+                    next_round = next_round.min(soon);
+                }
             }
         }
     }
@@ -177,13 +208,15 @@
     fn take_servers(&self, beat: &Heartbeat, from: SocketAddr) {
         let is_newer =
             |relay: &Relay| relay.servers_version.load(Ordering::Relaxed) < beat.servers_version;
-        if !is_newer(&self.relay) {
+        if !is_newer(&self.relay) || !lock(&self.servers_fetch).begin(beat.servers_version) {
             return;
         }
         let relay = self.relay.clone();
         let version = beat.servers_version;
         tokio::spawn(async move {
-            tokio::time::sleep(OWN_WATCH_FIRST).await;
+            if !relay.relies_on_peers() {
+                tokio::time::sleep(OWN_WATCH_FIRST).await;
+            }
             if relay.servers_version.load(Ordering::Relaxed) < version {
                 relay.newer_servers_at.send_replace(Some(from));
             }
@@ -212,9 +245,14 @@
         };
         let own = self.relay.config_version();
         if own.is_none_or(|own| own < config.version) {
+            if !lock(&self.config_fetch).begin(config.version) {
+                return;
+            }
             let relay = self.relay.clone();
             tokio::spawn(async move {
-                tokio::time::sleep(OWN_WATCH_FIRST).await;
+                if !relay.relies_on_peers() {
+                    tokio::time::sleep(OWN_WATCH_FIRST).await;
+                }
                 exchange::fetch_config(&relay, from).await;
             });
             return;
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -35,6 +35,8 @@
     /// The peer's clock as last received, and when.
     clock: Option<(u64, Instant)>,
     holds_lease: bool,
+    /// When the peer's configuration was known to be the newest, by its word.
+    config_at: Option<Instant>,
     loads: Vec<LoadEntry>,
 }
 
@@ -66,6 +68,7 @@
             known_since: now,
             clock: None,
             holds_lease: false,
+            config_at: None,
             loads: Vec::new(),
         });
     }
@@ -86,6 +89,9 @@
         peer.heard_at = Some(now);
         peer.clock = Some((beat.sent_ms, now));
         peer.holds_lease = beat.holds_lease;
+        peer.config_at = beat
+            .config
+            .and_then(|config| now.checked_sub(Duration::from_millis(config.age_ms)));
         peer.loads.clone_from(&beat.loads);
         Heard {
             is_new: !(is_recent && is_same),
@@ -146,6 +152,25 @@
         })
     }
 
+    /// Whether an instance asks the store for its domain: the first by name of
+    /// those whose configuration was confirmed within `bound`.
+    pub(crate) fn asks_store(
+        &self,
+        own: &InstanceId,
+        domain: &DomainId,
+        now: Instant,
+        bound: Duration,
+    ) -> bool {
+        let informed = self.peers.values().filter(|peer| {
+            let is_recent = |at: Instant, kept| now.saturating_duration_since(at) < kept;
+            peer.domain.as_ref() == Some(domain)
+                && peer.heard_at.is_some_and(|at| is_recent(at, LOAD_KEPT))
+                && peer.config_at.is_some_and(|at| is_recent(at, bound))
+        });
+        let mut names = informed.filter_map(|peer| peer.instance.as_ref());
+        names.all(|name| own < name)
+    }
+
     /// Whether an instance's name is the first of those heard in a domain.
     pub(crate) fn is_first(&self, own: &InstanceId, domain: &DomainId, now: Instant) -> bool {
         let heard = self.peers.values().filter(|peer| {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -47,6 +47,11 @@
 use crate::view::ServerTable;
 use crate::view::SiteView;
 
+/// How old a configuration that peers confirm may grow before an instance asks
+/// the store itself. The one that asks confirms it every 1.2 s, and heartbeats
+/// take 0.3 s there and back; half of the bound for removed keys is left.
+const RELY_ON_PEERS: Duration = Duration::from_millis(2_400);
+
 /// What is known of a stage of a path in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StageState {
@@ -70,6 +75,8 @@
     pub(crate) events: EventLog,
     /// Raised whenever paths may have to be looked at again.
     pub(crate) fleet_changes: watch::Sender<u64>,
+    /// Raised whenever there is a newer configuration or list of servers.
+    pub(crate) versions: watch::Sender<u64>,
     /// Instances that share the site's budgets, this one included.
     pub(crate) instances: AtomicUsize,
     pub(crate) peers: Arc<Mutex<PeerTable>>,
@@ -105,6 +112,7 @@
             signs: Signs::new(),
             events,
             fleet_changes: watch::Sender::new(0),
+            versions: watch::Sender::new(0),
             instances: AtomicUsize::new(1),
             peers: Arc::new(Mutex::new(PeerTable::new())),
             peer_loads: ArcSwap::default(),
@@ -135,6 +143,23 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this instance asks the store, or hears from one that does.
+    ///
+    /// One instance a failure domain asks; the others take its word, which
+    /// heartbeats bring with its age, and ask themselves when that grows old.
+    pub(crate) fn relies_on_peers(&self) -> bool {
+        let now = Instant::now();
+        let is_informed = self.config_age().is_fresh(now, RELY_ON_PEERS)
+            && self.servers_version.load(Ordering::Relaxed) > 0;
+        is_informed
+            && !lock(&self.peers).asks_store(
+                &self.settings.instance,
+                &self.settings.domain,
+                now,
+                RELY_ON_PEERS,
+            )
+    }
+
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let view = self.view.load();
@@ -178,6 +203,7 @@
                     "routes" => routes, "accounts" => accounts);
             }
             self.note_fleet_change();
+            self.versions.send_modify(|changes| *changes += 1);
         }
         self.confirm_config(version, at);
     }
@@ -201,6 +227,7 @@
         self.signs.retain(is_known);
         self.pool.tidy(Instant::now(), is_known);
         self.note_fleet_change();
+        self.versions.send_modify(|changes| *changes += 1);
     }
 
     fn update_view(&self, update: impl Fn(&SiteView) -> SiteView) {
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -27,12 +27,14 @@
 
 /// How long a watch of the configuration waits; with the store's answer it
 /// keeps the configuration's age well within the bound for removed keys.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
 /// How long a watch of the servers waits; bounds how long a connection that
 /// died silently hides changes.
 const SERVERS_WAIT: Duration = Duration::from_secs(2);
 /// The same while entries are missing whose time is running.
 const MISSING_WAIT: Duration = Duration::from_millis(300);
+/// How often an instance that relies on peers looks whether it still may.
+const RELY_PAUSE: Duration = Duration::from_millis(150);
 /// First and longest pause after a failed call; doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
@@ -81,6 +83,10 @@
     let mut after: Option<ObjectVersion> = None;
     let mut outage = Outage::none("store: configuration");
     loop {
+        if relay.relies_on_peers() {
+            tokio::time::sleep(RELY_PAUSE).await;
+            continue;
+        }
         let asked_at = Instant::now();
         let read = match after {
             None => relay.store.config().await,
@@ -117,7 +123,7 @@
         };
         let read = tokio::select! {
             read = read_servers(&relay, after, wait) => read,
-            read = ask_peers(&relay, &mut newer_at, after) => Ok(read),
+            read = ask_peers(&relay, &mut newer_at) => Ok(read),
         };
         let now = Instant::now();
         let is_changed = match read {
@@ -126,7 +132,7 @@
                     lapses_until = Some(now + LAPSES_AFTER);
                 }
                 let may_have_lapsed = lapses_until.is_some_and(|until| now < until);
-                after = Some(read.version());
+                after = Some(read.version().max(after.unwrap_or(0)));
                 take_in(&relay, &mut directory, read, may_have_lapsed, now)
             }
             Err(StoreError::Forgotten) => {
@@ -150,11 +156,7 @@
 }
 
 /// A peer's servers, once one has newer ones.
-async fn ask_peers(
-    relay: &Relay,
-    newer_at: &mut watch::Receiver<Option<SocketAddr>>,
-    after: Option<ObjectVersion>,
-) -> Read {
+async fn ask_peers(relay: &Relay, newer_at: &mut watch::Receiver<Option<SocketAddr>>) -> Read {
     loop {
         if newer_at.changed().await.is_err() {
             // The sender lives as long as the process.
@@ -164,7 +166,7 @@
             continue;
         };
         let own = relay.servers_version.load(Ordering::Relaxed);
-        let fetched = peers::fetch_servers(peer, own.max(after.unwrap_or(0))).await;
+        let fetched = peers::fetch_servers(peer, own).await;
         if let Some((version, value)) = fetched {
             return Read::Peer(AsOf { version, value });
         }
@@ -176,6 +178,9 @@
     after: Option<ObjectVersion>,
     wait: Duration,
 ) -> Result<Read, StoreError> {
+    while relay.relies_on_peers() {
+        tokio::time::sleep(RELY_PAUSE).await;
+    }
     match after {
         None => relay.store.servers().await.map(Read::List),
         Some(after) => relay
