--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -205,7 +205,11 @@
                 }
             }
         }
-        if let LeaseAction::Write { expected, object } = self.lease.next(Instant::now()) {
+        // What isn't read while a holder is heard looks run out, and isn't.
+        let may_write = self.is_holder() || !is_heard;
+        if may_write
+            && let LeaseAction::Write { expected, object } = self.lease.next(Instant::now())
+        {
             let sent_at = Instant::now();
             match self.relay.store.write_lease(expected, &object).await {
                 Ok(version) => {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -48,9 +48,9 @@
 use crate::view::SiteView;
 
 /// How old a configuration that peers confirm may grow before an instance asks
-/// the store itself. The one that asks confirms it every 1.2 s, and heartbeats
-/// take 0.3 s there and back; half of the bound for removed keys is left.
-const RELY_ON_PEERS: Duration = Duration::from_millis(2_400);
+/// the store itself. With the one that asks it is up to 1.2 s old, and
+/// heartbeats take 0.3 s there and back; the rest is for lost ones.
+const RELY_ON_PEERS: Duration = Duration::from_secs(2);
 
 /// What is known of a stage of a path in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -25,9 +25,10 @@
 use crate::store::StoreError;
 use crate::view::ServerTable;
 
-/// How long a watch of the configuration waits; with the store's answer it
-/// keeps the configuration's age well within the bound for removed keys.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+/// How long a watch of the configuration waits. What it confirms is as old as
+/// its start, so the age goes from one wait to two; when the store goes away
+/// that much of the bound for removed keys is gone already.
+const CONFIG_WAIT: Duration = Duration::from_millis(600);
 /// How long a watch of the servers waits; bounds how long a connection that
 /// died silently hides changes.
 const SERVERS_WAIT: Duration = Duration::from_secs(2);
