--- /dev/null
+++ b/crates/rookferry_core/tests/layout.rs
@@ -0,0 +1,207 @@
+//! Which engine holds which layers: whole domains, never over memory, and
+//! nothing moved without need.
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::proptest;
+use rookferry_core::AcceleratorKind;
+use rookferry_core::LayoutEngine;
+use rookferry_core::LayoutPlanner;
+use rookferry_core::ModelShape;
+use rookferry_core::NeededPlacement;
+use rookferry_wire::LayerRange;
+use rstest::rstest;
+
+fn kind(name: &str, memory_mb: f64) -> AcceleratorKind {
+    AcceleratorKind {
+        name: name.to_owned(),
+        memory_mb,
+        step_factor: 1.0,
+        read_factor: 1.0,
+    }
+}
+
+fn model() -> ModelShape {
+    ModelShape {
+        layers: 80,
+        layer_mb: 1_750.0,
+        cache_bytes_per_token: 459_000.0,
+        step_ms: 0.85,
+        read_tokens_per_ms: 252.0,
+        usual_tokens: 926.0,
+        kinds: vec![
+            kind("large", 36_000.0),
+            kind("mid", 21_600.0),
+            kind("small", 14_400.0),
+        ],
+    }
+}
+
+fn fleet(domains: &[(&str, usize, usize, usize)]) -> Vec<LayoutEngine> {
+    let mut engines = Vec::new();
+    for (domain, large, mid, small) in domains {
+        for (kind, count) in [("large", large), ("mid", mid), ("small", small)] {
+            for number in 0..*count {
+                engines.push(LayoutEngine {
+                    engine: format!("{domain}-{kind}-{number}").into(),
+                    domain: (*domain).into(),
+                    kind: kind.to_owned(),
+                    held: None,
+                    is_busy: false,
+                });
+            }
+        }
+    }
+    engines
+}
+
+fn site() -> Vec<LayoutEngine> {
+    fleet(&[("a", 3, 3, 5), ("b", 1, 5, 8), ("c", 1, 7, 5)])
+}
+
+fn carry_out(engines: &mut [LayoutEngine], orders: &[NeededPlacement]) {
+    for order in orders {
+        let engine = engines
+            .iter_mut()
+            .find(|engine| engine.engine == order.engine);
+        engine.expect("a known engine").held = Some(order.layers);
+    }
+}
+
+fn covers(engines: &[LayoutEngine], domain: &str) -> bool {
+    (0..80).all(|layer| {
+        engines.iter().any(|engine| {
+            &*engine.domain == domain
+                && engine
+                    .held
+                    .is_some_and(|held| held.start <= layer && layer < held.end)
+        })
+    })
+}
+
+fn assert_fits(model: &ModelShape, engines: &[LayoutEngine]) {
+    for engine in engines {
+        let Some(held) = engine.held else {
+            continue;
+        };
+        assert!(held.end <= model.layers, "{engine:?}");
+        let kind = model.kind(&engine.kind).expect("a known kind");
+        assert!(
+            f64::from(held.len()) * model.layer_mb <= kind.memory_mb,
+            "{engine:?}"
+        );
+    }
+}
+
+#[test]
+fn each_domain_holds_every_layer_by_itself() {
+    let model = model();
+    let mut engines = site();
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    carry_out(&mut engines, &orders);
+    for domain in ["a", "b", "c"] {
+        assert!(covers(&engines, domain), "{domain}");
+    }
+    assert!(engines.iter().all(|engine| engine.held.is_some()));
+    assert_fits(&model, &engines);
+}
+
+#[test]
+fn a_layout_that_stands_is_left_alone() {
+    let model = model();
+    let mut engines = site();
+    let planner = LayoutPlanner::new(&model);
+    let first = planner.plan(&engines);
+    carry_out(&mut engines, &first);
+    assert_eq!(planner.plan(&engines), vec![]);
+}
+
+#[rstest]
+#[case::large("a-large-0")]
+#[case::mid("b-mid-2")]
+#[case::small("c-small-0")]
+fn a_lost_engine_costs_loads_in_its_domain_only(#[case] lost: &str) {
+    let model = model();
+    let mut engines = site();
+    let planner = LayoutPlanner::new(&model);
+    let first = planner.plan(&engines);
+    carry_out(&mut engines, &first);
+    let domain = lost.split('-').next().expect("a domain");
+    engines.retain(|engine| &*engine.engine != lost);
+    let before = engines.clone();
+    let orders = planner.plan(&engines);
+    carry_out(&mut engines, &orders);
+    assert!(covers(&engines, domain), "{orders:?}");
+    for order in &orders {
+        assert!(order.engine.starts_with(domain), "{order:?}");
+    }
+    for other in ["a", "b", "c"] {
+        assert!(covers(&before, other) || other == domain);
+    }
+}
+
+#[test]
+fn a_busy_engine_gets_no_order() {
+    let model = model();
+    let mut engines = site();
+    for engine in engines.iter_mut().step_by(3) {
+        engine.is_busy = true;
+    }
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    for order in orders {
+        let engine = engines.iter().find(|engine| engine.engine == order.engine);
+        assert!(!engine.expect("a known engine").is_busy);
+    }
+}
+
+#[test]
+fn domains_that_are_too_small_hold_the_layers_together() {
+    let model = model();
+    let mut engines = fleet(&[("a", 1, 2, 0), ("b", 0, 2, 2), ("c", 0, 1, 1)]);
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    carry_out(&mut engines, &orders);
+    let is_held = |layer: u16| {
+        engines.iter().any(|engine| {
+            engine
+                .held
+                .is_some_and(|held| held.start <= layer && layer < held.end)
+        })
+    };
+    assert!((0..80).all(is_held));
+    assert_fits(&model, &engines);
+}
+
+#[test]
+fn an_unknown_kind_gets_no_order() {
+    let mut engines = site();
+    engines[0].kind = "unheard of".to_owned();
+    let orders = LayoutPlanner::new(&model()).plan(&engines);
+    assert!(orders.iter().all(|order| order.engine != engines[0].engine));
+}
+
+proptest! {
+    /// Whatever engines hold, orders fit in memory and settle after a few rounds.
+    #[test]
+    fn whatever_stands_orders_fit_and_come_to_an_end(
+        held in vec((any::<bool>(), 0..80_u16, 1..9_u16), 37)
+    ) {
+        let model = model();
+        let planner = LayoutPlanner::new(&model);
+        let mut engines = site();
+        for (engine, (is_held, start, length)) in engines.iter_mut().zip(held) {
+            let end = (start + length).min(80);
+            engine.held = is_held.then_some(LayerRange { start, end });
+        }
+        let mut rounds = 0;
+        loop {
+            let orders = planner.plan(&engines);
+            if orders.is_empty() {
+                break;
+            }
+            carry_out(&mut engines, &orders);
+            assert_fits(&model, &engines);
+            rounds += 1;
+            assert!(rounds < 40, "orders go on and on: {orders:?}");
+        }
+    }
+}
--- a/crates/rookferry_core/tests/lease.rs
+++ b/crates/rookferry_core/tests/lease.rs
@@ -157,3 +157,36 @@
         }
     }
 }
+
+#[test]
+fn a_renewal_is_always_a_change_of_the_object() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut holder = lease("a");
+    turn(&mut holder, &mut platform, start, false);
+    let before = platform.object.clone().expect("an object");
+    turn(
+        &mut holder,
+        &mut platform,
+        start + TIMING.duration / 2,
+        false,
+    );
+    let after = platform.object.clone().expect("an object");
+    assert_ne!(before.value, after.value);
+}
+
+#[test]
+fn a_lease_that_is_given_up_is_taken_at_once_with_a_higher_fence() {
+    let start = Instant::now();
+    let mut platform = Platform::default();
+    let mut holder = lease("a");
+    let mut rival = lease("b");
+    turn(&mut holder, &mut platform, start, false);
+    turn(&mut rival, &mut platform, start, false);
+    let (expected, object) = holder.release().expect("it was held");
+    assert_eq!(holder.fence_for(start, true), None);
+    platform.put(expected, &object).expect("its version");
+    turn(&mut rival, &mut platform, start, false);
+    assert!(rival.fence_for(start, true) > Some(object.fence));
+    assert_eq!(holder.release(), None);
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/pipeline_paths.rs
@@ -0,0 +1,196 @@
+//! Paths over engines that forward themselves: every layer once, in order.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::proptest;
+use rookferry_core::PathFault;
+use rookferry_core::PathFinder;
+use rookferry_core::PathStage;
+use rookferry_core::PipelineEngine;
+use rookferry_core::PipelinePath;
+use rookferry_wire::DomainId;
+use rookferry_wire::LayerRange;
+use rstest::rstest;
+
+const LAYERS: u16 = 20;
+const TOKENS: f64 = 100.0;
+
+fn addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], u16::try_from(9_000 + index).expect("a port")))
+}
+
+fn stage(index: usize, start: u16, end: u16) -> PathStage {
+    PathStage {
+        engine: format!("e{index}").into(),
+        addr: addr(index),
+        layers: LayerRange { start, end },
+    }
+}
+
+fn engine(index: usize, domain: &str, start: u16, end: u16) -> PipelineEngine {
+    PipelineEngine {
+        engine: format!("e{index}").into(),
+        addr: addr(index),
+        domain: domain.into(),
+        held: LayerRange { start, end },
+        layer_step_ms: 0.2,
+        cache_tokens: 10_000.0,
+        used_tokens: 0.0,
+    }
+}
+
+#[rstest]
+#[case::empty(vec![], PathFault::Empty)]
+#[case::gap(vec![stage(0, 0, 10), stage(1, 11, 20)], PathFault::NotNext { stage: 1, expected: 10, found: 11 })]
+#[case::overlap(vec![stage(0, 0, 10), stage(1, 9, 20)], PathFault::NotNext { stage: 1, expected: 10, found: 9 })]
+#[case::swapped(vec![stage(0, 10, 20), stage(1, 0, 10)], PathFault::NotNext { stage: 0, expected: 0, found: 10 })]
+#[case::short(vec![stage(0, 0, 19)], PathFault::Unfinished { found: 19, layers: 20 })]
+#[case::long(vec![stage(0, 0, 21)], PathFault::Unfinished { found: 21, layers: 20 })]
+#[case::no_layer(vec![stage(0, 0, 0), stage(1, 0, 20)], PathFault::NoLayer { stage: 0 })]
+#[case::repeated(vec![stage(0, 0, 5), stage(1, 5, 10), stage(0, 10, 20)], PathFault::Repeated { engine: "e0".into() })]
+fn a_path_that_is_not_exact_cannot_be_made(
+    #[case] stages: Vec<PathStage>,
+    #[case] fault: PathFault,
+) {
+    assert_eq!(PipelinePath::new(stages, LAYERS), Err(fault));
+}
+
+#[test]
+fn a_path_may_be_as_long_as_engines_accept_and_no_longer() {
+    let stages = |count: u16| -> Vec<PathStage> {
+        (0..count)
+            .map(|index| stage(usize::from(index), index, index + 1))
+            .collect()
+    };
+    assert!(PipelinePath::new(stages(32), 32).is_ok());
+    assert_eq!(
+        PipelinePath::new(stages(33), 33),
+        Err(PathFault::TooLong { stages: 33 })
+    );
+}
+
+#[test]
+fn parts_of_ranges_join_where_ranges_overlap() {
+    let engines = [engine(0, "a", 0, 12), engine(1, "a", 8, 20)];
+    let path = PathFinder::new(LAYERS, &engines)
+        .find(&"a".into(), TOKENS)
+        .expect("a path");
+    assert_eq!(path.stages().len(), 2);
+}
+
+#[test]
+fn a_whole_path_elsewhere_goes_before_crossings() {
+    let engines = [
+        engine(0, "a", 0, 10),
+        engine(1, "b", 10, 20),
+        engine(2, "b", 0, 10),
+    ];
+    let path = PathFinder::new(LAYERS, &engines)
+        .find(&"a".into(), TOKENS)
+        .expect("a path");
+    assert_eq!(path.first().addr, addr(2), "{path:?}");
+}
+
+#[test]
+fn a_full_engine_is_passed_over_while_another_holds_the_layers() {
+    let mut engines = [engine(0, "a", 0, 20), engine(1, "a", 0, 20)];
+    engines[0].layer_step_ms = 0.01;
+    engines[0].used_tokens = engines[0].cache_tokens;
+    let path = PathFinder::new(LAYERS, &engines)
+        .find(&"a".into(), TOKENS)
+        .expect("a path");
+    assert_eq!(path.first().addr, addr(1));
+}
+
+#[test]
+fn a_repair_keeps_the_parts_that_are_not_lost() {
+    let engines = [
+        engine(0, "a", 0, 7),
+        engine(2, "a", 14, 20),
+        engine(3, "a", 6, 11),
+        engine(4, "a", 11, 15),
+    ];
+    let old = PipelinePath::new(vec![stage(0, 0, 7), stage(1, 7, 14), stage(2, 14, 20)], 20)
+        .expect("a path");
+    let new = PathFinder::new(LAYERS, &engines)
+        .repair(&old, &"a".into(), TOKENS, |stage| stage.addr == addr(1))
+        .expect("a repair");
+    let stages = new.stages();
+    assert_eq!(stages.first(), old.stages().first());
+    assert_eq!(stages.last(), old.stages().last());
+    assert_eq!(stages[1], stage(3, 7, 11));
+    assert_eq!(stages[2], stage(4, 11, 14));
+}
+
+#[test]
+fn a_lost_first_stage_cannot_be_repaired() {
+    let engines = [engine(1, "a", 0, 20)];
+    let old = PipelinePath::new(vec![stage(0, 0, 20)], 20).expect("a path");
+    let repaired = PathFinder::new(LAYERS, &engines).repair(&old, &"a".into(), TOKENS, |_| true);
+    assert_eq!(repaired, None);
+}
+
+fn fleets() -> impl Strategy<Value = Vec<PipelineEngine>> {
+    let one = (0..3_usize, 0..LAYERS, 1..=LAYERS, 0..12_000_u32);
+    vec(one, 0..14).prop_map(|parts| {
+        let engines = parts.into_iter().enumerate();
+        engines
+            .map(|(index, (domain, start, length, used))| {
+                let end = (start + length).min(LAYERS);
+                let mut engine = engine(index, ["a", "b", "c"][domain], start, end);
+                engine.used_tokens = f64::from(used);
+                engine
+            })
+            .collect()
+    })
+}
+
+fn is_covered(engines: &[PipelineEngine]) -> bool {
+    (0..LAYERS).all(|layer| {
+        engines
+            .iter()
+            .any(|engine| engine.held.start <= layer && layer < engine.held.end)
+    })
+}
+
+fn assert_held(path: &PipelinePath, engines: &[PipelineEngine]) {
+    for stage in path.stages() {
+        let engine = engines.iter().find(|engine| engine.addr == stage.addr);
+        assert!(engine.expect("a known engine").holds(stage.layers));
+    }
+}
+
+proptest! {
+    /// Paths are exact by their type; their engines hold what they run.
+    #[test]
+    fn whatever_the_fleet_a_path_runs_on_engines_that_hold_it(engines in fleets()) {
+        let home: DomainId = "a".into();
+        let path = PathFinder::new(LAYERS, &engines).find(&home, TOKENS);
+        if let Some(path) = &path {
+            assert_held(path, &engines);
+        }
+        if !is_covered(&engines) {
+            assert_eq!(path, None);
+        }
+    }
+
+    #[test]
+    fn whatever_is_lost_a_repair_uses_none_of_it(engines in fleets(), lost in vec(0..14_usize, 1..4)) {
+        let home: DomainId = "a".into();
+        let Some(old) = PathFinder::new(LAYERS, &engines).find(&home, TOKENS) else {
+            return Ok(());
+        };
+        let lost: BTreeSet<SocketAddr> = lost.into_iter().map(addr).collect();
+        let rest = engines.iter().filter(|engine| !lost.contains(&engine.addr));
+        let repaired = PathFinder::new(LAYERS, rest)
+            .repair(&old, &home, TOKENS, |stage| lost.contains(&stage.addr));
+        if let Some(new) = repaired {
+            assert!(new.stages().iter().all(|stage| !lost.contains(&stage.addr)));
+            assert_eq!(new.first(), old.first());
+            assert_held(&new, &engines);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookferry_core/tests/serving.rs
@@ -0,0 +1,221 @@
+//! Routes, keys, ages, lapses, health and repeats.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::BackendServer;
+use rookferry_core::CallerLimits;
+use rookferry_core::ConfigAge;
+use rookferry_core::Directory;
+use rookferry_core::DirectoryChange;
+use rookferry_core::Repeatability;
+use rookferry_core::RetryWindow;
+use rookferry_core::RouteTarget;
+use rookferry_core::ServerHealth;
+use rookferry_core::ServingAccount;
+use rookferry_core::ServingConfig;
+use rookferry_core::ServingIndex;
+use rookferry_core::ServingRoute;
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str) -> ServingRoute {
+    ServingRoute {
+        name: name.into(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        repeatability: Repeatability::Idempotent,
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(100),
+        gap_objective: None,
+        max_servers: 2,
+        is_public: false,
+        targets: vec![
+            RouteTarget {
+                service: "near".into(),
+                weight: 3,
+            },
+            RouteTarget {
+                service: "far".into(),
+                weight: 1,
+            },
+        ],
+    }
+}
+
+fn index() -> ServingIndex {
+    ServingIndex::new(ServingConfig {
+        version: 7,
+        routes: vec![
+            route("short", "one.example", "/a/"),
+            route("long", "one.example", "/a/b/"),
+            route("other", "two.example", "/a/"),
+        ],
+        services: Vec::new(),
+        accounts: vec![ServingAccount {
+            name: "first".into(),
+            keys: vec!["k1".to_owned(), "k2".to_owned()],
+        }],
+        limits: CallerLimits {
+            max_body_bytes: 10,
+            max_head_bytes: 10,
+            head_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    })
+}
+
+#[rstest]
+#[case::longest("one.example", "/a/b/c", Some("long"))]
+#[case::shorter("one.example", "/a/c", Some("short"))]
+#[case::within_a_word("one.example", "/a/bc", Some("short"))]
+#[case::with_a_port("ONE.example:80", "/a/", Some("short"))]
+#[case::other_host("two.example", "/a/b/", Some("other"))]
+#[case::no_prefix("one.example", "/b/", None)]
+#[case::without_the_slash("one.example", "/a", None)]
+#[case::no_host("three.example", "/a/", None)]
+fn the_longest_prefix_of_the_host_is_the_route(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let index = index();
+    let found = index.route(host, path).map(|route| &*route.name);
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_key_is_its_accounts_until_it_is_removed() {
+    let index = index();
+    assert_eq!(
+        index.account("k2").map(|account| &*account.name),
+        Some("first")
+    );
+    assert_eq!(index.account("k3"), None);
+    assert!(index.needs_keys());
+}
+
+#[test]
+fn targets_are_drawn_by_weight() {
+    let route = route("r", "h", "/");
+    let draws = (0..4).filter_map(|draw| route.target(draw));
+    let names: Vec<&str> = draws.map(|target| &*target.service).collect();
+    assert_eq!(names, ["near", "near", "near", "far"]);
+}
+
+#[test]
+fn an_age_counts_from_the_confirmation_and_versions_only_rise() {
+    let start = Instant::now();
+    let bound = Duration::from_secs(5);
+    let mut age = ConfigAge::new();
+    assert!(!age.is_fresh(start, bound));
+    age.confirm(3, start);
+    assert!(age.is_fresh(start + Duration::from_millis(4_999), bound));
+    assert!(!age.is_fresh(start + bound, bound));
+    age.confirm(2, start + bound);
+    assert!(
+        !age.is_fresh(start + bound, bound),
+        "an older version confirms nothing"
+    );
+    age.confirm(4, start);
+    assert_eq!(age.version(), 4);
+    age.confirm(4, start + bound);
+    assert!(age.is_fresh(start + bound, bound));
+}
+
+fn server(id: &str) -> BackendServer {
+    BackendServer {
+        id: id.into(),
+        service: "s".into(),
+        addr: SocketAddr::from(([10, 0, 0, 1], 80)),
+        domain: "a".into(),
+        slots: 1,
+        is_leaving: false,
+        accelerator: None,
+        held: None,
+    }
+}
+
+fn ids(directory: &Directory) -> Vec<String> {
+    directory
+        .servers()
+        .map(|server| server.id.to_string())
+        .collect()
+}
+
+#[test]
+fn entries_that_lapsed_are_kept_for_the_grace_and_no_longer() {
+    let grace = Duration::from_secs(2);
+    let start = Instant::now();
+    let mut directory = Directory::new();
+    directory.replace(vec![server("1"), server("2"), server("3")], false, start);
+    directory.replace(vec![server("1")], true, start);
+    assert_eq!(ids(&directory), ["1", "2", "3"]);
+    directory.apply(DirectoryChange::Updated(server("2")));
+    assert!(directory.expire(start + grace / 2, grace).is_empty());
+    let gone = directory.expire(start + grace, grace);
+    assert_eq!(gone.len(), 1);
+    assert_eq!(ids(&directory), ["1", "2"]);
+    assert!(!directory.has_missing());
+}
+
+#[test]
+fn a_list_without_an_outage_is_the_truth() {
+    let mut directory = Directory::new();
+    let now = Instant::now();
+    directory.replace(vec![server("1"), server("2")], false, now);
+    directory.replace(vec![server("2")], false, now);
+    assert_eq!(ids(&directory), ["2"]);
+    directory.apply(DirectoryChange::Removed("2".into()));
+    assert!(ids(&directory).is_empty());
+}
+
+#[test]
+fn a_silent_server_is_out_until_it_answers_and_a_failing_one_is_avoided() {
+    let addr = server("1").addr;
+    let start = Instant::now();
+    let mut health = ServerHealth::new();
+    assert!(health.lost(addr, start));
+    assert!(!health.lost(addr, start), "no news the second time");
+    assert!(health.is_out(addr));
+    health.succeeded(addr, start);
+    assert!(!health.is_out(addr));
+    for _ in 0..8 {
+        health.failed(addr, start);
+    }
+    let at_once = health.failing_share(addr, start);
+    let later = health.failing_share(addr, start + Duration::from_secs(6));
+    assert!(at_once > 0.8, "{at_once}");
+    assert!(later < at_once / 4.0, "{later}");
+}
+
+#[test]
+fn a_server_that_turned_a_request_away_is_full_for_a_moment() {
+    let addr = server("1").addr;
+    let start = Instant::now();
+    let mut health = ServerHealth::new();
+    health.turned_away(addr, start);
+    assert!(health.is_full(addr, start));
+    assert!(!health.is_full(addr, start + Duration::from_secs(1)));
+}
+
+#[test]
+fn repeats_of_all_instances_together_stay_within_the_sites_budget() {
+    let instances = 9;
+    let start = Instant::now();
+    let window = Duration::from_secs(10);
+    let mut windows = vec![RetryWindow::new(window, 0.2, 200.0); instances];
+    let mut repeats = 0;
+    for step in 0..1_000_u32 {
+        let now = start + Duration::from_millis(u64::from(step));
+        for retries in &mut windows {
+            retries.note_fresh(now);
+            repeats += u32::from(retries.take(now, instances));
+        }
+    }
+    let fresh = 9_000.0;
+    assert!(f64::from(repeats) <= 0.2 * fresh + 200.0, "{repeats}");
+    assert!(repeats > 1_000, "{repeats}");
+    let later = start + window * 2;
+    assert!(windows[0].take(later, instances), "the window slides");
+}
