--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -19,6 +19,8 @@
 use rookferry_net::Server;
 use rookferry_net::endpoint;
 use rookferry_net::text_response;
+use serde::Deserialize;
+use serde::Serialize;
 use slog::Logger;
 use slog::info;
 use snafu::ResultExt;
@@ -48,6 +50,8 @@
 const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(3_200);
 /// The same, if nothing is under way.
 const QUIET_BEFORE_END: Duration = Duration::from_millis(2_600);
+/// Ports that are tried where the system chooses one.
+const MAX_PORT_TRIES: u32 = 20;
 /// How often dropped log lines are told.
 const TELL_DROPPED_EVERY: Duration = Duration::from_secs(5);
 
@@ -67,7 +71,7 @@
 }
 
 /// Where an instance listens, with the ports that the system chose.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct NodeAddrs {
     /// For callers.
     pub callers: SocketAddr,
@@ -75,6 +79,8 @@
     pub readiness: SocketAddr,
     /// For its figures.
     pub metrics: SocketAddr,
+    /// For other instances, by UDP and TCP.
+    pub peers: SocketAddr,
 }
 
 /// A running instance.
@@ -115,11 +121,13 @@
         let callers = bind(listen.callers, limits, "callers").await?;
         let readiness = bind(listen.readiness, limits, "readiness").await?;
         let figures = bind(listen.metrics, limits, "metrics").await?;
+        let (socket, listener, peers) = bind_peers(listen.peers).await?;
         let addr = |server: &Server, asked| server.local_addr().unwrap_or(asked);
         let addrs = NodeAddrs {
             callers: addr(&callers, listen.callers),
             readiness: addr(&readiness, listen.readiness),
             metrics: addr(&figures, listen.metrics),
+            peers,
         };
         let connections = callers.connections().clone();
         let handler = endpoint(&relay, callers.connections(), front::handle);
@@ -134,14 +142,6 @@
         let handler = endpoint(&app, figures.connections(), tell_figures);
         tokio::spawn(figures.serve(handler, std::future::pending()));
         let incarnation = incarnation();
-        let socket = UdpSocket::bind(listen.peers).await.context(ListenSnafu {
-            addr: listen.peers,
-            purpose: "peers",
-        })?;
-        let listener = TcpListener::bind(listen.peers).await.context(ListenSnafu {
-            addr: listen.peers,
-            purpose: "peers",
-        })?;
         tokio::spawn(Heartbeats::new(relay.clone(), socket, incarnation).run());
         tokio::spawn(answer_peers(relay.clone(), listener));
         tokio::spawn(sync::keep_config(relay.clone()));
@@ -209,6 +209,25 @@
         .context(ListenSnafu { addr, purpose })
 }
 
+/// Binds the same port for datagrams and connections; port 0 lets the system
+/// choose one that is free for both.
+async fn bind_peers(addr: SocketAddr) -> Result<(UdpSocket, TcpListener, SocketAddr), StartError> {
+    let context = || ListenSnafu {
+        addr,
+        purpose: "peers",
+    };
+    let mut tries = 0;
+    loop {
+        let listener = TcpListener::bind(addr).await.with_context(|_| context())?;
+        let bound = listener.local_addr().with_context(|_| context())?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((socket, listener, bound)),
+            Err(_) if addr.port() == 0 && tries < MAX_PORT_TRIES => tries += 1,
+            Err(source) => return Err(source).with_context(|_| context()),
+        }
+    }
+}
+
 async fn tell_ready(relay: Arc<Relay>, _inbound: Inbound) -> Response<Body> {
     if relay.is_ready() {
         return text_response(StatusCode::OK, "ready\n".to_owned());
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -184,6 +184,10 @@
         let Ok(beat) = postcard::from_bytes::<Heartbeat>(bytes) else {
             return;
         };
+        // Members tell this instance's own address too.
+        if beat.instance == self.relay.settings.instance && beat.incarnation == self.incarnation {
+            return;
+        }
         let now = Instant::now();
         let heard = {
             let mut table = lock(&self.table);
