fix(sync): a peer's list is taken also where the store refuses at once

Cause: the fetch from a peer ran beside the call to the store and was dropped when that failed first; an instance that never reached the store never became ready.

--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -7,8 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rookferry_core::BackendServer;
-use rookferry_wire::ObjectVersion;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::AsyncReadExt;
@@ -19,6 +17,7 @@
 use super::message::PeerAnswer;
 use super::message::PeerRequest;
 use crate::relay::Relay;
+use crate::store::AsOf;
 
 /// How long a question may take, the connect included.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -80,14 +79,15 @@
     }
 }
 
-/// A peer's backend servers, if they are newer.
-pub(crate) async fn fetch_servers(
-    from: SocketAddr,
-    newer_than: ObjectVersion,
-) -> Option<(ObjectVersion, Vec<BackendServer>)> {
-    match ask(from, PeerRequest::Servers { newer_than }).await {
-        Some(PeerAnswer::Servers { version, servers }) => Some((version, servers)),
-        _ => None,
+/// Hands a peer's backend servers on if they are newer.
+pub(crate) async fn fetch_servers(relay: &Relay, from: SocketAddr) {
+    let newer_than = relay.servers_version.load(Ordering::Relaxed);
+    let asked = ask(from, PeerRequest::Servers { newer_than }).await;
+    if let Some(PeerAnswer::Servers { version, servers }) = asked {
+        let value = servers;
+        relay
+            .peer_servers
+            .send_replace(Some(AsOf { version, value }));
     }
 }
 
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -222,7 +222,7 @@
                 tokio::time::sleep(OWN_WATCH_FIRST).await;
             }
             if relay.servers_version.load(Ordering::Relaxed) < version {
-                relay.newer_servers_at.send_replace(Some(from));
+                exchange::fetch_servers(&relay, from).await;
             }
         });
     }
--- a/crates/rookferry_relay/src/peers/mod.rs
+++ b/crates/rookferry_relay/src/peers/mod.rs
@@ -11,6 +11,5 @@
 mod table;
 
 pub(crate) use exchange::answer_peers;
-pub(crate) use exchange::fetch_servers;
 pub(crate) use heartbeat::Heartbeats;
 pub(crate) use table::PeerTable;
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -42,6 +42,7 @@
 use crate::protocol::ServerProtocol;
 use crate::settings::RelaySettings;
 use crate::signs::Signs;
+use crate::store::AsOf;
 use crate::store::SiteStore;
 use crate::upstream::Upstream;
 use crate::view::ServerTable;
@@ -84,8 +85,8 @@
     pub(crate) peer_loads: ArcSwap<BTreeMap<SocketAddr, ServerLoad>>,
     /// The store's version that the servers are from.
     pub(crate) servers_version: AtomicU64,
-    /// A peer that has newer servers than this instance.
-    pub(crate) newer_servers_at: watch::Sender<Option<SocketAddr>>,
+    /// The newest list of servers that a peer gave.
+    pub(crate) peer_servers: watch::Sender<Option<AsOf<Vec<BackendServer>>>>,
     /// Whether this instance orders engines.
     pub(crate) holds_lease: AtomicBool,
     leaving: AtomicBool,
@@ -117,7 +118,7 @@
             peers: Arc::new(Mutex::new(PeerTable::new())),
             peer_loads: ArcSwap::default(),
             servers_version: AtomicU64::new(0),
-            newer_servers_at: watch::Sender::new(None),
+            peer_servers: watch::Sender::new(None),
             holds_lease: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::new(None),
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -3,7 +3,6 @@
 //! A watch that ends without news confirms what is known, as of when it was
 //! sent. So watches are short: they bound the age of a configuration.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,7 +18,6 @@
 use tokio::sync::watch;
 
 use crate::event_log::Weight;
-use crate::peers;
 use crate::relay::Relay;
 use crate::store::AsOf;
 use crate::store::StoreError;
@@ -115,7 +113,7 @@
     let mut outage = Outage::none("store: servers");
     let mut directory = Directory::new();
     let mut lapses_until: Option<Instant> = None;
-    let mut newer_at = relay.newer_servers_at.subscribe();
+    let mut from_peers = relay.peer_servers.subscribe();
     loop {
         let wait = if directory.has_missing() {
             MISSING_WAIT
@@ -123,8 +121,10 @@
             SERVERS_WAIT
         };
         let read = tokio::select! {
+            // A store that refuses at once must not keep peers' lists out.
+            biased;
+            read = next_list(&relay, &mut from_peers) => Ok(read),
             read = read_servers(&relay, after, wait) => read,
-            read = ask_peers(&relay, &mut newer_at) => Ok(read),
         };
         let now = Instant::now();
         let is_changed = match read {
@@ -156,20 +156,21 @@
     }
 }
 
-/// A peer's servers, once one has newer ones.
-async fn ask_peers(relay: &Relay, newer_at: &mut watch::Receiver<Option<SocketAddr>>) -> Read {
+/// The next newer list that a peer gives. Nothing is lost when this is
+/// dropped while it waits.
+async fn next_list(
+    relay: &Relay,
+    from_peers: &mut watch::Receiver<Option<AsOf<Vec<BackendServer>>>>,
+) -> Read {
     loop {
-        if newer_at.changed().await.is_err() {
+        if from_peers.changed().await.is_err() {
             // The sender lives as long as the process.
             std::future::pending::<()>().await;
         }
-        let Some(peer) = *newer_at.borrow_and_update() else {
-            continue;
-        };
+        let list = from_peers.borrow_and_update().clone();
         let own = relay.servers_version.load(Ordering::Relaxed);
-        let fetched = peers::fetch_servers(peer, own).await;
-        if let Some((version, value)) = fetched {
-            return Read::Peer(AsOf { version, value });
+        if let Some(list) = list.filter(|list| list.version > own) {
+            return Read::Peer(list);
         }
     }
 }
