fix(stream): an engine that left between choice and sending isn't asked

The engine's state is now looked at right before its first open, and the test waits until all earlier requests are on engines.

--- a/crates/rookferry_entry/src/runner.rs
+++ b/crates/rookferry_entry/src/runner.rs
@@ -9,6 +9,7 @@
 use futures_util::future::join_all;
 use rookferry_core::AbandonReason;
 use rookferry_core::ChainRequest;
+use rookferry_core::EngineState;
 use rookferry_core::Stage;
 use rookferry_core::StageEvent;
 use rookferry_core::StreamAction;
@@ -63,6 +64,8 @@
     lost: Vec<EngineId>,
     replace_pause: Duration,
     used: Vec<EngineId>,
+    /// Engines that hold the stream; others get it only while they stay.
+    opened: Vec<EngineId>,
     chains: Vec<Vec<EngineId>>,
 }
 
@@ -91,6 +94,7 @@
             replace_pause: MIN_REPLACE_PAUSE,
             chains: vec![used.clone()],
             used,
+            opened: Vec::new(),
         }
     }
 
@@ -133,7 +137,9 @@
                     StreamAction::Abandon { reason } => return Err(StreamEnd::Abandoned(reason)),
                 }
             }
-            events.extend(self.open_all(opens).await);
+            let answers = self.open_all(opens).await;
+            self.note_opened(&answers);
+            events.extend(answers);
             actions = Vec::new();
             for event in events {
                 actions.extend(self.driver.on_event(event));
@@ -204,6 +210,12 @@
         let Some(addr) = self.addr(&engine) else {
             return StageEvent::Lost { engine, attempt };
         };
+        // The choice may be older than the word that the engine leaves.
+        if !self.opened.contains(&engine) && self.is_leaving(&engine) {
+            info!(self.entry.log, "stream: an engine left before it was asked";
+                "part" => "stream", "engine" => %engine);
+            return StageEvent::Lost { engine, attempt };
+        }
         let wait = self.step_timeout(&engine, 1);
         match self.entry.engines.open(addr, request, wait).await {
             Ok(AttemptAnswer::Opened { kept }) => StageEvent::Opened {
@@ -224,6 +236,20 @@
         }
     }
 
+    fn note_opened(&mut self, answers: &[StageEvent]) {
+        for answer in answers {
+            if let StageEvent::Opened { engine, .. } = answer {
+                self.opened.push(engine.clone());
+            }
+        }
+    }
+
+    fn is_leaving(&self, engine: &str) -> bool {
+        let snapshot = self.entry.snapshot.load();
+        let known = snapshot.fleet.engine(engine);
+        known.is_some_and(|engine| engine.state == EngineState::Leaving)
+    }
+
     /// Looks for other engines until there are some or the time is over.
     async fn replace(&mut self, layers: LayerRange, lost: EngineId) -> StageEvent {
         self.slots.remove(&lost);
--- a/crates/rookferry_entry/tests/leaving.rs
+++ b/crates/rookferry_entry/tests/leaving.rs
@@ -51,6 +51,13 @@
     ledger.expect("its ledger").streams.len()
 }
 
+/// Streams that are or were on any first stage.
+async fn first_stages(site: &TestSite) -> usize {
+    let ledgers = site.ledgers().await;
+    let first = ledgers.iter().filter(|ledger| ledger.layers.start == 0);
+    first.map(|ledger| ledger.streams.len()).sum()
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_engine_gets_no_new_work_and_keeps_its_streams(
@@ -71,8 +78,10 @@
             )
         }));
     }
-    eventually("the engine has streams", async || {
-        streams(&site, "s1-1").await > 0
+    // All of them: one that is chosen before the word and sent after it would
+    // count as new work below.
+    eventually("all requests are on engines", async || {
+        first_stages(&site).await >= running.len() && streams(&site, "s1-1").await > 0
     })
     .await;
     say(&site, word, "s1-1").await;
