feat(ctl): a request's timeline from logs alone

One id in; the request's lines, and the same instances' lines about the servers on its way and about their own dependencies, in order of time.

--- a/crates/rookferry_ctl/src/args.rs
+++ b/crates/rookferry_ctl/src/args.rs
@@ -52,6 +52,17 @@
         /// The request's id, from its `Rookferry-Request-Id` header.
         request_id: String,
     },
+    /// Puts a request's timeline together from logs of instances.
+    Trace {
+        /// How long before the request lines about its surroundings count.
+        #[arg(long, default_value_t = 3_000)]
+        window_ms: u64,
+        /// The request's id.
+        request_id: String,
+        /// Log files; `-` is standard input.
+        #[arg(default_value = "-")]
+        files: Vec<PathBuf>,
+    },
     /// Reads an account's key from standard input and prints its digest.
     Digest,
 }
--- a/crates/rookferry_ctl/src/main.rs
+++ b/crates/rookferry_ctl/src/main.rs
@@ -7,6 +7,7 @@
 mod error;
 mod explain;
 mod status;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -67,6 +68,11 @@
         }
         Command::Status { entry } => status::show(&client, entry).await,
         Command::Explain { entry, request_id } => explain::show(&client, entry, &request_id).await,
+        Command::Trace {
+            window_ms,
+            request_id,
+            files,
+        } => trace::show(&files, &request_id, window_ms),
         Command::Digest => {
             println!("{}", error::digest_of_stdin()?);
             Ok(())
