feat(stream): another run when nothing comes; slow engines are passed over

Cause: requests that hang while their engines answer probes waited for the caller's two seconds (inc-b262, first events at 2.1 s for 99 in 100), and left no log line.

--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -44,6 +44,16 @@
 const FIRST_EVENT_AFTER: Duration = Duration::from_millis(220);
 /// Time until a stream that goes on standing still is looked at again; doubles.
 const STALL_AGAIN: Duration = Duration::from_millis(150);
+/// How long a stream may stand still without a lost stage before another run
+/// is worth its price; clients wait for two seconds.
+const HUNG_AFTER: Duration = Duration::from_millis(500);
+/// The same before the first event: it leaves a third of the usual objective
+/// of 500 ms to the other run.
+const FIRST_EVENT_HUNG_AFTER: Duration = Duration::from_millis(350);
+/// A stall after which all engines of the path are asked how slow they are.
+const SLOW_AFTER: Duration = Duration::from_millis(200);
+/// Least age of a report that is asked for again.
+const REPORT_AGAIN: Duration = Duration::from_millis(500);
 /// How long the order to move a request may take.
 const REPATH_TIMEOUT: Duration = Duration::from_millis(250);
 /// Paths tried for one repair.
@@ -66,10 +76,22 @@
     /// cut off by events that come.
     must_check: bool,
     may_cross: bool,
+    progress: Progress,
     signs: Vec<Sign>,
     load: LoadGuard,
 }
 
+/// How far the current run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// No event has come.
+    Waiting,
+    /// Events come.
+    Running,
+    /// It stands still, and that was told.
+    Hung,
+}
+
 /// What became of a look at the path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Watched {
@@ -77,6 +99,8 @@
     Fine,
     /// The first engine is lost, and the run with it.
     FirstLost,
+    /// Nothing is lost, and still nothing has come for long.
+    Hung,
     /// A lost stage could only be replaced in another failure domain. The
     /// link there would carry all the request's tokens again, which takes
     /// longer than another run within one domain.
@@ -117,6 +141,7 @@
             repairs: 0,
             must_check: false,
             may_cross: false,
+            progress: Progress::Waiting,
         }
     }
 
@@ -142,6 +167,7 @@
         self.stalled_since = now;
         self.look_at = now + STALL_AFTER;
         self.look_pause = STALL_AGAIN;
+        self.progress = Progress::Running;
         for sign in &self.signs {
             sign.note(now);
         }
@@ -159,16 +185,35 @@
         }
         let watched = self.repair().await;
         self.must_check = false;
+        if watched == Watched::Fine && self.is_hung() {
+            self.progress = Progress::Hung;
+            return Watched::Hung;
+        }
         watched
     }
 
+    /// Whether it has stood still for too long; said once a pause.
+    fn is_hung(&self) -> bool {
+        let bound = match self.progress {
+            Progress::Waiting => FIRST_EVENT_HUNG_AFTER,
+            Progress::Running => HUNG_AFTER,
+            Progress::Hung => return false,
+        };
+        self.stalled_since.elapsed() >= bound
+    }
+
     /// The stream stands still: asks every engine of the path for a sign.
     async fn look(&mut self) {
         let stalled = self.stalled_since.elapsed();
         let now = Instant::now();
         let silent = self.path.stages().iter().zip(&self.signs);
+        let signs = &self.relay.signs;
+        let is_asked = |addr: SocketAddr, sign: &Sign| {
+            let is_slow = stalled >= SLOW_AFTER && signs.report_age(addr, now) >= REPORT_AGAIN;
+            is_slow || sign.age(now) >= SILENT_AFTER
+        };
         let probes = silent
-            .filter(|(_, sign)| sign.age(now) >= SILENT_AFTER)
+            .filter(|(stage, sign)| is_asked(stage.addr, sign))
             .map(|(stage, _)| {
                 let upstream = self.relay.upstream(stage.addr, &self.service);
                 probe::check(&self.relay, upstream)
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -34,8 +34,12 @@
     let call = relay.protocol.report_call();
     let request = engine_request(upstream.addr, &call);
     match relay.pool.call(upstream, request, PROBE_TIMEOUT).await {
-        Ok(_) => {
-            relay.signs.of(upstream.addr).note(Instant::now());
+        Ok(answer) => {
+            let now = Instant::now();
+            relay.signs.of(upstream.addr).note(now);
+            let report = relay.protocol.read_report(&answer.body);
+            let slowdown = report.map_or(1.0, |report| report.slowdown);
+            relay.signs.note_slowdown(upstream.addr, slowdown, now);
             true
         }
         Err(error) => {
--- a/crates/rookferry_relay/src/protocol.rs
+++ b/crates/rookferry_relay/src/protocol.rs
@@ -62,6 +62,8 @@
     pub sequence: u64,
     /// The layers it holds, ready to run.
     pub held: Option<LayerRange>,
+    /// How many times as long as published its steps take.
+    pub slowdown: f64,
     /// Requests that stand still, and the engines that they wait for.
     pub stalled: Vec<StalledRequest>,
 }
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -309,7 +309,7 @@
             .of(&service.name)
             .filter(|server| !server.is_leaving && !health.is_out(server.addr));
         let engines = usable.filter_map(|server| {
-            let mut engine = self.pipeline_engine(server, model)?;
+            let mut engine = self.pipeline_engine(server, model, now)?;
             if health.is_full(server.addr, now) {
                 engine.used_tokens = engine.cache_tokens;
             }
@@ -322,6 +322,7 @@
         &self,
         server: &BackendServer,
         model: &ModelShape,
+        now: Instant,
     ) -> Option<PipelineEngine> {
         let held = server.held.filter(|held| !held.is_empty())?;
         let kind = server
@@ -333,7 +334,7 @@
             addr: server.addr,
             domain: server.domain.clone(),
             held,
-            layer_step_ms: model.layer_step_ms(kind),
+            layer_step_ms: model.layer_step_ms(kind) * self.signs.slowdown(server.addr, now),
             cache_tokens: kind.map_or(0.0, |kind| model.cache_tokens(kind, held.len())),
             used_tokens: self.load_of(server.addr).tokens,
         })
--- a/crates/rookferry_relay/src/signs.rs
+++ b/crates/rookferry_relay/src/signs.rs
@@ -23,11 +23,15 @@
     at_ms: Arc<AtomicU64>,
 }
 
+/// How long a reported slowdown counts.
+const SLOWDOWN_KEPT: Duration = Duration::from_secs(3);
+
 /// The signs of all servers.
 #[derive(Debug)]
 pub(crate) struct Signs {
     epoch: Instant,
     by_addr: Mutex<HashMap<SocketAddr, Sign>>,
+    slowdowns: Mutex<HashMap<SocketAddr, (f64, Instant)>>,
 }
 
 impl Signs {
@@ -35,6 +39,7 @@
         Self {
             epoch: Instant::now(),
             by_addr: Mutex::default(),
+            slowdowns: Mutex::default(),
         }
     }
 
@@ -48,9 +53,30 @@
         sign.clone()
     }
 
+    /// An engine reported how slow it is.
+    pub(crate) fn note_slowdown(&self, addr: SocketAddr, slowdown: f64, now: Instant) {
+        lock(&self.slowdowns).insert(addr, (slowdown, now));
+    }
+
+    /// How many times as long as published an engine's steps take.
+    pub(crate) fn slowdown(&self, addr: SocketAddr, now: Instant) -> f64 {
+        let slowdowns = lock(&self.slowdowns);
+        let known = slowdowns.get(&addr);
+        let recent = known.filter(|(_, at)| now.saturating_duration_since(*at) < SLOWDOWN_KEPT);
+        recent.map_or(1.0, |(slowdown, _)| slowdown.max(1.0))
+    }
+
+    /// How long ago an engine last reported.
+    pub(crate) fn report_age(&self, addr: SocketAddr, now: Instant) -> Duration {
+        let slowdowns = lock(&self.slowdowns);
+        let reported = slowdowns.get(&addr);
+        reported.map_or(Duration::MAX, |(_, at)| now.saturating_duration_since(*at))
+    }
+
     /// Forgets servers that `is_known` doesn't know.
     pub(crate) fn retain(&self, is_known: impl Fn(SocketAddr) -> bool) {
         lock(&self.by_addr).retain(|addr, _| is_known(*addr));
+        lock(&self.slowdowns).retain(|addr, _| is_known(*addr));
     }
 }
 
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -105,9 +105,12 @@
         avoided: Vec::new(),
         runs: 0,
         arrived: 0,
+        is_paid: false,
     };
-    let resumed_after = request.head.last_event;
-    match opener.open(resumed_after).await {
+    let waiting = Waiting::new(relay, &request);
+    let first_run = opener.open(request.head.last_event).await;
+    waiting.end();
+    match first_run {
         Ok((answer, keeper)) => {
             let (avoided, runs) = (std::mem::take(&mut opener.avoided), opener.runs);
             respond(
@@ -118,6 +121,40 @@
     }
 }
 
+/// Notes a caller that leaves before its stream has begun.
+struct Waiting {
+    relay: Arc<Relay>,
+    request: Arc<CallerRequest>,
+    is_over: bool,
+}
+
+impl Waiting {
+    fn new(relay: &Arc<Relay>, request: &Arc<CallerRequest>) -> Self {
+        Self {
+            relay: relay.clone(),
+            request: request.clone(),
+            is_over: false,
+        }
+    }
+
+    fn end(mut self) {
+        self.is_over = true;
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            warn!(log, "stream: the caller left before the first event"; "event" => "caller_left",
+                "request" => &self.request.attempt,
+                "waited_ms" => millis(self.request.received_at.elapsed()));
+        }
+    }
+}
+
 #[expect(clippy::too_many_arguments, reason = "the parts of one new stream")]
 fn respond(
     relay: &Arc<Relay>,
@@ -167,6 +204,8 @@
     avoided: Vec<SocketAddr>,
     runs: u32,
     arrived: usize,
+    /// Whether the next try is taken out of the budget already.
+    is_paid: bool,
 }
 
 impl Opener<'_> {
@@ -180,10 +219,11 @@
             if self.request.time_left() < MIN_TIME_LEFT {
                 break;
             }
-            if self.arrived > 0 && !self.relay.take_retry(&self.request.service) {
+            let is_paid = std::mem::take(&mut self.is_paid);
+            if self.arrived > 0 && !is_paid && !self.relay.take_retry(&self.request.service) {
                 break;
             }
-            let Some(path) = self.choose() else {
+            let Some(path) = self.choose(&[]) else {
                 break;
             };
             let first = path.first().addr;
@@ -247,20 +287,29 @@
         Err(Served::Refused(refusal))
     }
 
+    /// Whether another run could begin at another engine; takes it out of the
+    /// budget.
+    fn can_start_elsewhere(&self, first: SocketAddr) -> bool {
+        let may_repeat = self.request.route.repeatability.may_repeat();
+        let may_run = may_repeat && self.request.route.max_servers > 1;
+        may_run && self.choose(&[first]).is_some() && self.relay.take_retry(&self.request.service)
+    }
+
     /// The best path over engines that may be used, without avoided ones.
-    fn choose(&self) -> Option<PipelinePath> {
+    fn choose(&self, also_avoided: &[SocketAddr]) -> Option<PipelinePath> {
         let view = self.relay.view.load();
         let table = view.servers.as_ref()?;
         let engines = self.relay.pipeline_engines(table, self.service, self.model);
         let usable = engines
             .iter()
-            .filter(|engine| !self.avoided.contains(&engine.addr));
+            .filter(|engine| !self.avoided.contains(&engine.addr))
+            .filter(|engine| !also_avoided.contains(&engine.addr));
         let finder = PathFinder::new(self.model.layers, usable);
         finder.find(&self.relay.settings.domain, self.request.tokens())
     }
 
     /// Sends the request along a path and waits for the answer's head.
-    async fn send(&self, keeper: &mut PathKeeper, after: Option<u64>) -> Opened {
+    async fn send(&mut self, keeper: &mut PathKeeper, after: Option<u64>) -> Opened {
         let relay = self.relay;
         let request = self.request;
         let names = relay.protocol.names();
@@ -297,6 +346,13 @@
                     let message = match watched {
                         Watched::Fine => continue,
                         Watched::FirstLost => "the first engine is lost",
+                        Watched::Hung if self.runs > 0 || !self.can_start_elsewhere(first.addr) => {
+                            continue;
+                        }
+                        Watched::Hung => {
+                            self.is_paid = true;
+                            "no event came, and nothing is lost"
+                        }
                         Watched::Costly if self.runs > 0 => {
                             keeper.accept_crossings();
                             continue;
@@ -438,7 +494,7 @@
             watched = self.keeper.watch() => match watched {
                 Watched::Fine => Step::Nothing,
                 Watched::FirstLost => Step::Broken("the first engine is lost".to_owned()),
-                Watched::Costly => Step::Costly,
+                Watched::Costly | Watched::Hung => Step::Costly,
             }
         }
     }
@@ -508,6 +564,7 @@
             avoided: std::mem::take(&mut self.avoided),
             runs: self.runs,
             arrived: 1,
+            is_paid: false,
         };
         let another = opener.open(after).await;
         self.avoided = std::mem::take(&mut opener.avoided);
