fix(relay): the own limit of connections is no loss of a server; budgets after a restart

An engine's connections go for the most part to its own domain's instances; in the first three seconds the budget counts 64 instances.

--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -228,12 +228,16 @@
     }
 
     fn count_members(&self, now: Instant) {
-        let members = lock(&self.table).members(now).len();
-        // Budgets shrink at once and grow back only with a restart: a member
-        // that is cut off still spends its part.
-        self.relay
-            .instances
-            .fetch_max(members + 1, Ordering::Relaxed);
+        // All that are told of, also those not heard yet. Budgets shrink at
+        // once and grow back only with a restart: a member that is cut off
+        // still spends its part.
+        let (known, near) = {
+            let table = lock(&self.table);
+            (table.known(), table.near(&self.relay.settings.domain))
+        };
+        let relay = &self.relay;
+        relay.instances.fetch_max(known + 1, Ordering::Relaxed);
+        relay.near_instances.fetch_max(near + 1, Ordering::Relaxed);
         let loads = lock(&self.table).loads(now);
         self.relay.peer_loads.store(Arc::new(loads));
     }
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -125,6 +125,19 @@
             .collect()
     }
 
+    /// How many addresses are known.
+    pub(crate) fn known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// How many of them are in a domain, as far as heard.
+    pub(crate) fn near(&self, domain: &DomainId) -> usize {
+        let peers = self.peers.values();
+        peers
+            .filter(|peer| peer.domain.as_ref() == Some(domain))
+            .count()
+    }
+
     /// Members heard lately.
     pub(crate) fn members(&self, now: Instant) -> Vec<SocketAddr> {
         let heard = self.peers.iter().filter(|(_, peer)| {
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -93,6 +93,9 @@
                 }
                 break;
             }
+            Tried::Failed(error) if error.is_own_limit() => {
+                note_failed(relay, &request, server, &error.to_string());
+            }
             Tried::Failed(error) if error.is_unsent() => {
                 note_failed(relay, &request, server, &error.to_string());
                 relay.server_lost(server.addr, &error.to_string());
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -42,6 +42,7 @@
             relay.signs.note_slowdown(upstream.addr, slowdown, now);
             true
         }
+        Err(error) if error.is_own_limit() => true,
         Err(error) => {
             relay.server_lost(upstream.addr, &error.to_string());
             false
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -48,6 +48,17 @@
 use crate::view::ServerTable;
 use crate::view::SiteView;
 
+/// The part of a server's connections that instances of its own failure
+/// domain share; the others share the rest.
+const NEAR_CONNECTIONS: f64 = 0.7;
+/// Connections that an instance may open to a server at the least.
+const MIN_CONNECTIONS: usize = 2;
+/// Time from the start in which an instance doesn't know how many others there
+/// are: heartbeats from other domains take up to a second or two.
+const COUNTING_INSTANCES: Duration = Duration::from_secs(3);
+/// Instances that the retry budget is shared by meanwhile; the larger sites of
+/// today have about as many.
+const ASSUMED_INSTANCES: usize = 64;
 /// How old a configuration that peers confirm may grow before an instance asks
 /// the store itself. With the one that asks it is up to 1.2 s old, and
 /// heartbeats take 0.3 s there and back; the rest is for lost ones.
@@ -80,6 +91,8 @@
     pub(crate) versions: watch::Sender<u64>,
     /// Instances that share the site's budgets, this one included.
     pub(crate) instances: AtomicUsize,
+    /// Those of them in the same failure domain.
+    pub(crate) near_instances: AtomicUsize,
     pub(crate) peers: Arc<Mutex<PeerTable>>,
     /// What other instances have under way at each server.
     pub(crate) peer_loads: ArcSwap<BTreeMap<SocketAddr, ServerLoad>>,
@@ -89,6 +102,7 @@
     pub(crate) peer_servers: watch::Sender<Option<AsOf<Vec<BackendServer>>>>,
     /// Whether this instance orders engines.
     pub(crate) holds_lease: AtomicBool,
+    started_at: Instant,
     leaving: AtomicBool,
     leaving_since: Mutex<Option<Instant>>,
     config_age: Mutex<ConfigAge>,
@@ -115,11 +129,13 @@
             fleet_changes: watch::Sender::new(0),
             versions: watch::Sender::new(0),
             instances: AtomicUsize::new(1),
+            near_instances: AtomicUsize::new(1),
             peers: Arc::new(Mutex::new(PeerTable::new())),
             peer_loads: ArcSwap::default(),
             servers_version: AtomicU64::new(0),
             peer_servers: watch::Sender::new(None),
             holds_lease: AtomicBool::new(false),
+            started_at: Instant::now(),
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::new(None),
             config_age: Mutex::new(ConfigAge::new()),
@@ -279,7 +295,12 @@
 
     /// Takes one repeat out of the budget.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
-        let instances = self.instances.load(Ordering::Relaxed);
+        let heard = self.instances.load(Ordering::Relaxed);
+        let instances = if self.started_at.elapsed() < COUNTING_INSTANCES {
+            heard.max(ASSUMED_INSTANCES)
+        } else {
+            heard
+        };
         self.with_retries(service, |window| window.take(Instant::now(), instances))
     }
 
@@ -381,17 +402,36 @@
             .count()
     }
 
-    /// A server with this instance's part of its connections.
+    /// A server with this instance's part of its connections. Most requests
+    /// stay in their failure domain, so its instances have the larger part.
     pub(crate) fn upstream(&self, addr: SocketAddr, service: &ServingService) -> Upstream {
-        let instances = self.instances.load(Ordering::Relaxed).max(1);
-        let limit = usize::try_from(service.max_connections).unwrap_or(usize::MAX);
+        let limit = f64::from(service.max_connections);
+        let view = self.view.load();
+        let server = view.servers.as_ref().and_then(|table| table.at(addr));
+        let is_near = server.is_some_and(|server| server.domain == self.settings.domain);
+        let near = self.near_instances.load(Ordering::Relaxed).max(1);
+        let all = self.instances.load(Ordering::Relaxed).max(near);
+        let part = if is_near {
+            limit * NEAR_CONNECTIONS / near as f64
+        } else {
+            limit * (1.0 - NEAR_CONNECTIONS) / all.saturating_sub(near).max(1) as f64
+        };
         Upstream {
             addr,
-            max_connections: (limit / instances).max(1),
+            max_connections: whole(part).max(MIN_CONNECTIONS),
         }
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast of a float saturates, and the part isn't below 0"
+)]
+const fn whole(part: f64) -> usize {
+    part as usize
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -260,6 +260,11 @@
                     }
                     break;
                 }
+                Opened::Failed(error) if error.is_own_limit() => {
+                    self.note_failed(&keeper, &error.to_string());
+                    self.relay.health().turned_away(first, Instant::now());
+                    self.avoided.push(first);
+                }
                 Opened::Failed(error) if error.is_unsent() => {
                     self.note_failed(&keeper, &error.to_string());
                     self.relay.server_lost(first, &error.to_string());
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -41,6 +41,17 @@
 }
 
 impl UpstreamError {
+    /// Whether this instance's part of the server's connections is in use; it
+    /// says nothing about the server.
+    pub(crate) const fn is_own_limit(&self) -> bool {
+        matches!(
+            self,
+            Self::NotConnected {
+                source: ConnectError::Full { .. }
+            }
+        )
+    }
+
     /// Whether no byte of the request has left.
     pub(crate) const fn is_unsent(&self) -> bool {
         matches!(self, Self::NotConnected { .. } | Self::Withdrawn)
