--- a/crates/rookferry_core/src/config/read.rs
+++ b/crates/rookferry_core/src/config/read.rs
@@ -18,7 +18,7 @@
         faults.push(
             path.to_string(),
             "unknown key",
-            "remove it, or check its spelling against docs/OPERATING.md",
+            "remove it, or check its spelling against docs/OPERATIONS.md",
         );
     });
     let value = match parsed {
@@ -27,7 +27,7 @@
             faults.push(
                 track.path().to_string(),
                 error.to_string(),
-                "give a value of the type that docs/OPERATING.md names",
+                "give a value of the type that docs/OPERATIONS.md names",
             );
             return Err(faults);
         }
--- a/crates/rookferry_net/src/endpoint.rs
+++ b/crates/rookferry_net/src/endpoint.rs
@@ -135,7 +135,7 @@
             title: "no such path or method".to_owned(),
             status: status.as_u16(),
             detail:
-                "the path or method is not served here; see docs/OPERATING.md for those that are"
+                "the path or method is not served here; see docs/OPERATIONS.md for those that are"
                     .to_owned(),
             reason: ReasonCode::NotFound,
             outcome: Outcome::NotRun,
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -119,7 +119,8 @@
             let mut table = lock(&self.table);
             let lost = table.expire(now);
             // A seed that was down may be back, or be another one by now.
-            for seed in &self.relay.settings.seeds {
+            let seeds = self.relay.settings.seeds.iter();
+            for seed in seeds.filter(|seed| **seed != own) {
                 table.learn(*seed, now);
             }
             (table.addresses(&self.relay.settings.domain), lost)
@@ -191,7 +192,8 @@
         let now = Instant::now();
         let heard = {
             let mut table = lock(&self.table);
-            for member in &beat.members {
+            let own = self.relay.settings.listen.peers;
+            for member in beat.members.iter().filter(|member| **member != own) {
                 table.learn(*member, now);
             }
             table.heard(from, &beat, now)
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -63,7 +63,7 @@
         if request.time_left() < MIN_TIME_LEFT {
             break;
         }
-        if arrived > 0 && !relay.take_retry(&request.service) {
+        if arrived > 0 && !relay.take_retry(&request) {
             break;
         }
         let Some(server) = choose(relay, table, service, &avoided) else {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -40,6 +40,7 @@
 use crate::peers::PeerTable;
 use crate::pool::UpstreamPool;
 use crate::protocol::ServerProtocol;
+use crate::request::CallerRequest;
 use crate::settings::RelaySettings;
 use crate::signs::Signs;
 use crate::store::AsOf;
@@ -293,15 +294,21 @@
         self.with_retries(service, |window| window.note_fresh(Instant::now()));
     }
 
-    /// Takes one repeat out of the budget.
-    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
+    /// Takes one repeat of a request out of the budget.
+    pub(crate) fn take_retry(&self, request: &CallerRequest) -> bool {
+        let service = &request.service;
         let heard = self.instances.load(Ordering::Relaxed);
         let instances = if self.started_at.elapsed() < COUNTING_INSTANCES {
             heard.max(ASSUMED_INSTANCES)
         } else {
             heard
         };
-        self.with_retries(service, |window| window.take(Instant::now(), instances))
+        let is_taken = self.with_retries(service, |window| window.take(Instant::now(), instances));
+        if !is_taken && let Some(log) = self.events.line(Weight::Notable) {
+            warn!(log, "retry: the budget has none left"; "event" => "retry_denied",
+                "request" => &request.attempt, "service" => &**service, "instances" => instances);
+        }
+        is_taken
     }
 
     fn with_retries<T>(&self, service: &ServiceId, run: impl FnOnce(&mut RetryWindow) -> T) -> T {
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -220,10 +220,11 @@
                 break;
             }
             let is_paid = std::mem::take(&mut self.is_paid);
-            if self.arrived > 0 && !is_paid && !self.relay.take_retry(&self.request.service) {
+            if self.arrived > 0 && !is_paid && !self.relay.take_retry(self.request) {
                 break;
             }
             let Some(path) = self.choose(&[]) else {
+                self.note_failed("", "no engines cover the layers");
                 break;
             };
             let first = path.first().addr;
@@ -237,7 +238,7 @@
                         self.relay.server_answered(first);
                         return Ok((answer, keeper));
                     }
-                    self.note_failed(&keeper, answer.status.as_str());
+                    self.note_failed(&keeper.describe(), answer.status.as_str());
                     self.relay.health().failed(first, Instant::now());
                     let is_final = !(answer.status.is_server_error() && may_repeat)
                         || self.runs >= self.request.route.max_servers.max(1);
@@ -249,7 +250,7 @@
                 Opened::NotRun { at_fault } => {
                     self.arrived += 1;
                     let named = at_fault.map_or_else(String::new, |addr| format!(": {addr}"));
-                    self.note_failed(&keeper, &format!("not run{named}"));
+                    self.note_failed(&keeper.describe(), &format!("not run{named}"));
                     let refusing = at_fault.unwrap_or(first);
                     self.relay.health().turned_away(refusing, Instant::now());
                     self.avoided.push(refusing);
@@ -261,19 +262,19 @@
                     break;
                 }
                 Opened::Failed(error) if error.is_own_limit() => {
-                    self.note_failed(&keeper, &error.to_string());
+                    self.note_failed(&keeper.describe(), &error.to_string());
                     self.relay.health().turned_away(first, Instant::now());
                     self.avoided.push(first);
                 }
                 Opened::Failed(error) if error.is_unsent() => {
-                    self.note_failed(&keeper, &error.to_string());
+                    self.note_failed(&keeper.describe(), &error.to_string());
                     self.relay.server_lost(first, &error.to_string());
                     self.avoided.push(first);
                 }
                 Opened::Failed(error) => {
                     self.arrived += 1;
                     self.runs += 1;
-                    self.note_failed(&keeper, &error.to_string());
+                    self.note_failed(&keeper.describe(), &error.to_string());
                     self.relay.health().failed(first, Instant::now());
                     self.avoided.push(first);
                     if !may_repeat || self.runs >= self.request.route.max_servers.max(1) {
@@ -297,7 +298,7 @@
     fn can_start_elsewhere(&self, first: SocketAddr) -> bool {
         let may_repeat = self.request.route.repeatability.may_repeat();
         let may_run = may_repeat && self.request.route.max_servers > 1;
-        may_run && self.choose(&[first]).is_some() && self.relay.take_retry(&self.request.service)
+        may_run && self.choose(&[first]).is_some() && self.relay.take_retry(self.request)
     }
 
     /// The best path over engines that may be used, without avoided ones.
@@ -413,10 +414,11 @@
         Served::Answer(response)
     }
 
-    fn note_failed(&self, keeper: &PathKeeper, cause: &str) {
+    fn note_failed(&self, path: &str, cause: &str) {
         if let Some(log) = self.relay.events.line(Weight::Notable) {
+            let avoided: Vec<String> = self.avoided.iter().map(ToString::to_string).collect();
             warn!(log, "stream: a try failed"; "event" => "attempt_failed",
-                "request" => &self.request.attempt, "path" => keeper.describe(),
+                "request" => &self.request.attempt, "path" => path, "avoided" => avoided.join(","),
                 "cause" => cause, "left_ms" => millis(self.request.time_left()));
         }
     }
