--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -174,6 +174,7 @@
             servers_version: self.relay.servers_version.load(Ordering::Relaxed),
             is_serving: !self.relay.is_leaving(),
             holds_lease: self.relay.holds_lease.load(Ordering::Relaxed),
+            holder_age_ms: lock(&self.table).holder_age(now).map(millis),
             loads: loads
                 .map(|(addr, load)| load_entry(addr, load.requests, load.tokens))
                 .collect(),
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -28,6 +28,8 @@
     pub(crate) is_serving: bool,
     /// Whether the sender holds the lease for orders to engines.
     pub(crate) holds_lease: bool,
+    /// How long ago the sender heard, itself or by others, of the holder.
+    pub(crate) holder_age_ms: Option<u64>,
     /// What is under way at servers by the sender's requests.
     pub(crate) loads: Vec<LoadEntry>,
     /// Other members that the sender hears.
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -34,7 +34,6 @@
     known_since: Instant,
     /// The peer's clock as last received, and when.
     clock: Option<(u64, Instant)>,
-    holds_lease: bool,
     /// When the peer's configuration was known to be the newest, by its word.
     config_at: Option<Instant>,
     loads: Vec<LoadEntry>,
@@ -51,6 +50,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerTable {
     peers: BTreeMap<SocketAddr, Peer>,
+    /// When the holder of the lease was last known to live.
+    holder_at: Option<Instant>,
 }
 
 impl PeerTable {
@@ -67,7 +68,6 @@
             heard_at: None,
             known_since: now,
             clock: None,
-            holds_lease: false,
             config_at: None,
             loads: Vec::new(),
         });
@@ -88,11 +88,17 @@
         peer.incarnation = beat.incarnation;
         peer.heard_at = Some(now);
         peer.clock = Some((beat.sent_ms, now));
-        peer.holds_lease = beat.holds_lease;
         peer.config_at = beat
             .config
             .and_then(|config| now.checked_sub(Duration::from_millis(config.age_ms)));
         peer.loads.clone_from(&beat.loads);
+        let holder_at = match (beat.holds_lease, beat.holder_age_ms) {
+            (true, _) => Some(now),
+            (false, age_ms) => {
+                age_ms.and_then(|age_ms| now.checked_sub(Duration::from_millis(age_ms)))
+            }
+        };
+        self.holder_at = self.holder_at.max(holder_at);
         Heard {
             is_new: !(is_recent && is_same),
         }
@@ -157,12 +163,14 @@
         })
     }
 
-    /// Whether a member that holds the lease was heard lately.
+    /// How long ago the holder of the lease was known to live.
+    pub(crate) fn holder_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.holder_at?))
+    }
+
+    /// Whether a member that holds the lease was heard of lately.
     pub(crate) fn hears_holder(&self, now: Instant) -> bool {
-        self.peers.values().any(|peer| {
-            let heard_at = peer.heard_at.filter(|_| peer.holds_lease);
-            heard_at.is_some_and(|at| now.saturating_duration_since(at) < HOLDER_KEPT)
-        })
+        self.holder_age(now).is_some_and(|age| age < HOLDER_KEPT)
     }
 
     /// Whether an instance asks the store for its domain: the first by name of
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -206,7 +206,7 @@
             }
         }
         // What isn't read while a holder is heard looks run out, and isn't.
-        let may_write = self.is_holder() || !is_heard;
+        let may_write = self.is_holder() || (is_due && !is_heard);
         if may_write
             && let LeaseAction::Write { expected, object } = self.lease.next(Instant::now())
         {
