--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -16,6 +16,7 @@
 use super::exchange;
 use super::message::ConfigState;
 use super::message::Heartbeat;
+use super::message::HolderSeen;
 use super::message::LoadEntry;
 use super::table::PeerTable;
 use crate::event_log::Weight;
@@ -173,8 +174,7 @@
             config,
             servers_version: self.relay.servers_version.load(Ordering::Relaxed),
             is_serving: !self.relay.is_leaving(),
-            holds_lease: self.relay.holds_lease.load(Ordering::Relaxed),
-            holder_age_ms: lock(&self.table).holder_age(now).map(millis),
+            holder: self.holder(now),
             loads: loads
                 .map(|(addr, load)| load_entry(addr, load.requests, load.tokens))
                 .collect(),
@@ -182,14 +182,28 @@
         }
     }
 
+    /// The holder of the lease: this instance, or the one last heard of.
+    fn holder(&self, now: Instant) -> Option<HolderSeen> {
+        if self.relay.holds_lease.load(Ordering::Relaxed) {
+            return Some(HolderSeen {
+                instance: self.relay.settings.instance.clone(),
+                age_ms: 0,
+            });
+        }
+        lock(&self.table).holder(now)
+    }
+
     fn take(&self, bytes: &[u8], from: SocketAddr) {
-        let Ok(beat) = postcard::from_bytes::<Heartbeat>(bytes) else {
+        let Ok(mut beat) = postcard::from_bytes::<Heartbeat>(bytes) else {
             return;
         };
         // Members tell this instance's own address too.
         if beat.instance == self.relay.settings.instance && beat.incarnation == self.incarnation {
             return;
         }
+        // Its own word comes back by the others.
+        let own = &self.relay.settings.instance;
+        beat.holder = beat.holder.filter(|holder| holder.instance != *own);
         let now = Instant::now();
         let heard = {
             let mut table = lock(&self.table);
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -26,16 +26,22 @@
     pub(crate) servers_version: ObjectVersion,
     /// Whether the sender takes new requests.
     pub(crate) is_serving: bool,
-    /// Whether the sender holds the lease for orders to engines.
-    pub(crate) holds_lease: bool,
-    /// How long ago the sender heard, itself or by others, of the holder.
-    pub(crate) holder_age_ms: Option<u64>,
+    /// The holder that the sender heard of, itself or by others.
+    pub(crate) holder: Option<HolderSeen>,
     /// What is under way at servers by the sender's requests.
     pub(crate) loads: Vec<LoadEntry>,
     /// Other members that the sender hears.
     pub(crate) members: Vec<SocketAddr>,
 }
 
+/// A holder of the lease for orders to engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HolderSeen {
+    pub(crate) instance: InstanceId,
+    /// How long ago it was known to hold the lease.
+    pub(crate) age_ms: u64,
+}
+
 /// A receiver's clock, sent back with the time that it was held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Echo {
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -11,6 +11,7 @@
 
 use super::message::Echo;
 use super::message::Heartbeat;
+use super::message::HolderSeen;
 use super::message::LoadEntry;
 use crate::load::ServerLoad;
 
@@ -50,8 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerTable {
     peers: BTreeMap<SocketAddr, Peer>,
-    /// When the holder of the lease was last known to live.
-    holder_at: Option<Instant>,
+    /// The holder of the lease and when it was last known to hold it.
+    holder: Option<(InstanceId, Instant)>,
 }
 
 impl PeerTable {
@@ -92,13 +93,9 @@
             .config
             .and_then(|config| now.checked_sub(Duration::from_millis(config.age_ms)));
         peer.loads.clone_from(&beat.loads);
-        let holder_at = match (beat.holds_lease, beat.holder_age_ms) {
-            (true, _) => Some(now),
-            (false, age_ms) => {
-                age_ms.and_then(|age_ms| now.checked_sub(Duration::from_millis(age_ms)))
-            }
-        };
-        self.holder_at = self.holder_at.max(holder_at);
+        if let Some(holder) = &beat.holder {
+            self.note_holder(holder, now);
+        }
         Heard {
             is_new: !(is_recent && is_same),
         }
@@ -163,14 +160,33 @@
         })
     }
 
-    /// How long ago the holder of the lease was known to live.
-    pub(crate) fn holder_age(&self, now: Instant) -> Option<Duration> {
-        Some(now.saturating_duration_since(self.holder_at?))
+    fn note_holder(&mut self, holder: &HolderSeen, now: Instant) {
+        let Some(at) = now.checked_sub(Duration::from_millis(holder.age_ms)) else {
+            return;
+        };
+        if self
+            .holder
+            .as_ref()
+            .is_none_or(|(_, known_at)| *known_at < at)
+        {
+            self.holder = Some((holder.instance.clone(), at));
+        }
+    }
+
+    /// The holder of the lease that was last heard of.
+    pub(crate) fn holder(&self, now: Instant) -> Option<HolderSeen> {
+        let (instance, at) = self.holder.as_ref()?;
+        let age = now.saturating_duration_since(*at);
+        Some(HolderSeen {
+            instance: instance.clone(),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        })
     }
 
-    /// Whether a member that holds the lease was heard of lately.
+    /// Whether another member that holds the lease was heard of lately.
     pub(crate) fn hears_holder(&self, now: Instant) -> bool {
-        self.holder_age(now).is_some_and(|age| age < HOLDER_KEPT)
+        let holder_at = self.holder.as_ref().map(|(_, at)| *at);
+        holder_at.is_some_and(|at| now.saturating_duration_since(at) < HOLDER_KEPT)
     }
 
     /// Whether an instance asks the store for its domain: the first by name of
