--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod front;
 mod load;
 mod node;
+mod opener;
 mod path_keeper;
 mod peers;
 mod placement;
--- /dev/null
+++ b/crates/rookferry_relay/src/opener.rs
@@ -0,0 +1,342 @@
+//! Opens runs of one stream: chooses paths, sends along them, and judges what
+//! comes back until an engine answers or nothing is left to try.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gotham::helpers::http::Body;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use rookferry_core::BackendServer;
+use rookferry_core::ModelShape;
+use rookferry_core::PathFinder;
+use rookferry_core::PipelinePath;
+use rookferry_core::ServingService;
+use slog::warn;
+
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::front::Served;
+use crate::front::note_served;
+use crate::path_keeper::PathKeeper;
+use crate::path_keeper::Watched;
+use crate::plain::may_send;
+use crate::plain::may_send_again;
+use crate::refusal::Refusal;
+use crate::relay::Relay;
+use crate::request::CallerRequest;
+use crate::request::end_to_end;
+use crate::upstream::UpstreamAnswer;
+use crate::upstream::UpstreamError;
+
+/// How often one request may be turned away, or find its engine unreachable.
+const MAX_UNRUN_TRIES: usize = 4;
+/// The least time left in which sending makes sense.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
+
+/// A stream's request, and the engines that it is for.
+#[derive(Clone)]
+pub(crate) struct StreamTarget {
+    pub(crate) relay: Arc<Relay>,
+    pub(crate) request: Arc<CallerRequest>,
+    pub(crate) service: ServingService,
+    pub(crate) model: Arc<ModelShape>,
+}
+
+/// What one try to open a stream came to.
+enum Opened {
+    /// The engine answers; a success is a stream that runs.
+    Answer(Box<UpstreamAnswer>),
+    NotRun {
+        at_fault: Option<SocketAddr>,
+    },
+    Failed(UpstreamError),
+    TimeOver,
+}
+
+/// Opens runs of one request.
+pub(crate) struct Opener<'a> {
+    target: &'a StreamTarget,
+    /// Servers that no further try may begin at.
+    pub(crate) avoided: Vec<SocketAddr>,
+    /// Runs that the request has had.
+    pub(crate) runs: u32,
+    /// Tries that have reached an engine.
+    arrived: usize,
+    /// Whether the next try is taken out of the budget already.
+    is_paid: bool,
+}
+
+impl<'a> Opener<'a> {
+    /// For the first run of a request.
+    pub(crate) const fn first(target: &'a StreamTarget) -> Self {
+        Self {
+            target,
+            avoided: Vec::new(),
+            runs: 0,
+            arrived: 0,
+            is_paid: false,
+        }
+    }
+
+    /// For a run after others.
+    pub(crate) const fn again(
+        target: &'a StreamTarget,
+        avoided: Vec<SocketAddr>,
+        runs: u32,
+    ) -> Self {
+        Self {
+            target,
+            avoided,
+            runs,
+            arrived: 1,
+            is_paid: false,
+        }
+    }
+
+    /// Tries paths until an engine answers.
+    pub(crate) async fn open(
+        &mut self,
+        after: Option<u64>,
+    ) -> Result<(Box<UpstreamAnswer>, PathKeeper), Served> {
+        let may_repeat = self.target.request.route.repeatability.may_repeat();
+        for _ in 0..MAX_UNRUN_TRIES {
+            if self.target.request.time_left() < MIN_TIME_LEFT {
+                break;
+            }
+            let is_paid = std::mem::take(&mut self.is_paid);
+            if self.arrived > 0 && !is_paid && !self.target.relay.take_retry(&self.target.request) {
+                break;
+            }
+            let Some(path) = self.choose(&[]) else {
+                self.note_failed("", "no engines cover the layers");
+                break;
+            };
+            let first = path.first().addr;
+            let mut keeper = PathKeeper::new(self.target, path);
+            match self.send(&mut keeper, after).await {
+                Opened::Answer(answer) => {
+                    self.arrived += 1;
+                    self.runs += 1;
+                    if answer.status.is_success() {
+                        self.target.relay.server_answered(first);
+                        return Ok((answer, keeper));
+                    }
+                    self.note_failed(&keeper.describe(), answer.status.as_str());
+                    self.target.relay.health().failed(first, Instant::now());
+                    let is_final = !(answer.status.is_server_error() && may_repeat)
+                        || self.runs >= self.target.request.route.max_servers.max(1);
+                    if is_final {
+                        return Err(self.pass_failure(*answer, first).await);
+                    }
+                    self.avoided.push(first);
+                }
+                Opened::NotRun { at_fault } => {
+                    self.arrived += 1;
+                    let named = at_fault.map_or_else(String::new, |addr| format!(": {addr}"));
+                    self.note_failed(&keeper.describe(), &format!("not run{named}"));
+                    let refusing = at_fault.unwrap_or(first);
+                    self.target
+                        .relay
+                        .health()
+                        .turned_away(refusing, Instant::now());
+                    self.avoided.push(refusing);
+                }
+                Opened::Failed(UpstreamError::Withdrawn) => {
+                    if self.arrived == 0 {
+                        return Err(Served::Withdrawn);
+                    }
+                    break;
+                }
+                Opened::Failed(error) if error.is_own_limit() => {
+                    self.note_failed(&keeper.describe(), &error.to_string());
+                    self.target
+                        .relay
+                        .health()
+                        .turned_away(first, Instant::now());
+                    self.avoided.push(first);
+                }
+                Opened::Failed(error) if error.is_unsent() => {
+                    self.note_failed(&keeper.describe(), &error.to_string());
+                    self.target.relay.server_lost(first, &error.to_string());
+                    self.avoided.push(first);
+                }
+                Opened::Failed(error) => {
+                    self.arrived += 1;
+                    self.runs += 1;
+                    self.note_failed(&keeper.describe(), &error.to_string());
+                    self.target.relay.health().failed(first, Instant::now());
+                    self.avoided.push(first);
+                    if !may_repeat || self.runs >= self.target.request.route.max_servers.max(1) {
+                        break;
+                    }
+                }
+                Opened::TimeOver => return Err(Served::Refused(Refusal::TimeOver)),
+            }
+        }
+        let refusal = match (
+            self.runs > 0,
+            self.target.request.time_left() < MIN_TIME_LEFT,
+        ) {
+            (true, true) => Refusal::TimeOver,
+            (true, false) => Refusal::Unknown,
+            (false, true) => Refusal::TimeOverNotRun,
+            (false, false) => Refusal::NoServer,
+        };
+        Err(Served::Refused(refusal))
+    }
+
+    /// Whether another run could begin at another engine; takes it out of the
+    /// budget.
+    fn can_start_elsewhere(&self, first: SocketAddr) -> bool {
+        let may_repeat = self.target.request.route.repeatability.may_repeat();
+        let may_run = may_repeat && self.target.request.route.max_servers > 1;
+        may_run
+            && self.choose(&[first]).is_some()
+            && self.target.relay.take_retry(&self.target.request)
+    }
+
+    /// The best path over engines that may be used, without avoided ones.
+    fn choose(&self, also_avoided: &[SocketAddr]) -> Option<PipelinePath> {
+        let view = self.target.relay.view.load();
+        let table = view.servers.as_ref()?;
+        let engines =
+            self.target
+                .relay
+                .pipeline_engines(table, &self.target.service, &self.target.model);
+        let usable = engines
+            .iter()
+            .filter(|engine| !self.avoided.contains(&engine.addr))
+            .filter(|engine| !also_avoided.contains(&engine.addr));
+        let finder = PathFinder::new(self.target.model.layers, usable);
+        finder.find(
+            &self.target.relay.settings.domain,
+            self.target.request.tokens(),
+        )
+    }
+
+    /// Sends the request along a path and waits for the answer's head.
+    async fn send(&mut self, keeper: &mut PathKeeper, after: Option<u64>) -> Opened {
+        let relay = &self.target.relay;
+        let request = &self.target.request;
+        let names = relay.protocol.names();
+        let first = keeper.path().first().clone();
+        let path = (names.path.clone(), relay.protocol.path_value(keeper.path()));
+        let resume = after.map(|id| (names.last_event.clone(), HeaderValue::from(id)));
+        let extra = std::iter::once(path).chain(resume);
+        let outbound = request.to_server(names, &first.engine, extra);
+        let server = {
+            let view = relay.view.load();
+            let table = view.servers.as_ref();
+            table.and_then(|table| table.at(first.addr)).cloned()
+        };
+        let Some(server) = server else {
+            return Opened::Failed(UpstreamError::Withdrawn);
+        };
+        let upstream = relay.upstream(first.addr, &self.target.service);
+        let has_run = self.runs > 0;
+        let may_send = || {
+            if has_run {
+                may_send_again(relay, &server)
+            } else {
+                may_send(relay, request, &server)
+            }
+        };
+        let sending = relay.pool.send(upstream, outbound, may_send);
+        tokio::pin!(sending);
+        let deadline = tokio::time::Instant::from_std(request.deadline);
+        let sent = loop {
+            tokio::select! {
+                sent = &mut sending => break sent,
+                () = tokio::time::sleep_until(deadline) => return Opened::TimeOver,
+                watched = keeper.watch() => {
+                    let message = match watched {
+                        Watched::Fine => continue,
+                        Watched::FirstLost => "the first engine is lost",
+                        Watched::Hung if self.runs > 0 || !self.can_start_elsewhere(first.addr) => {
+                            continue;
+                        }
+                        Watched::Hung => {
+                            self.is_paid = true;
+                            "no event came, and nothing is lost"
+                        }
+                        Watched::Costly if self.runs > 0 => {
+                            keeper.accept_crossings();
+                            continue;
+                        }
+                        Watched::Costly => "a stage is lost that nothing near stands in for",
+                    };
+                    break Err(UpstreamError::Lost {
+                        addr: first.addr,
+                        message: message.to_owned(),
+                    });
+                }
+            }
+        };
+        match sent {
+            Ok(answer) => self.opened(answer, &server).await,
+            Err(error) => Opened::Failed(error),
+        }
+    }
+
+    async fn opened(&self, answer: UpstreamAnswer, server: &BackendServer) -> Opened {
+        let names = self.target.relay.protocol.names();
+        if !answer.is_for(names, &self.target.request.attempt) {
+            return Opened::Failed(UpstreamError::Crossed { addr: server.addr });
+        }
+        if answer.is_not_run(names) {
+            let at_fault = faulty_server(&answer.headers, &names.faulty_server);
+            // Read to its end so that the connection can be kept.
+            let _ = tokio::time::timeout(MIN_TIME_LEFT, answer.collect(server.addr)).await;
+            return Opened::NotRun { at_fault };
+        }
+        let is_unsigned = !answer.headers.contains_key(&names.signature);
+        if answer.status.is_success() && is_unsigned {
+            return Opened::Failed(UpstreamError::Lost {
+                addr: server.addr,
+                message: "a success without the engine's signature".to_owned(),
+            });
+        }
+        Opened::Answer(Box::new(answer))
+    }
+
+    /// Passes an engine's own failure on.
+    async fn pass_failure(&self, answer: UpstreamAnswer, addr: SocketAddr) -> Served {
+        let whole =
+            tokio::time::timeout(self.target.request.time_left(), answer.collect(addr)).await;
+        let Ok(Ok(whole)) = whole else {
+            return Served::Refused(Refusal::Unknown);
+        };
+        note_served(
+            &self.target.relay,
+            &self.target.request,
+            whole.status.as_u16(),
+            "engine",
+        );
+        let body = Full::new(whole.body).map_err(|never| match never {});
+        let mut response: Response<Body> = Response::new(UnsyncBoxBody::new(body));
+        *response.status_mut() = whole.status;
+        *response.headers_mut() = end_to_end(&whole.headers);
+        response.headers_mut().remove(http::header::CONTENT_LENGTH);
+        Served::Answer(response)
+    }
+
+    fn note_failed(&self, path: &str, cause: &str) {
+        if let Some(log) = self.target.relay.events.line(Weight::Notable) {
+            let avoided: Vec<String> = self.avoided.iter().map(ToString::to_string).collect();
+            warn!(log, "stream: a try failed"; "event" => "attempt_failed",
+                "request" => &self.target.request.attempt, "path" => path, "avoided" => avoided.join(","),
+                "cause" => cause, "left_ms" => millis(self.target.request.time_left()));
+        }
+    }
+}
+
+fn faulty_server(headers: &HeaderMap, name: &http::HeaderName) -> Option<SocketAddr> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -27,6 +27,7 @@
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::load::LoadGuard;
+use crate::opener::StreamTarget;
 use crate::probe;
 use crate::relay::Relay;
 use crate::relay::StageState;
@@ -117,13 +118,13 @@
 }
 
 impl PathKeeper {
-    pub(crate) fn new(
-        relay: &Arc<Relay>,
-        request: &Arc<CallerRequest>,
-        service: &ServingService,
-        model: &Arc<ModelShape>,
-        path: PipelinePath,
-    ) -> Self {
+    pub(crate) fn new(target: &StreamTarget, path: PipelinePath) -> Self {
+        let StreamTarget {
+            relay,
+            request,
+            service,
+            model,
+        } = target;
         let now = Instant::now();
         Self {
             load: enter(relay, request, &path),
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -183,10 +183,15 @@
         })
     }
 
+    /// When another member was last known to hold the lease.
+    pub(crate) fn holder_at(&self) -> Option<Instant> {
+        self.holder.as_ref().map(|(_, at)| *at)
+    }
+
     /// Whether another member that holds the lease was heard of lately.
     pub(crate) fn hears_holder(&self, now: Instant) -> bool {
-        let holder_at = self.holder.as_ref().map(|(_, at)| *at);
-        holder_at.is_some_and(|at| now.saturating_duration_since(at) < HOLDER_KEPT)
+        self.holder_at()
+            .is_some_and(|at| now.saturating_duration_since(at) < HOLDER_KEPT)
     }
 
     /// Whether an instance asks the store for its domain: the first by name of
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -46,8 +46,8 @@
 /// The same while it hears one; covers a holder that has lost the lease to
 /// another without knowing.
 const QUIET_READS: Duration = Duration::from_secs(15);
-/// How long the store must be away before an instance orders engines of its
-/// own domain without a lease; longer than the lease and a heartbeat.
+/// How long no holder must have been heard before an instance orders engines
+/// of its own domain without a lease: longer than another takes to get it.
 const DEPUTY_AFTER: Duration = Duration::from_millis(3_500);
 /// Longest time between two plans; a change of the fleet brings one forward.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
@@ -81,7 +81,7 @@
 enum Scope {
     /// None.
     Nothing,
-    /// Those of its own failure domain, which is cut off without a holder.
+    /// Those of its own failure domain, while there is no holder.
     Domain,
     /// All.
     Site,
@@ -104,6 +104,7 @@
     was_holder: bool,
     /// Since when the store hasn't answered about the lease.
     away_since: Option<Instant>,
+    started_at: Instant,
     ordered: BTreeMap<EngineId, Ordered>,
     /// How the engines of a service began to show.
     arrivals: BTreeMap<ServiceId, Arrivals>,
@@ -122,6 +123,7 @@
             was_held: false,
             was_holder: false,
             away_since: None,
+            started_at: Instant::now(),
             ordered: BTreeMap::new(),
             arrivals: BTreeMap::new(),
         }
@@ -154,20 +156,19 @@
             return Scope::Site;
         }
         let now = Instant::now();
-        let Some(away_for) = self.away_since.map(|since| since.elapsed()) else {
-            return Scope::Nothing;
-        };
         let peers = lock(&self.relay.peers);
         if peers.hears_holder(now) {
             return Scope::Nothing;
         }
         // While the store is away nobody can take the lease over, and orders
         // of two would meet the engines' own count of orders.
-        if self.was_holder {
+        if self.was_holder && self.away_since.is_some() {
             return Scope::Site;
         }
         let own = &self.relay.settings;
-        let is_deputy = away_for >= DEPUTY_AFTER && peers.is_first(&own.instance, &own.domain, now);
+        let heard_at = peers.holder_at().unwrap_or(self.started_at);
+        let is_deputy = now.saturating_duration_since(heard_at) >= DEPUTY_AFTER
+            && peers.is_first(&own.instance, &own.domain, now);
         if is_deputy {
             Scope::Domain
         } else {
