fix(stream): a stream that may run once isn't given up for a repair across domains

Cause: found by reading. Before its first event such a stream was told as unknown, though its run could go on over a crossing.

--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener.rs
@@ -241,6 +241,7 @@
         };
         let upstream = relay.upstream(first.addr, &self.target.service);
         let has_run = self.runs > 0;
+        let may_repeat = request.route.repeatability.may_repeat();
         let may_send = || {
             if has_run {
                 may_send_again(relay, &server)
@@ -266,7 +267,8 @@
                             self.is_paid = true;
                             "no event came, and nothing is lost"
                         }
-                        Watched::Costly if self.runs > 0 => {
+                        // One that may run once stays with the run it has.
+                        Watched::Costly if self.runs > 0 || !may_repeat => {
                             keeper.accept_crossings();
                             continue;
                         }
