--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod counted_store;
 mod event_log;
 mod events;
 mod front;
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -11,6 +12,7 @@
 use http::Response;
 use http::StatusCode;
 use metrics::gauge;
+use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rookferry_net::ConnectionLimits;
@@ -29,6 +31,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::counted_store::CountedStore;
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
@@ -50,6 +53,11 @@
 const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(3_200);
 /// The same, if nothing is under way.
 const QUIET_BEFORE_END: Duration = Duration::from_millis(2_600);
+/// Upper ends of the buckets of latency histograms, in seconds: around the
+/// objectives of 0.1 to 0.5 s and pauses of 0.2 s, and up to route times.
+const LATENCY_BUCKETS_S: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
+];
 /// Ports that are tried where the system chooses one.
 const MAX_PORT_TRIES: u32 = 20;
 /// How often dropped log lines are told.
@@ -94,6 +102,8 @@
 struct Figures {
     relay: Arc<Relay>,
     handle: PrometheusHandle,
+    callers: ConnectionTable,
+    started_at: Instant,
 }
 
 impl Node {
@@ -115,6 +125,8 @@
                 "version" => env!("CARGO_PKG_VERSION"), "domain" => &*settings.domain,
                 "callers" => %listen.callers);
         }
+        let handle = install_recorder();
+        let store = Arc::new(CountedStore::new(store));
         let relay = Arc::new(Relay::new(settings, protocol, store, events));
         let stop = Arc::new(Notify::new());
         let limits = ConnectionLimits::default();
@@ -137,7 +149,9 @@
         tokio::spawn(readiness.serve(handler, std::future::pending()));
         let app = Arc::new(Figures {
             relay: relay.clone(),
-            handle: install_recorder(),
+            handle,
+            callers: connections.clone(),
+            started_at: Instant::now(),
         });
         let handler = endpoint(&app, figures.connections(), tell_figures);
         tokio::spawn(figures.serve(handler, std::future::pending()));
@@ -241,6 +255,15 @@
     if let Some(age) = age.age(Instant::now()) {
         gauge!("rookferry_config_age_seconds").set(age.as_secs_f64());
     }
+    gauge!("rookferry_build_info", "version" => env!("CARGO_PKG_VERSION")).set(1.0);
+    gauge!("rookferry_uptime_seconds").set(figures.started_at.elapsed().as_secs_f64());
+    gauge!("rookferry_requests_under_way").set(figures.callers.requests() as f64);
+    gauge!("rookferry_connections").set(figures.callers.open() as f64);
+    let instances = figures.relay.instances.load(Ordering::Relaxed);
+    gauge!("rookferry_instances").set(instances as f64);
+    let holds_lease = figures.relay.holds_lease.load(Ordering::Relaxed);
+    gauge!("rookferry_holds_lease").set(f64::from(u8::from(holds_lease)));
+    gauge!("rookferry_servers_out").set(figures.relay.health().out().len() as f64);
     text_response(StatusCode::OK, figures.handle.render())
 }
 
@@ -252,7 +275,12 @@
 }
 
 fn install_recorder() -> PrometheusHandle {
-    let recorder = PrometheusBuilder::new().build_recorder();
+    let seconds = Matcher::Suffix("_seconds".to_owned());
+    // Fails only if there are no buckets.
+    let builder = PrometheusBuilder::new()
+        .set_buckets_for_metric(seconds, &LATENCY_BUCKETS_S)
+        .unwrap_or_default();
+    let recorder = builder.build_recorder();
     let handle = recorder.handle();
     // Fails only if an embedder has installed its own, which then gets the
     // metrics.
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use metrics::counter;
 use rookferry_core::BackendServer;
 use rookferry_core::ConfigAge;
 use rookferry_core::ModelShape;
@@ -304,6 +305,9 @@
             heard
         };
         let is_taken = self.with_retries(service, |window| window.take(Instant::now(), instances));
+        let outcome = if is_taken { "taken" } else { "denied" };
+        counter!("rookferry_retries_total", "service" => service.to_string(), "outcome" => outcome)
+            .increment(1);
         if !is_taken && let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "retry: the budget has none left"; "event" => "retry_denied",
                 "request" => &request.attempt, "service" => &**service, "instances" => instances);
