--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -241,6 +241,7 @@
 
     fn note_ended(&mut self) {
         self.is_over = true;
+        self.answer.keep_connection();
         let request = &self.target.request;
         let route = request.route.name.to_string();
         histogram!("rookferry_event_gap_seconds", "route" => route.clone())
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -32,6 +32,9 @@
 const SERVERS_WAIT: Duration = Duration::from_secs(2);
 /// The same while entries are missing whose time is running.
 const MISSING_WAIT: Duration = Duration::from_millis(300);
+/// Pause after news of servers, in which more of a burst gathers; a
+/// twentieth of the time in which leaving servers must be heard of.
+const BURST: Duration = Duration::from_millis(100);
 /// How often an instance that relies on peers looks whether it still may.
 const RELY_PAUSE: Duration = Duration::from_millis(150);
 /// First and longest pause after a failed call; doubles.
@@ -149,10 +152,15 @@
         for id in &expired {
             note_removed(&relay, id, "it did not come back after the outage");
         }
-        if is_changed || !expired.is_empty() {
+        let is_news = is_changed || !expired.is_empty();
+        if is_news {
             let servers = ServerTable::new(directory.servers().cloned());
             relay.adopt_servers(servers, after.unwrap_or(0));
         }
+        if is_news {
+            // Entries change in bursts; one call brings those that follow.
+            tokio::time::sleep(BURST).await;
+        }
     }
 }
 
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -64,7 +64,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
-    pub(crate) connection: Connection,
+    /// To be kept once the body is read whole.
+    connection: Option<Connection>,
 }
 
 /// An answer read whole.
@@ -111,7 +112,7 @@
                         status: parts.status,
                         headers: parts.headers,
                         body,
-                        connection,
+                        connection: Some(connection),
                     });
                 }
                 Err(error) => error,
@@ -168,6 +169,14 @@
         self.status == StatusCode::MISDIRECTED_REQUEST || self.headers.contains_key(&names.not_run)
     }
 
+    /// Keeps the connection for another request; the body must have been read
+    /// to its end.
+    pub(crate) fn keep_connection(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.keep(&self.headers);
+        }
+    }
+
     /// Reads the body whole and keeps the connection.
     pub(crate) async fn collect(self, addr: SocketAddr) -> Result<WholeAnswer, UpstreamError> {
         let Self {
@@ -184,7 +193,9 @@
                 message: error.to_string(),
             })?
             .to_bytes();
-        connection.keep(&headers);
+        if let Some(connection) = connection {
+            connection.keep(&headers);
+        }
         Ok(WholeAnswer {
             status,
             headers,
