--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -189,7 +189,9 @@
         let asked_at = Instant::now();
         let is_heard = lock(&self.relay.peers).hears_holder(asked_at);
         let pause = if is_heard { QUIET_READS } else { RIVAL_READS };
+        // Of the others one a domain is a rival, the one that asks the store.
         let is_due = !self.is_holder()
+            && !self.relay.relies_on_peers()
             && self
                 .read_at
                 .is_none_or(|read_at| read_at.elapsed() >= pause);
