fix(stream): a first engine that takes no new connections may still serve; late answers to probes count

A stream is given up for its first engine only while it stands still itself. Ruled out: the change of configuration beside it. Red before: an_engine_that_takes_no_new_connections_finishes_its_streams.

--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -265,8 +265,10 @@
             let leaving = self.stages_in(StageState::Leaving);
             let first = self.path.first().clone();
             if lost.contains(&first) {
+                // One that takes no new connections may still serve this one.
+                let stands_still = self.stalled_since.elapsed() >= STALL_AFTER;
                 let is_out = self.relay.health().is_out(first.addr);
-                return if is_out {
+                return if is_out && stands_still {
                     Watched::FirstLost
                 } else {
                     Watched::Fine
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -15,10 +15,13 @@
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
+use crate::upstream::WholeAnswer;
 
 /// How long an engine may take to answer; within a site a round trip takes
 /// under a millisecond.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(80);
+/// How long to look for an answer that is there already.
+const LATE_LOOK: Duration = Duration::from_millis(20);
 /// First time between probes of a server that is out; doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest time between them.
@@ -33,7 +36,13 @@
     }
     let call = relay.protocol.report_call();
     let request = engine_request(upstream.addr, &call);
-    match relay.pool.call(upstream, request, PROBE_TIMEOUT).await {
+    let asked = relay.pool.call(upstream, request, PROBE_TIMEOUT * 2);
+    tokio::pin!(asked);
+    let answer = tokio::select! {
+        answer = &mut asked => answer,
+        () = tokio::time::sleep(PROBE_TIMEOUT) => late(upstream.addr, asked).await,
+    };
+    match answer {
         Ok(answer) => {
             let now = Instant::now();
             relay.signs.of(upstream.addr).note(now);
@@ -50,6 +59,19 @@
     }
 }
 
+/// A last look for an answer that has arrived while this process stood still
+/// itself: after a pause its timers are seen before what came in meanwhile.
+async fn late(
+    addr: SocketAddr,
+    asked: impl Future<Output = Result<WholeAnswer, UpstreamError>>,
+) -> Result<WholeAnswer, UpstreamError> {
+    let answer = tokio::time::timeout(LATE_LOOK, asked).await;
+    answer.unwrap_or_else(|_| {
+        let message = format!("nothing within {} ms", PROBE_TIMEOUT.as_millis());
+        Err(UpstreamError::Lost { addr, message })
+    })
+}
+
 /// Probes servers that are out until they answer again.
 pub(crate) async fn watch_lost(relay: Arc<Relay>) {
     let mut due: HashMap<SocketAddr, (Instant, Duration)> = HashMap::new();
