fix(config): a newer configuration from a peer doesn't count as stale; far instances get three connections

Cause: instances that rely on peers put a newer version in force with a time of its own that was as old as could be, and refused all requests (config_unknown) until a heartbeat confirmed it, some 0.1 s at each change. What an older version was confirmed for holds for a newer one too, so the time never goes back. Red before: changes_of_the_configuration_refuse_nothing, a_newer_version_from_a_peer_is_as_fresh_as_what_is_in_force.

--- a/crates/rookferry_core/src/serving/age.rs
+++ b/crates/rookferry_core/src/serving/age.rs
@@ -25,16 +25,15 @@
     }
 
     /// A version was the newest at some time.
+    ///
+    /// The time never goes back: what an older version was confirmed for, all
+    /// that was acknowledged before, is in a newer version too.
     pub fn confirm(&mut self, version: u64, at: Instant) {
         if version < self.version {
             return;
         }
-        let is_newer = version > self.version;
-        let is_later = self.confirmed_at.is_none_or(|before| before < at);
         self.version = version;
-        if is_newer || is_later {
-            self.confirmed_at = Some(at);
-        }
+        self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
     /// The newest confirmed version.
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -123,6 +123,17 @@
     assert!(age.is_fresh(start + bound, bound));
 }
 
+#[test]
+fn a_newer_version_from_a_peer_is_as_fresh_as_what_is_in_force() {
+    let start = Instant::now();
+    let bound = Duration::from_secs(5);
+    let mut age = ConfigAge::new();
+    age.confirm(3, start + bound);
+    age.confirm(4, start);
+    assert_eq!(age.version(), 4);
+    assert!(age.is_fresh(start + bound, bound));
+}
+
 fn server(id: &str) -> BackendServer {
     BackendServer {
         id: id.into(),
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -52,9 +52,9 @@
 
 /// The part of a server's connections that instances of its own failure
 /// domain share; the others share the rest.
-const NEAR_CONNECTIONS: f64 = 0.7;
+const NEAR_CONNECTIONS: f64 = 0.6;
 /// Connections that an instance may open to a server at the least.
-const MIN_CONNECTIONS: usize = 2;
+const MIN_CONNECTIONS: usize = 3;
 /// Time from the start in which an instance doesn't know how many others there
 /// are: heartbeats from other domains take up to a second or two.
 const COUNTING_INSTANCES: Duration = Duration::from_secs(3);
