fix(stream): a stream isn't cut for its first engine where no other run can go on

It is kept now; the engine or the caller ends it, and another run is tried again at each further look.

--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -152,6 +152,8 @@
     Broken(String),
     /// A repair would take longer than another run.
     Costly,
+    /// The first engine doesn't answer others, and no event comes.
+    FirstLost,
     TimeOver,
 }
 
@@ -181,6 +183,11 @@
                         self.keeper.accept_crossings();
                     }
                 }
+                Step::FirstLost => {
+                    // Without another run the caller keeps what there is: the
+                    // engine may be ending, and finish this stream before.
+                    self.resume("the first engine is lost").await;
+                }
                 Step::Broken(cause) => {
                     let first = self.keeper.path().first().addr;
                     self.target.relay.health().failed(first, Instant::now());
@@ -217,7 +224,7 @@
             () = tokio::time::sleep_until(deadline) => Step::TimeOver,
             watched = self.keeper.watch() => match watched {
                 Watched::Fine => Step::Nothing,
-                Watched::FirstLost => Step::Broken("the first engine is lost".to_owned()),
+                Watched::FirstLost => Step::FirstLost,
                 Watched::Costly | Watched::Hung => Step::Costly,
             }
         }
