refactor(relay): state that stood twice stands once

The pool counted a connection in its task and in its user, with a counter of its own made for kept ones; its task alone counts it now. Leaving was a flag and a time: one cell. Placement kept a copy of whether it holds the lease, heartbeats a copy of the peers' table, a request a copy of its key. A heartbeat's field that nobody read is gone. Whether a peer was heard lately, and who is first by name, stood five and two times; the shared lock and the shared count of milliseconds are used where each had its own. No behaviour changes; the tests of relay and platform pass as they are.

--- a/crates/rookferry_relay/src/front.rs
+++ b/crates/rookferry_relay/src/front.rs
@@ -139,7 +139,6 @@
         body,
         head: head.clone(),
         account,
-        key: head.key.clone(),
         service: target.service.clone(),
         route: route.clone(),
         received_at,
--- a/crates/rookferry_relay/src/load.rs
+++ b/crates/rookferry_relay/src/load.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
+
+use crate::relay::lock;
 
 /// What is under way at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -31,11 +32,11 @@
 
 impl LoadTable {
     pub(crate) fn of(&self, addr: SocketAddr) -> ServerLoad {
-        self.lock().get(&addr).copied().unwrap_or_default()
+        lock(&self.inner).get(&addr).copied().unwrap_or_default()
     }
 
     pub(crate) fn enter(&self, addrs: Vec<SocketAddr>, tokens: f64) -> LoadGuard {
-        let mut loads = self.lock();
+        let mut loads = lock(&self.inner);
         for addr in &addrs {
             let load = loads.entry(*addr).or_default();
             load.requests += 1;
@@ -51,18 +52,14 @@
 
     /// Everything that is under way.
     pub(crate) fn snapshot(&self) -> Vec<(SocketAddr, ServerLoad)> {
-        let loads = self.lock();
+        let loads = lock(&self.inner);
         loads.iter().map(|(addr, load)| (*addr, *load)).collect()
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, ServerLoad>> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        let mut loads = self.table.lock();
+        let mut loads = lock(&self.table.inner);
         for addr in &self.addrs {
             let Some(load) = loads.get_mut(addr) else {
                 continue;
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -18,7 +18,6 @@
 use super::message::Heartbeat;
 use super::message::HolderSeen;
 use super::message::LoadEntry;
-use super::table::PeerTable;
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::relay::Relay;
@@ -46,7 +45,6 @@
 pub(crate) struct Heartbeats {
     relay: Arc<Relay>,
     socket: UdpSocket,
-    table: Arc<Mutex<PeerTable>>,
     incarnation: Incarnation,
     epoch: Instant,
     config_fetch: Mutex<FetchGate>,
@@ -73,14 +71,11 @@
 
 impl Heartbeats {
     pub(crate) fn new(relay: Arc<Relay>, socket: UdpSocket, incarnation: Incarnation) -> Self {
-        let table = relay.peers.clone();
-        let now = Instant::now();
         Self {
             relay,
             socket,
-            table,
             incarnation,
-            epoch: now,
+            epoch: Instant::now(),
             config_fetch: Mutex::default(),
             servers_fetch: Mutex::default(),
         }
@@ -117,7 +112,7 @@
         let now = Instant::now();
         let own = self.relay.settings.listen.peers;
         let (addresses, lost) = {
-            let mut table = lock(&self.table);
+            let mut table = lock(&self.relay.peers);
             let lost = table.expire(now);
             // A seed that was down may be back, or be another one by now.
             let seeds = self.relay.settings.seeds.iter();
@@ -145,7 +140,7 @@
         let beat = self.heartbeat(now);
         for target in targets.into_iter().filter(|target| *target != own) {
             let mut beat = beat.clone();
-            beat.echo = lock(&self.table).echo(target, now);
+            beat.echo = lock(&self.relay.peers).echo(target, now);
             if let Ok(bytes) = postcard::to_stdvec(&beat) {
                 // A full queue or a dead member; the next round tries again.
                 let _ = self.socket.try_send_to(&bytes, target);
@@ -163,7 +158,7 @@
             })
         });
         let loads = self.relay.loads.snapshot().into_iter().take(MAX_ENTRIES);
-        let mut members = lock(&self.table).members(now);
+        let mut members = lock(&self.relay.peers).members(now);
         members.truncate(MAX_ENTRIES);
         Heartbeat {
             instance: self.relay.settings.instance.clone(),
@@ -173,7 +168,6 @@
             echo: None,
             config,
             servers_version: self.relay.servers_version.load(Ordering::Relaxed),
-            is_serving: !self.relay.is_leaving(),
             holder: self.holder(now),
             loads: loads
                 .map(|(addr, load)| load_entry(addr, load.requests, load.tokens))
@@ -190,7 +184,7 @@
                 age_ms: 0,
             });
         }
-        lock(&self.table).holder(now)
+        lock(&self.relay.peers).holder(now)
     }
 
     fn take(&self, bytes: &[u8], from: SocketAddr) {
@@ -205,8 +199,8 @@
         let own = &self.relay.settings.instance;
         beat.holder = beat.holder.filter(|holder| holder.instance != *own);
         let now = Instant::now();
-        let heard = {
-            let mut table = lock(&self.table);
+        let is_new = {
+            let mut table = lock(&self.relay.peers);
             let own = self.relay.settings.listen.peers;
             for member in beat.members.iter().filter(|member| **member != own) {
                 table.learn(*member, now);
@@ -214,9 +208,7 @@
             table.heard(from, &beat, now)
         };
         self.count_members(now);
-        if heard.is_new
-            && let Some(log) = self.relay.events.line(Weight::Notable)
-        {
+        if is_new && let Some(log) = self.relay.events.line(Weight::Notable) {
             info!(log, "peers: an instance is heard"; "event" => "peer_joined",
                 "peer" => &*beat.instance, "incarnation" => beat.incarnation, "addr" => %from);
         }
@@ -249,13 +241,13 @@
         // once and grow back only with a restart: a member that is cut off
         // still spends its part.
         let (known, near) = {
-            let table = lock(&self.table);
+            let table = lock(&self.relay.peers);
             (table.known(), table.near(&self.relay.settings.domain))
         };
         let relay = &self.relay;
         relay.instances.fetch_max(known + 1, Ordering::Relaxed);
         relay.near_instances.fetch_max(near + 1, Ordering::Relaxed);
-        let loads = lock(&self.table).loads(now);
+        let loads = lock(&self.relay.peers).loads(now);
         self.relay.peer_loads.store(Arc::new(loads));
     }
 
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -24,8 +24,6 @@
     pub(crate) config: Option<ConfigState>,
     /// The store's version that the sender's servers are from.
     pub(crate) servers_version: ObjectVersion,
-    /// Whether the sender takes new requests.
-    pub(crate) is_serving: bool,
     /// The holder that the sender heard of, itself or by others.
     pub(crate) holder: Option<HolderSeen>,
     /// What is under way at servers by the sender's requests.
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -13,6 +13,7 @@
 use super::message::Heartbeat;
 use super::message::HolderSeen;
 use super::message::LoadEntry;
+use crate::event_log::millis;
 use crate::load::ServerLoad;
 
 /// How long a silent member's load counts. Several heartbeats to its own
@@ -40,11 +41,15 @@
     loads: Vec<LoadEntry>,
 }
 
-/// What became of a heartbeat.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Heard {
-    /// A member that wasn't heard before, or not for long.
-    pub(crate) is_new: bool,
+impl Peer {
+    /// Whether it was heard within a time.
+    fn is_heard(&self, now: Instant, within: Duration) -> bool {
+        is_within(self.heard_at, now, within)
+    }
+}
+
+fn is_within(at: Option<Instant>, now: Instant, within: Duration) -> bool {
+    at.is_some_and(|at| now.saturating_duration_since(at) < within)
 }
 
 /// The members by address.
@@ -74,16 +79,14 @@
         });
     }
 
-    /// Takes a heartbeat in.
-    pub(crate) fn heard(&mut self, from: SocketAddr, beat: &Heartbeat, now: Instant) -> Heard {
+    /// Takes a heartbeat in; tells whether its member wasn't heard before, or
+    /// not for long.
+    pub(crate) fn heard(&mut self, from: SocketAddr, beat: &Heartbeat, now: Instant) -> bool {
         self.learn(from, now);
         let Some(peer) = self.peers.get_mut(&from) else {
-            return Heard::default();
+            return false;
         };
-        let is_recent = peer
-            .heard_at
-            .is_some_and(|at| now.saturating_duration_since(at) < MEMBER_KEPT);
-        let is_same = peer.incarnation == beat.incarnation;
+        let is_known = peer.is_heard(now, MEMBER_KEPT) && peer.incarnation == beat.incarnation;
         peer.domain = Some(beat.domain.clone());
         peer.instance = Some(beat.instance.clone());
         peer.incarnation = beat.incarnation;
@@ -96,9 +99,7 @@
         if let Some(holder) = &beat.holder {
             self.note_holder(holder, now);
         }
-        Heard {
-            is_new: !(is_recent && is_same),
-        }
+        !is_known
     }
 
     /// Drops addresses that have been silent for long; tells which instances
@@ -106,10 +107,11 @@
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
         let mut lost = Vec::new();
         for peer in self.peers.values_mut() {
-            let is_silent = peer
-                .heard_at
-                .is_some_and(|at| now.saturating_duration_since(at) >= MEMBER_KEPT);
-            if is_silent && let Some(instance) = peer.instance.take() {
+            let was_heard = peer.heard_at.is_some();
+            if was_heard
+                && !peer.is_heard(now, MEMBER_KEPT)
+                && let Some(instance) = peer.instance.take()
+            {
                 lost.push(instance);
             }
         }
@@ -143,10 +145,8 @@
 
     /// Members heard lately.
     pub(crate) fn members(&self, now: Instant) -> Vec<SocketAddr> {
-        let heard = self.peers.iter().filter(|(_, peer)| {
-            peer.heard_at
-                .is_some_and(|at| now.saturating_duration_since(at) < MEMBER_KEPT)
-        });
+        let peers = self.peers.iter();
+        let heard = peers.filter(|(_, peer)| peer.is_heard(now, MEMBER_KEPT));
         heard.map(|(addr, _)| *addr).collect()
     }
 
@@ -156,7 +156,7 @@
         let held = now.saturating_duration_since(at);
         Some(Echo {
             sent_ms,
-            held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
+            held_ms: millis(held),
         })
     }
 
@@ -179,7 +179,7 @@
         let age = now.saturating_duration_since(*at);
         Some(HolderSeen {
             instance: instance.clone(),
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: millis(age),
         })
     }
 
@@ -190,8 +190,7 @@
 
     /// Whether another member that holds the lease was heard of lately.
     pub(crate) fn hears_holder(&self, now: Instant) -> bool {
-        self.holder_at()
-            .is_some_and(|at| now.saturating_duration_since(at) < HOLDER_KEPT)
+        is_within(self.holder_at(), now, HOLDER_KEPT)
     }
 
     /// Whether an instance asks the store for its domain: the first by name of
@@ -203,38 +202,37 @@
         now: Instant,
         bound: Duration,
     ) -> bool {
-        let informed = self.peers.values().filter(|peer| {
-            let is_recent = |at: Instant, kept| now.saturating_duration_since(at) < kept;
-            peer.domain.as_ref() == Some(domain)
-                && peer.heard_at.is_some_and(|at| is_recent(at, LOAD_KEPT))
-                && peer.config_at.is_some_and(|at| is_recent(at, bound))
-        });
-        let mut names = informed.filter_map(|peer| peer.instance.as_ref());
-        names.all(|name| own < name)
+        self.is_first_of(own, domain, now, |peer| {
+            is_within(peer.config_at, now, bound)
+        })
     }
 
     /// Whether an instance's name is the first of those heard in a domain.
     pub(crate) fn is_first(&self, own: &InstanceId, domain: &DomainId, now: Instant) -> bool {
-        let heard = self.peers.values().filter(|peer| {
-            peer.domain.as_ref() == Some(domain)
-                && peer
-                    .heard_at
-                    .is_some_and(|at| now.saturating_duration_since(at) < LOAD_KEPT)
+        self.is_first_of(own, domain, now, |_| true)
+    }
+
+    /// Whether a name is the first of the members that are heard in a domain
+    /// and that `counts` lets count.
+    fn is_first_of(
+        &self,
+        own: &InstanceId,
+        domain: &DomainId,
+        now: Instant,
+        counts: impl Fn(&Peer) -> bool,
+    ) -> bool {
+        let near = self.peers.values().filter(|peer| {
+            peer.domain.as_ref() == Some(domain) && peer.is_heard(now, LOAD_KEPT) && counts(peer)
         });
-        let mut names = heard.filter_map(|peer| peer.instance.as_ref());
+        let mut names = near.filter_map(|peer| peer.instance.as_ref());
         names.all(|name| own < name)
     }
 
     /// What members have under way at each server.
     pub(crate) fn loads(&self, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
         let mut loads: BTreeMap<SocketAddr, ServerLoad> = BTreeMap::new();
-        for peer in self.peers.values() {
-            let is_recent = peer
-                .heard_at
-                .is_some_and(|at| now.saturating_duration_since(at) < LOAD_KEPT);
-            if !is_recent {
-                continue;
-            }
+        let heard = self.peers.values();
+        for peer in heard.filter(|peer| peer.is_heard(now, LOAD_KEPT)) {
             for entry in &peer.loads {
                 let load = loads.entry(entry.addr).or_default();
                 load.requests += entry.requests;
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -99,7 +99,6 @@
     relay: Arc<Relay>,
     lease: Lease,
     read_at: Option<Instant>,
-    was_held: bool,
     /// Whether this instance held the lease when the store last answered.
     was_holder: bool,
     /// Since when the store hasn't answered about the lease.
@@ -120,7 +119,6 @@
             lease: Lease::new(relay.settings.instance.clone(), incarnation, timing),
             relay,
             read_at: None,
-            was_held: false,
             was_holder: false,
             away_since: None,
             started_at: Instant::now(),
@@ -141,11 +139,17 @@
             tokio::time::sleep(PLAN_PAUSE).await;
             tokio::select! {
                 () = tokio::time::sleep(PLAN_EVERY) => {}
-                _ = fleet.changed(), if self.was_held || self.relay.is_leaving() => {}
+                _ = fleet.changed(), if self.orders() || self.relay.is_leaving() => {}
             }
         }
     }
 
+    /// Whether this instance ordered engines of the whole site when it last
+    /// looked.
+    fn orders(&self) -> bool {
+        self.relay.holds_lease.load(Ordering::Relaxed)
+    }
+
     fn is_holder(&self) -> bool {
         self.lease.fence_for(Instant::now(), true).is_some()
     }
@@ -241,11 +245,9 @@
 
     fn note_lease(&mut self) {
         let is_held = self.scope() == Scope::Site;
-        self.relay.holds_lease.store(is_held, Ordering::Relaxed);
-        if is_held == self.was_held {
+        if self.relay.holds_lease.swap(is_held, Ordering::Relaxed) == is_held {
             return;
         }
-        self.was_held = is_held;
         self.ordered.clear();
         if let Some(log) = self.relay.events.line(Weight::Notable) {
             let holder = self.lease.holder().map(|lease| lease.holder.to_string());
--- a/crates/rookferry_relay/src/pool.rs
+++ b/crates/rookferry_relay/src/pool.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -25,6 +24,8 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 
+use crate::relay::lock;
+
 /// How long a connect may take; within a site a round trip takes under a
 /// millisecond, and a lost packet is sent again after about 200 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -71,21 +72,15 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) is_reused: bool,
     pool: Arc<ServerPool>,
-    _slot: OpenSlot,
 }
 
 /// Counts a connection until its task ends.
-#[derive(Debug, Clone)]
-struct OpenSlot {
-    _held: Arc<SlotHeld>,
-}
-
 #[derive(Debug)]
-struct SlotHeld {
+struct OpenSlot {
     open: Arc<AtomicUsize>,
 }
 
-impl Drop for SlotHeld {
+impl Drop for OpenSlot {
     fn drop(&mut self) {
         self.open.fetch_sub(1, Ordering::Relaxed);
     }
@@ -108,7 +103,6 @@
                 return Ok(Connection {
                     sender: idle.sender,
                     is_reused: true,
-                    _slot: OpenSlot::uncounted(),
                     pool,
                 });
             }
@@ -118,16 +112,13 @@
             return Err(ConnectError::Full { addr, limit });
         }
         let slot = OpenSlot {
-            _held: Arc::new(SlotHeld {
-                open: pool.open.clone(),
-            }),
+            open: pool.open.clone(),
         };
-        let sender = connect(addr, slot.clone()).await?;
+        let sender = connect(addr, slot).await?;
         Ok(Connection {
             sender,
             is_reused: false,
             pool,
-            _slot: slot,
         })
     }
 
@@ -136,7 +127,7 @@
     pub(crate) fn tidy(&self, now: Instant, is_known: impl Fn(SocketAddr) -> bool) {
         let servers = self.servers.load();
         for pool in servers.values() {
-            pool.lock().retain(|idle| idle.use_until > now);
+            lock(&pool.idle).retain(|idle| idle.use_until > now);
         }
         if servers.keys().all(|addr| is_known(*addr)) {
             return;
@@ -162,25 +153,10 @@
     }
 }
 
-impl OpenSlot {
-    /// For a connection that its own task counts already.
-    fn uncounted() -> Self {
-        Self {
-            _held: Arc::new(SlotHeld {
-                open: Arc::new(AtomicUsize::new(1)),
-            }),
-        }
-    }
-}
-
 impl ServerPool {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn take_idle(&self) -> Option<Idle> {
         let now = Instant::now();
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         while let Some(last) = idle.pop() {
             if last.use_until > now && !last.sender.is_closed() {
                 return Some(last);
@@ -201,7 +177,7 @@
             use_until: Instant::now() + keep,
             sender: self.sender,
         };
-        self.pool.lock().push(idle);
+        lock(&self.pool.idle).push(idle);
     }
 }
 
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -13,6 +13,7 @@
 use rookferry_wire::Problem;
 use rookferry_wire::ReasonCode;
 
+use crate::event_log::millis;
 use crate::protocol::HeaderNames;
 
 /// Why a request gets no server's answer.
@@ -138,8 +139,7 @@
             reason: self.reason(),
             outcome: self.outcome(),
             request_id: attempt.unwrap_or("unassigned").into(),
-            retry_after_ms: retry_after
-                .map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
+            retry_after_ms: retry_after.map(millis),
             ticket: None,
         };
         let mut response = json_response_as(status, "application/problem+json", &problem);
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -105,8 +106,7 @@
     /// Whether this instance orders engines.
     pub(crate) holds_lease: AtomicBool,
     started_at: Instant,
-    leaving: AtomicBool,
-    leaving_since: Mutex<Option<Instant>>,
+    leaving_since: OnceLock<Instant>,
     config_age: Mutex<ConfigAge>,
     health: Mutex<ServerHealth>,
     retries: Mutex<HashMap<ServiceId, RetryWindow>>,
@@ -138,8 +138,7 @@
             peer_servers: watch::Sender::new(None),
             holds_lease: AtomicBool::new(false),
             started_at: Instant::now(),
-            leaving: AtomicBool::new(false),
-            leaving_since: Mutex::new(None),
+            leaving_since: OnceLock::new(),
             config_age: Mutex::new(ConfigAge::new()),
             health: Mutex::new(ServerHealth::new()),
             retries: Mutex::new(HashMap::new()),
@@ -148,18 +147,16 @@
 
     /// Whether the instance has been told to stop.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leaving_since.get().is_some()
     }
 
     /// How long ago it was told to stop.
     pub(crate) fn leaving_for(&self) -> Option<Duration> {
-        let since = *lock(&self.leaving_since);
-        since.map(|since| since.elapsed())
+        self.leaving_since.get().map(Instant::elapsed)
     }
 
     pub(crate) fn leave(&self) {
-        lock(&self.leaving_since).get_or_insert_with(Instant::now);
-        self.leaving.store(true, Ordering::Relaxed);
+        self.leaving_since.get_or_init(Instant::now);
     }
 
     /// Whether this instance asks the store, or hears from one that does.
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -18,6 +18,7 @@
 use rookferry_wire::EngineId;
 use rookferry_wire::ServiceId;
 
+use crate::event_log::millis;
 use crate::protocol::CallerHead;
 use crate::protocol::HeaderNames;
 
@@ -44,7 +45,6 @@
     pub(crate) body: Bytes,
     pub(crate) head: CallerHead,
     pub(crate) account: Option<AccountId>,
-    pub(crate) key: Option<String>,
     pub(crate) route: ServingRoute,
     pub(crate) service: ServiceId,
     pub(crate) received_at: Instant,
@@ -82,6 +82,7 @@
         let has_key = route.is_public
             || !index.needs_keys()
             || self
+                .head
                 .key
                 .as_deref()
                 .and_then(|key| index.account(key))
@@ -102,7 +103,7 @@
         headers.remove(&names.path);
         headers.remove(http::header::CONTENT_LENGTH);
         headers.remove(http::header::EXPECT);
-        let left_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
+        let left_ms = millis(self.time_left());
         headers.insert(names.time_left_ms.clone(), HeaderValue::from(left_ms));
         insert_text(&mut headers, &names.expected_server, expected);
         if let Some(account) = &self.account {
