refactor(relay): one place each for what a failure is told, whole answers, engine calls and reports

What a caller hears after tries, the response of a whole answer and the check for the signature stood in plain.rs and opener.rs; an engine call was built in the path's module for three others, and its report read in three places. The table of servers counts crossings. Ranges tell what they contain and cover. A report's list of stalled requests was decoded and never read: gone. Views are the crate's own. The one difference: an engine's 304 on a stream route keeps its length, as on plain routes.

--- a/crates/rookferry_core/src/pipeline/engine.rs
+++ b/crates/rookferry_core/src/pipeline/engine.rs
@@ -29,7 +29,7 @@
     /// Whether it holds all of a range.
     #[must_use]
     pub const fn holds(&self, layers: LayerRange) -> bool {
-        self.held.start <= layers.start && layers.end <= self.held.end
+        self.held.covers(layers)
     }
 
     /// Whether another request's tokens fit.
--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -174,7 +174,7 @@
     ) {
         for &index in usable {
             let engine = self.engines[index];
-            let holds_next = engine.held.start <= position && position < engine.held.end;
+            let holds_next = engine.held.contains(position);
             let is_used = state.parts.iter().any(|(used, _)| *used == index);
             if !holds_next || is_used {
                 continue;
--- a/crates/rookferry_core/src/pipeline/layout.rs
+++ b/crates/rookferry_core/src/pipeline/layout.rs
@@ -14,7 +14,6 @@
 use rookferry_wire::EngineId;
 use rookferry_wire::LayerRange;
 
-use super::AcceleratorKind;
 use super::ModelShape;
 
 /// Requests that an engine should have cache for, in the order in which they
@@ -81,10 +80,6 @@
         let Some(kind) = self.model.kind(&engine.kind) else {
             return 0;
         };
-        self.share_of(kind, requests)
-    }
-
-    fn share_of(&self, kind: &AcceleratorKind, requests: f64) -> u16 {
         let tokens = requests * self.model.usual_tokens;
         self.model.layers_beside(kind, tokens)
     }
@@ -209,7 +204,7 @@
         let copies = |layer: u16, within: Option<&DomainId>| {
             let holders = engines.iter().zip(held).filter(|(other, range)| {
                 within.is_none_or(|domain| other.domain == *domain)
-                    && range.is_some_and(|range| range.start <= layer && layer < range.end)
+                    && range.is_some_and(|range| range.contains(layer))
             });
             holders.count()
         };
@@ -239,9 +234,7 @@
 fn first_gap(layers: u16, group: &[usize], held: &[Option<LayerRange>]) -> Option<LayerRange> {
     let is_held = |layer: u16| {
         let ranges = group.iter().filter_map(|index| held[*index]);
-        ranges
-            .into_iter()
-            .any(|range| range.start <= layer && layer < range.end)
+        ranges.into_iter().any(|range| range.contains(layer))
     };
     let start = (0..layers).find(|layer| !is_held(*layer))?;
     let end = (start..layers)
@@ -259,6 +252,6 @@
         let others = group.iter().filter(|other| **other != index);
         others
             .filter_map(|other| held[*other])
-            .any(|range| range.start <= layer && layer < range.end)
+            .any(|range| range.contains(layer))
     })
 }
--- a/crates/rookferry_relay/src/front.rs
+++ b/crates/rookferry_relay/src/front.rs
@@ -49,7 +49,6 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&relay, refusal, &head, received_at),
     };
-    let mut response = None;
     for _ in 0..MAX_ADMISSIONS {
         let admitted = admit(&relay, &inbound, &head, body.clone(), received_at);
         let request = match admitted {
@@ -62,17 +61,16 @@
             plain::serve(&relay, request).await
         };
         match served {
-            Served::Answer(answer) => {
-                response = Some(answer);
-                break;
-            }
+            Served::Answer(answer) => return closing_if_leaving(&relay, answer),
             Served::Refused(refusal) => return refuse(&relay, refusal, &head, received_at),
             Served::Withdrawn => {}
         }
     }
-    let Some(mut response) = response else {
-        return refuse(&relay, Refusal::ConfigUnknown, &head, received_at);
-    };
+    refuse(&relay, Refusal::ConfigUnknown, &head, received_at)
+}
+
+/// Has the caller open its next connection elsewhere once this instance stops.
+fn closing_if_leaving(relay: &Relay, mut response: Response<Body>) -> Response<Body> {
     if relay.is_leaving() {
         let close = http::HeaderValue::from_static("close");
         response
--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener.rs
@@ -6,13 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use gotham::helpers::http::Body;
 use http::HeaderMap;
 use http::HeaderValue;
-use http::Response;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::combinators::UnsyncBoxBody;
 use rookferry_core::BackendServer;
 use rookferry_core::ModelShape;
 use rookferry_core::PathFinder;
@@ -31,9 +26,9 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
-use crate::request::end_to_end;
 use crate::upstream::UpstreamAnswer;
 use crate::upstream::UpstreamError;
+use crate::upstream::is_signed;
 
 /// How often one request may be turned away, or find its engine unreachable.
 const MAX_UNRUN_TRIES: usize = 4;
@@ -180,15 +175,8 @@
                 Opened::TimeOver => return Err(Served::Refused(Refusal::TimeOver)),
             }
         }
-        let refusal = match (
-            self.runs > 0,
-            self.target.request.time_left() < MIN_TIME_LEFT,
-        ) {
-            (true, true) => Refusal::TimeOver,
-            (true, false) => Refusal::Unknown,
-            (false, true) => Refusal::TimeOverNotRun,
-            (false, false) => Refusal::NoServer,
-        };
+        let is_time_over = self.target.request.time_left() < MIN_TIME_LEFT;
+        let refusal = Refusal::after_tries(self.runs > 0, is_time_over);
         Err(Served::Refused(refusal))
     }
 
@@ -298,8 +286,7 @@
             let _ = tokio::time::timeout(MIN_TIME_LEFT, answer.collect(server.addr)).await;
             return Opened::NotRun { at_fault };
         }
-        let is_unsigned = !answer.headers.contains_key(&names.signature);
-        if answer.status.is_success() && is_unsigned {
+        if !is_signed(answer.status, &answer.headers, names) {
             return Opened::Failed(UpstreamError::Lost {
                 addr: server.addr,
                 message: "a success without the engine's signature".to_owned(),
@@ -321,12 +308,7 @@
             whole.status.as_u16(),
             "engine",
         );
-        let body = Full::new(whole.body).map_err(|never| match never {});
-        let mut response: Response<Body> = Response::new(UnsyncBoxBody::new(body));
-        *response.status_mut() = whole.status;
-        *response.headers_mut() = end_to_end(&whole.headers);
-        response.headers_mut().remove(http::header::CONTENT_LENGTH);
-        Served::Answer(response)
+        Served::Answer(whole.into_response())
     }
 
     fn note_failed(&self, path: &str, cause: &str) {
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -10,10 +10,7 @@
 use std::time::Instant;
 
 use futures_util::future::join_all;
-use http::Method;
-use http::Request;
 use http::StatusCode;
-use http_body_util::Full;
 use metrics::counter;
 use metrics::histogram;
 use rookferry_core::ModelShape;
@@ -305,7 +302,7 @@
         let Some(table) = &view.servers else {
             return false;
         };
-        Relay::crossings(table, path) > Relay::crossings(table, &self.path)
+        table.crossings(path) > table.crossings(&self.path)
     }
 
     /// A path without lost stages, and without leaving ones where that takes
@@ -354,7 +351,7 @@
         let protocol = &self.relay.protocol;
         let call = protocol.repath_call(&self.request.attempt, path);
         let upstream = self.relay.upstream(path.first().addr, &self.service);
-        let request = engine_request(upstream.addr, &call);
+        let request = call.request(upstream.addr);
         let answer = self
             .relay
             .pool
@@ -411,23 +408,3 @@
     let stages = path.stages().iter();
     stages.map(|stage| relay.signs.of(stage.addr)).collect()
 }
-
-/// A call to an engine's own interface as a request.
-pub(crate) fn engine_request(
-    addr: SocketAddr,
-    call: &crate::protocol::EngineCall,
-) -> Request<Full<bytes::Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.uri_mut() = http::Uri::from_static(call.path);
-    if let Ok(host) = http::HeaderValue::from_str(&addr.to_string()) {
-        request.headers_mut().insert(http::header::HOST, host);
-    }
-    if !call.body.is_empty() {
-        *request.method_mut() = Method::POST;
-        let json = http::HeaderValue::from_static("application/json");
-        request
-            .headers_mut()
-            .insert(http::header::CONTENT_TYPE, json);
-    }
-    request
-}
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -30,10 +30,11 @@
 use slog::warn;
 
 use crate::event_log::Weight;
-use crate::path_keeper::engine_request;
+use crate::protocol::EngineReport;
 use crate::relay::Relay;
 use crate::relay::lock;
 use crate::store::StoreError;
+use crate::upstream::Upstream;
 use crate::view::ServerTable;
 
 /// How long the lease lasts; a dead holder is replaced after about this.
@@ -378,12 +379,7 @@
             true
         });
         for (id, addr) in overdue {
-            let upstream = self.relay.upstream(addr, service);
-            let request = engine_request(addr, &self.relay.protocol.report_call());
-            let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
-            let report = answer
-                .ok()
-                .and_then(|answer| self.relay.protocol.read_report(&answer.body).ok());
+            let report = self.report(self.relay.upstream(addr, service)).await;
             let Some(ordered) = self.ordered.get_mut(&id) else {
                 continue;
             };
@@ -395,6 +391,14 @@
         }
     }
 
+    /// What an engine says of itself, if it answers.
+    async fn report(&self, upstream: Upstream) -> Option<EngineReport> {
+        let protocol = &self.relay.protocol;
+        let request = protocol.report_call().request(upstream.addr);
+        let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
+        protocol.read_report(&answer.ok()?.body).ok()
+    }
+
     /// Orders an engine to hold layers; tells if it may have taken the order.
     async fn order(
         &self,
@@ -407,11 +411,7 @@
             .of(&service.name)
             .find(|server| server.id == placement.engine)?;
         let upstream = self.relay.upstream(server.addr, service);
-        let report = engine_request(server.addr, &protocol.report_call());
-        let answer = self.relay.pool.call(upstream, report, ORDER_TIMEOUT).await;
-        let report = answer
-            .ok()
-            .and_then(|answer| protocol.read_report(&answer.body).ok())?;
+        let report = self.report(upstream).await?;
         if report.is_busy {
             return Some(placement);
         }
@@ -420,7 +420,7 @@
             return None;
         }
         let call = protocol.place_call(placement.layers, Some(report.sequence));
-        let request = engine_request(server.addr, &call);
+        let request = call.request(server.addr);
         let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
         let outcome = match &answer {
             Ok(answer) => answer.status.as_str().to_owned(),
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -4,12 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use gotham::helpers::http::Body;
-use http::Response;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::combinators::UnsyncBoxBody;
 use rookferry_core::BackendServer;
 use rookferry_core::ServingService;
 use slog::warn;
@@ -20,9 +14,9 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
-use crate::request::end_to_end;
 use crate::upstream::UpstreamError;
 use crate::upstream::WholeAnswer;
+use crate::upstream::is_signed;
 use crate::view::ServerTable;
 use crate::view::SiteView;
 
@@ -116,12 +110,8 @@
     if let Some((server, answer)) = last_answer {
         return answered(relay, &request, &server, answer);
     }
-    Served::Refused(match (has_run > 0, request.time_left() < MIN_TIME_LEFT) {
-        (true, true) => Refusal::TimeOver,
-        (true, false) => Refusal::Unknown,
-        (false, true) => Refusal::TimeOverNotRun,
-        (false, false) => Refusal::NoServer,
-    })
+    let is_time_over = request.time_left() < MIN_TIME_LEFT;
+    Served::Refused(Refusal::after_tries(has_run > 0, is_time_over))
 }
 
 /// The server with the least to do.
@@ -168,7 +158,7 @@
         answer.collect(server.addr).await.map(Some)
     };
     match tokio::time::timeout(request.time_left(), exchange).await {
-        Ok(Ok(Some(answer))) if is_sound(relay, &answer) => {
+        Ok(Ok(Some(answer))) if is_signed(answer.status, &answer.headers, names) => {
             relay.server_answered(server.addr);
             Tried::Answer(answer)
         }
@@ -203,12 +193,6 @@
     known.is_some_and(|known| known.id == server.id && !known.is_leaving)
 }
 
-/// A success counts only with the server's signature.
-fn is_sound(relay: &Relay, answer: &WholeAnswer) -> bool {
-    let signature = &relay.protocol.names().signature;
-    !answer.status.is_success() || answer.headers.contains_key(signature)
-}
-
 fn answered(
     relay: &Relay,
     request: &CallerRequest,
@@ -216,14 +200,7 @@
     answer: WholeAnswer,
 ) -> Served {
     note_served(relay, request, answer.status.as_u16(), &server.id);
-    let body = Full::new(answer.body).map_err(|never| match never {});
-    let mut response: Response<Body> = Response::new(UnsyncBoxBody::new(body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = end_to_end(&answer.headers);
-    if answer.status != StatusCode::NOT_MODIFIED {
-        response.headers_mut().remove(http::header::CONTENT_LENGTH);
-    }
-    Served::Answer(response)
+    Served::Answer(answer.into_response())
 }
 
 fn note_failed(relay: &Relay, request: &CallerRequest, server: &BackendServer, cause: &str) {
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use http::HeaderValue;
 use http::Request;
 use http::Uri;
 use http_body_util::Full;
 
-use crate::path_keeper::engine_request;
+use crate::protocol::set_host;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
@@ -34,8 +33,7 @@
     if relay.health().is_out(upstream.addr) {
         return false;
     }
-    let call = relay.protocol.report_call();
-    let request = engine_request(upstream.addr, &call);
+    let request = relay.protocol.report_call().request(upstream.addr);
     let asked = relay.pool.call(upstream, request, PROBE_TIMEOUT * 2);
     tokio::pin!(asked);
     let answer = tokio::select! {
@@ -104,7 +102,7 @@
         return;
     };
     let request = if service.model.is_some() {
-        engine_request(addr, &relay.protocol.report_call())
+        relay.protocol.report_call().request(addr)
     } else {
         let Some(request) = health_request(addr, &service.health_path) else {
             return;
@@ -122,7 +120,6 @@
 fn health_request(addr: SocketAddr, path: &str) -> Option<Request<Full<bytes::Bytes>>> {
     let mut request = Request::new(Full::default());
     *request.uri_mut() = path.parse::<Uri>().ok()?;
-    let host = HeaderValue::from_str(&addr.to_string()).ok()?;
-    request.headers_mut().insert(http::header::HOST, host);
+    set_host(&mut request, addr);
     Some(request)
 }
--- a/crates/rookferry_relay/src/protocol.rs
+++ b/crates/rookferry_relay/src/protocol.rs
@@ -9,6 +9,12 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::Full;
 use rookferry_core::PipelinePath;
 use rookferry_wire::LayerRange;
 use snafu::Snafu;
@@ -64,17 +70,6 @@
     pub held: Option<LayerRange>,
     /// How many times as long as published its steps take.
     pub slowdown: f64,
-    /// Requests that stand still, and the engines that they wait for.
-    pub stalled: Vec<StalledRequest>,
-}
-
-/// A request that stands still at its first engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StalledRequest {
-    /// The attempt's id.
-    pub attempt: String,
-    /// The engine that it waits for.
-    pub waits_for: Option<SocketAddr>,
 }
 
 /// A call to an engine's own interface.
@@ -86,6 +81,29 @@
     pub body: Bytes,
 }
 
+impl EngineCall {
+    /// The call as a request to the engine at an address.
+    pub(crate) fn request(&self, addr: SocketAddr) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.uri_mut() = Uri::from_static(self.path);
+        set_host(&mut request, addr);
+        if !self.body.is_empty() {
+            *request.method_mut() = Method::POST;
+            let json = HeaderValue::from_static("application/json");
+            request.headers_mut().insert(CONTENT_TYPE, json);
+        }
+        request
+    }
+}
+
+/// Names the server that a request of the relay's own goes to.
+pub(crate) fn set_host(request: &mut Request<Full<Bytes>>, addr: SocketAddr) {
+    // An address is always fit for a header.
+    if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+}
+
 /// A body that doesn't read.
 #[derive(Debug, Snafu)]
 #[snafu(display("the engine's body doesn't read: {message}"))]
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -44,6 +44,16 @@
 }
 
 impl Refusal {
+    /// For a request that was tried and got no answer.
+    pub(crate) const fn after_tries(has_run: bool, is_time_over: bool) -> Self {
+        match (has_run, is_time_over) {
+            (true, true) => Self::TimeOver,
+            (true, false) => Self::Unknown,
+            (false, true) => Self::TimeOverNotRun,
+            (false, false) => Self::NoServer,
+        }
+    }
+
     /// The status.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -22,7 +22,6 @@
 use rookferry_core::ModelShape;
 use rookferry_core::PathStage;
 use rookferry_core::PipelineEngine;
-use rookferry_core::PipelinePath;
 use rookferry_core::RetryWindow;
 use rookferry_core::ServerHealth;
 use rookferry_core::ServingConfig;
@@ -388,9 +387,7 @@
         let Some(server) = table.at(stage.addr) else {
             return StageState::Lost;
         };
-        let holds_layers = server
-            .held
-            .is_some_and(|held| held.start <= stage.layers.start && stage.layers.end <= held.end);
+        let holds_layers = server.held.is_some_and(|held| held.covers(stage.layers));
         if server.id != stage.engine {
             return StageState::Lost;
         }
@@ -401,15 +398,6 @@
         StageState::Usable
     }
 
-    /// How often a path goes from one failure domain to another.
-    pub(crate) fn crossings(table: &ServerTable, path: &PipelinePath) -> usize {
-        let domain = |stage: &PathStage| table.at(stage.addr).map(|server| &server.domain);
-        let pairs = path.stages().windows(2);
-        pairs
-            .filter(|pair| domain(&pair[0]) != domain(&pair[1]))
-            .count()
-    }
-
     /// A server with this instance's part of its connections. Most requests
     /// stay in their failure domain, so its instances have the larger part.
     pub(crate) fn upstream(&self, addr: SocketAddr, service: &ServingService) -> Upstream {
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gotham::helpers::http::Body;
 use http::HeaderMap;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use snafu::Snafu;
 
@@ -17,6 +20,7 @@
 use crate::pool::Connection;
 use crate::pool::UpstreamPool;
 use crate::protocol::HeaderNames;
+use crate::request::end_to_end;
 
 /// Kept connections that may turn out closed before one request gives up.
 const MAX_STALE_CONNECTIONS: usize = 4;
@@ -156,6 +160,27 @@
     }
 }
 
+/// Whether an answer may be passed on: a success counts only with its
+/// server's signature.
+pub(crate) fn is_signed(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> bool {
+    !status.is_success() || headers.contains_key(&names.signature)
+}
+
+impl WholeAnswer {
+    /// The answer for the caller, as the server gave it.
+    pub(crate) fn into_response(self) -> Response<Body> {
+        let body = Full::new(self.body).map_err(|never| match never {});
+        let mut response: Response<Body> = Response::new(UnsyncBoxBody::new(body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = end_to_end(&self.headers);
+        // The library counts what it sends; a 304 names another body's length.
+        if self.status != StatusCode::NOT_MODIFIED {
+            response.headers_mut().remove(http::header::CONTENT_LENGTH);
+        }
+        response
+    }
+}
+
 impl UpstreamAnswer {
     /// Whether the answer is for an attempt; anything else is someone else's.
     pub(crate) fn is_for(&self, names: &HeaderNames, attempt: &str) -> bool {
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -5,21 +5,23 @@
 use std::sync::Arc;
 
 use rookferry_core::BackendServer;
+use rookferry_core::PathStage;
+use rookferry_core::PipelinePath;
 use rookferry_core::ServingIndex;
 use rookferry_wire::ServiceId;
 
 /// A snapshot of configuration and backend servers.
 #[derive(Debug, Default)]
-pub struct SiteView {
+pub(crate) struct SiteView {
     /// The configuration in force, once there is one.
-    pub index: Option<Arc<ServingIndex>>,
+    pub(crate) index: Option<Arc<ServingIndex>>,
     /// The backend servers, once they were listed.
-    pub servers: Option<Arc<ServerTable>>,
+    pub(crate) servers: Option<Arc<ServerTable>>,
 }
 
 /// The backend servers with their look-ups.
 #[derive(Debug, Default)]
-pub struct ServerTable {
+pub(crate) struct ServerTable {
     servers: Vec<BackendServer>,
     by_service: HashMap<ServiceId, Vec<usize>>,
     by_addr: HashMap<SocketAddr, usize>,
@@ -27,7 +29,7 @@
 
 impl ServerTable {
     /// A table of servers.
-    pub fn new(servers: impl IntoIterator<Item = BackendServer>) -> Self {
+    pub(crate) fn new(servers: impl IntoIterator<Item = BackendServer>) -> Self {
         let servers: Vec<BackendServer> = servers.into_iter().collect();
         let mut by_service: HashMap<ServiceId, Vec<usize>> = HashMap::new();
         let mut by_addr = HashMap::new();
@@ -50,20 +52,27 @@
     }
 
     /// All servers.
-    #[must_use]
-    pub fn all(&self) -> &[BackendServer] {
+    pub(crate) fn all(&self) -> &[BackendServer] {
         &self.servers
     }
 
     /// The servers of a service.
-    pub fn of(&self, service: &ServiceId) -> impl Iterator<Item = &BackendServer> {
+    pub(crate) fn of(&self, service: &ServiceId) -> impl Iterator<Item = &BackendServer> {
         let indexes = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         indexes.iter().map(|index| &self.servers[*index])
     }
 
+    /// How often a path goes from one failure domain to another.
+    pub(crate) fn crossings(&self, path: &PipelinePath) -> usize {
+        let domain = |stage: &PathStage| self.at(stage.addr).map(|server| &server.domain);
+        let pairs = path.stages().windows(2);
+        pairs
+            .filter(|pair| domain(&pair[0]) != domain(&pair[1]))
+            .count()
+    }
+
     /// The server at an address.
-    #[must_use]
-    pub fn at(&self, addr: SocketAddr) -> Option<&BackendServer> {
+    pub(crate) fn at(&self, addr: SocketAddr) -> Option<&BackendServer> {
         Some(&self.servers[*self.by_addr.get(&addr)?])
     }
 }
--- a/crates/rookferry_wire/src/engine.rs
+++ b/crates/rookferry_wire/src/engine.rs
@@ -35,6 +35,18 @@
         self.end.saturating_sub(self.start)
     }
 
+    /// Whether a layer is in the range.
+    #[must_use]
+    pub const fn contains(self, layer: u16) -> bool {
+        self.start <= layer && layer < self.end
+    }
+
+    /// Whether all of another range is in this one.
+    #[must_use]
+    pub const fn covers(self, other: Self) -> bool {
+        self.start <= other.start && other.end <= self.end
+    }
+
     /// Whether the range holds no layer.
     #[must_use]
     pub const fn is_empty(self) -> bool {
