--- a/crates/rookferry_burn/src/history.rs
+++ b/crates/rookferry_burn/src/history.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::fs;
 use std::path::Path;
 
 use rookferry_core::ObjectiveSample;
 use rookferry_core::WindowCount;
+use rookferry_net::read_text;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -32,8 +32,7 @@
 
 impl History {
     pub(crate) fn read(file: &Path) -> Result<Self, String> {
-        let text =
-            fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+        let text = read_text(file).map_err(|error| error.to_string())?;
         let mut samples = Vec::new();
         for (number, line) in text.lines().enumerate() {
             let sample: InstanceSample = serde_json::from_str(line)
--- a/crates/rookferry_burn/src/main.rs
+++ b/crates/rookferry_burn/src/main.rs
@@ -11,7 +11,6 @@
 mod report;
 mod sample;
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,6 +19,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use clap::ValueEnum;
+use rookferry_net::read_text;
 
 use crate::history::History;
 use crate::report::Report;
@@ -98,8 +98,7 @@
             format,
             windows_s,
         } => {
-            let text = fs::read_to_string(&config)
-                .map_err(|error| format!("{}: {error}", config.display()))?;
+            let text = read_text(&config).map_err(|error| error.to_string())?;
             let config = rookferry_core::SiteConfig::from_json(&text)
                 .map_err(|faults| faults.to_string())?;
             let history = History::read(&samples)?;
--- a/crates/rookferry_controller/src/main.rs
+++ b/crates/rookferry_controller/src/main.rs
@@ -1,12 +1,12 @@
 //! Runs one controller until it is told to stop.
 
-use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use rookferry_controller::Controller;
 use rookferry_controller::ControllerSettings;
+use rookferry_net::read_text;
 use rookferry_net::root_logger;
 use slog::info;
 use tokio::signal::unix::SignalKind;
@@ -36,8 +36,7 @@
 }
 
 async fn run(args: Args) -> Result<(), String> {
-    let text = fs::read_to_string(&args.config)
-        .map_err(|error| format!("{}: {error}", args.config.display()))?;
+    let text = read_text(&args.config).map_err(|error| error.to_string())?;
     let settings = ControllerSettings::from_json(&text).map_err(|faults| faults.to_string())?;
     if args.check {
         println!("{}: no faults", args.config.display());
--- a/crates/rookferry_entry/src/main.rs
+++ b/crates/rookferry_entry/src/main.rs
@@ -1,15 +1,14 @@
 //! Runs one entry instance until it is told to stop.
 
-use std::fs;
-use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use rookferry_entry::Entry;
-use rookferry_entry::EntryAddrs;
 use rookferry_entry::EntrySettings;
+use rookferry_net::read_text;
 use rookferry_net::root_logger;
+use rookferry_net::write_addresses;
 use slog::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -43,8 +42,7 @@
 }
 
 async fn run(args: Args) -> Result<bool, String> {
-    let text = fs::read_to_string(&args.config)
-        .map_err(|error| format!("{}: {error}", args.config.display()))?;
+    let text = read_text(&args.config).map_err(|error| error.to_string())?;
     let settings = EntrySettings::from_json(&text).map_err(|faults| faults.to_string())?;
     if args.check {
         println!("{}: no faults", args.config.display());
@@ -56,7 +54,7 @@
         .await
         .map_err(|error| error.to_string())?;
     if let Some(path) = &args.addresses {
-        write_addresses(path, entry.addrs())?;
+        write_addresses(path, &entry.addrs()).map_err(|error| error.to_string())?;
     }
     tokio::select! {
         _ = terminate.recv() => {}
@@ -66,11 +64,3 @@
     info!(log, "entry: stopped"; "part" => "entry", "drained" => is_drained);
     Ok(is_drained)
 }
-
-/// Renamed into place, so that whoever waits for the file reads it whole.
-fn write_addresses(path: &Path, addrs: EntryAddrs) -> Result<(), String> {
-    let json = serde_json::to_string(&addrs).map_err(|error| error.to_string())?;
-    let partial = path.with_extension("partial");
-    fs::write(&partial, json).map_err(|error| error.to_string())?;
-    fs::rename(&partial, path).map_err(|error| error.to_string())
-}
--- a/crates/rookferry_standin/src/bin/rookferry-load.rs
+++ b/crates/rookferry_standin/src/bin/rookferry-load.rs
@@ -6,6 +6,7 @@
 
 use clap::Parser;
 use rookferry_core::read_json;
+use rookferry_net::read_text;
 use rookferry_standin::LoadPlan;
 use rookferry_standin::LoadRun;
 
@@ -38,8 +39,7 @@
 
 /// Returns whether every answer was the reference's and none was cut.
 async fn run(args: Args) -> Result<bool, String> {
-    let text = fs::read_to_string(&args.plan)
-        .map_err(|error| format!("{}: {error}", args.plan.display()))?;
+    let text = read_text(&args.plan).map_err(|error| error.to_string())?;
     let plan: LoadPlan = read_json(&text).map_err(|faults| faults.to_string())?;
     if plan.targets.is_empty() || plan.accounts.is_empty() {
         return Err("the plan needs at least one target and one account".to_owned());
--- a/crates/rookferry_standin/src/bin/rookferry-standin.rs
+++ b/crates/rookferry_standin/src/bin/rookferry-standin.rs
@@ -1,11 +1,12 @@
 //! Runs stand-ins of the outside systems until it is stopped.
 
-use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use rookferry_core::read_json;
+use rookferry_net::read_text;
+use rookferry_net::write_addresses;
 use rookferry_standin::Site;
 use rookferry_standin::SiteSpec;
 
@@ -33,16 +34,12 @@
 }
 
 async fn run(args: Args) -> Result<(), String> {
-    let text = fs::read_to_string(&args.config)
-        .map_err(|error| format!("{}: {error}", args.config.display()))?;
+    let text = read_text(&args.config).map_err(|error| error.to_string())?;
     let spec: SiteSpec = read_json(&text).map_err(|faults| faults.to_string())?;
     let site = Site::start(spec).await.map_err(|error| error.to_string())?;
     let addresses = serde_json::to_string(&site.addrs).map_err(|error| error.to_string())?;
     if let Some(path) = args.addresses {
-        // Renamed into place, so that whoever waits for it reads it whole.
-        let partial = path.with_extension("partial");
-        fs::write(&partial, &addresses).map_err(|error| error.to_string())?;
-        fs::rename(&partial, &path).map_err(|error| error.to_string())?;
+        write_addresses(&path, &site.addrs).map_err(|error| error.to_string())?;
     }
     println!("{addresses}");
     std::future::pending().await
