fix(placement): an engine without room counts as smaller for a while

With 64 instances each sees one request in 290 ms, and a refusal counted for 150 ms; the fast engines of a domain were tried again and again, and each try took one repeat out of the budget (465 then denied). Ruled out: missing layers (each has two copies or more in its domain) and late orders (the refusing engines were never ordered twice). Change: what was in use when an engine had no room bounds its room, wearing off by 5 % of the published room a second. Test: a_server_without_room_counts_as_smaller_until_that_wears_off.

--- a/crates/rookferry_core/src/serving/health.rs
+++ b/crates/rookferry_core/src/serving/health.rs
@@ -1,8 +1,9 @@
 //! Which servers failed lately, from what requests met.
 //!
-//! Two things are kept apart: a server that didn't answer at all is out until
-//! a probe finds it, and one that fails part of its requests is avoided by a
-//! decaying share while others are there.
+//! Three things are kept apart: a server that didn't answer at all is out until
+//! a probe finds it, one that fails part of its requests is avoided by a
+//! decaying share while others are there, and one that had no room for a
+//! request counts as smaller than published until that has worn off.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,6 +15,12 @@
 /// How long a server that turned a request away for want of room counts as
 /// full; about the time in which a few requests end there.
 const FULL_FOR: Duration = Duration::from_millis(150);
+/// The part of what was in use when a server had no room that still counts as
+/// room: below it, so that the next request doesn't meet the same end.
+const SEEN_ROOM_PART: f64 = 0.95;
+/// The part of the published room that is believed again each second. Requests
+/// take two to three seconds, so a wrong estimate is gone after a few of them.
+const ROOM_REGAINED_PER_S: f64 = 0.05;
 /// Weight of one request in the failing share.
 const SAMPLE_WEIGHT: f64 = 0.25;
 
@@ -23,6 +30,15 @@
     updated_at: Instant,
     out_since: Option<Instant>,
     full_at: Option<Instant>,
+    no_room: Option<NoRoom>,
+}
+
+/// A request that found no room.
+#[derive(Clone, Copy, Debug)]
+struct NoRoom {
+    /// Tokens that were in use by what was known.
+    used_tokens: f64,
+    at: Instant,
 }
 
 /// What requests met at each server.
@@ -67,6 +83,29 @@
         self.record(addr, now).full_at = Some(now);
     }
 
+    /// A server had no room for a request while it was known to hold some
+    /// tokens.
+    pub fn had_no_room(&mut self, addr: SocketAddr, used_tokens: f64, now: Instant) {
+        self.turned_away(addr, now);
+        self.record(addr, now).no_room = Some(NoRoom {
+            used_tokens,
+            at: now,
+        });
+    }
+
+    /// Tokens that a server can be expected to hold: what is published, or
+    /// less if it lately had no room before that.
+    #[must_use]
+    pub fn room_tokens(&self, addr: SocketAddr, published_tokens: f64, now: Instant) -> f64 {
+        let no_room = self.records.get(&addr).and_then(|record| record.no_room);
+        let Some(NoRoom { used_tokens, at }) = no_room else {
+            return published_tokens;
+        };
+        let since_s = now.saturating_duration_since(at).as_secs_f64();
+        let regained_tokens = published_tokens * ROOM_REGAINED_PER_S * since_s;
+        published_tokens.min(used_tokens * SEEN_ROOM_PART + regained_tokens)
+    }
+
     /// Whether a server turned a request away a moment ago.
     #[must_use]
     pub fn is_full(&self, addr: SocketAddr, now: Instant) -> bool {
@@ -115,6 +154,7 @@
             updated_at: now,
             out_since: None,
             full_at: None,
+            no_room: None,
         })
     }
 }
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -200,6 +200,21 @@
     assert!(later < at_once / 4.0, "{later}");
 }
 
+#[test]
+fn a_server_without_room_counts_as_smaller_until_that_wears_off() {
+    let addr: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let start = Instant::now();
+    let mut health = ServerHealth::new();
+    assert!((health.room_tokens(addr, 1_000.0, start) - 1_000.0).abs() < 1e-9);
+    health.had_no_room(addr, 600.0, start);
+    assert!(health.is_full(addr, start));
+    let soon = start + Duration::from_secs(1);
+    let room = health.room_tokens(addr, 1_000.0, soon);
+    assert!((600.0..650.0).contains(&room), "{room}");
+    let late = start + Duration::from_secs(20);
+    assert!((health.room_tokens(addr, 1_000.0, late) - 1_000.0).abs() < 1e-9);
+}
+
 #[test]
 fn a_server_that_turned_a_request_away_is_full_for_a_moment() {
     let addr = server("1").addr;
--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener.rs
@@ -137,10 +137,7 @@
                     let named = at_fault.map_or_else(String::new, |addr| format!(": {addr}"));
                     self.note_failed(&keeper.describe(), &format!("not run{named}"));
                     let refusing = at_fault.unwrap_or(first);
-                    self.target
-                        .relay
-                        .health()
-                        .turned_away(refusing, Instant::now());
+                    self.target.relay.engine_had_no_room(refusing);
                     self.avoided.push(refusing);
                 }
                 Opened::Failed(UpstreamError::Withdrawn) => {
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -288,7 +288,7 @@
                     return Watched::Fine;
                 }
                 Moved::Refused(Some(addr)) => {
-                    self.relay.health().turned_away(addr, Instant::now());
+                    self.relay.engine_had_no_room(addr);
                     self.refused.push(addr);
                 }
                 Moved::Refused(None) | Moved::Unknown | Moved::Failed => return Watched::Fine,
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -286,6 +286,12 @@
         self.note_fleet_change();
     }
 
+    /// An engine had no room for a request, or isn't ready for it.
+    pub(crate) fn engine_had_no_room(&self, addr: SocketAddr) {
+        let used_tokens = self.load_of(addr).tokens;
+        self.health().had_no_room(addr, used_tokens, Instant::now());
+    }
+
     /// Counts a fresh request for a service.
     pub(crate) fn note_fresh(&self, service: &ServiceId) {
         self.with_retries(service, |window| window.note_fresh(Instant::now()));
@@ -337,7 +343,7 @@
             .of(&service.name)
             .filter(|server| !server.is_leaving && !health.is_out(server.addr));
         let engines = usable.filter_map(|server| {
-            let mut engine = self.pipeline_engine(server, model, now)?;
+            let mut engine = self.pipeline_engine(server, model, &health, now)?;
             if health.is_full(server.addr, now) {
                 engine.used_tokens = engine.cache_tokens;
             }
@@ -350,6 +356,7 @@
         &self,
         server: &BackendServer,
         model: &ModelShape,
+        health: &ServerHealth,
         now: Instant,
     ) -> Option<PipelineEngine> {
         let held = server.held.filter(|held| !held.is_empty())?;
@@ -357,13 +364,14 @@
             .accelerator
             .as_deref()
             .and_then(|name| model.kind(name));
+        let published_tokens = kind.map_or(0.0, |kind| model.cache_tokens(kind, held.len()));
         Some(PipelineEngine {
             engine: server.id.clone(),
             addr: server.addr,
             domain: server.domain.clone(),
             held,
             layer_step_ms: model.layer_step_ms(kind) * self.signs.slowdown(server.addr, now),
-            cache_tokens: kind.map_or(0.0, |kind| model.cache_tokens(kind, held.len())),
+            cache_tokens: health.room_tokens(server.addr, published_tokens, now),
             used_tokens: self.load_of(server.addr).tokens,
         })
     }
