fix(routing): domains tell each other what they have under way; doubtful engines are asked; full ones share

Crossings are now only for domains that lack layers. - Most refusals (227, 224, 204 in four seconds) named engines that were dead or had come back empty, each instance finding out by itself and for 150 ms. A refusal that names another engine, or a peer's loss, now has it asked; one that lacks the layers it is listed with is out. - Where all engines are full the least overfull is taken; before, one had 234 requests in room for 120.

--- a/crates/rookferry_core/src/pipeline/engine.rs
+++ b/crates/rookferry_core/src/pipeline/engine.rs
@@ -32,9 +32,13 @@
         self.held.covers(layers)
     }
 
-    /// Whether another request's tokens fit.
+    /// The part of its room that another request's tokens would go beyond it;
+    /// 0 or less if they fit.
     #[must_use]
-    pub fn has_room(&self, tokens: f64) -> bool {
-        self.used_tokens + tokens <= self.cache_tokens
+    pub fn overfill(&self, tokens: f64) -> f64 {
+        if self.cache_tokens <= 0.0 {
+            return 1.0;
+        }
+        ((self.used_tokens + tokens) / self.cache_tokens - 1.0).min(1.0)
     }
 }
--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -17,11 +17,12 @@
 /// Time of one more stage: handing on, and waiting for the engine's pass
 /// under way. Half a pass of a mid-sized stage at the published figures.
 const STAGE_MS: f64 = 0.7;
-/// What a crossing between failure domains counts for. The link's delay is a
-/// quarter of a millisecond; the rest stands for a prompt's activations on
-/// the shared link, about 18 ms each, so that crossings are for gaps and full
-/// engines, not for small gains.
-const CROSSING_MS: f64 = 40.0;
+/// What a crossing between failure domains counts for. A prompt's activations
+/// take 18 to 27 ms of the link that all share, so 40 streams a second fill it,
+/// and then all that cross it stand still. So crossings are for domains that
+/// lack layers: full engines are waited for, or another domain's whole path is
+/// taken.
+const CROSSING_MS: f64 = 1_000.0;
 /// What it counts for to enter in another failure domain than the caller's:
 /// only the request and single tokens go that way, not activations.
 const ENTRY_CROSSING_MS: f64 = 8.0;
@@ -35,7 +36,11 @@
 const FULL_MS: f64 = 20.0;
 /// Added for an engine without room for the request, so that it is taken
 /// only where no other holds the layers.
-const NO_ROOM_MS: f64 = 200.0;
+const NO_ROOM_MS: f64 = 60.0;
+/// Added for as much again as fits: a request waits there until what is over
+/// has ended. Engines that are all full so share what is too much; at twice
+/// the room, first events came after 1.2 s.
+const OVERFULL_MS: f64 = 800.0;
 
 /// Searches paths over a set of engines.
 #[derive(Debug)]
@@ -204,10 +209,9 @@
             (false, 0) => ENTRY_CROSSING_MS,
             (false, _) => CROSSING_MS,
         };
-        let room_ms = if engine.has_room(tokens) {
-            0.0
-        } else {
-            NO_ROOM_MS
+        let room_ms = match engine.overfill(tokens) {
+            over if over > 0.0 => NO_ROOM_MS + over * OVERFULL_MS,
+            _ => 0.0,
         };
         let crowding = ((fill(engine) - CROWDED) / (1.0 - CROWDED)).max(0.0);
         STAGE_MS + crossing_ms + room_ms + crowding * crowding * FULL_MS
--- a/crates/rookferry_core/tests/pipeline_paths.rs
+++ b/crates/rookferry_core/tests/pipeline_paths.rs
@@ -194,3 +194,34 @@
         }
     }
 }
+
+#[test]
+fn of_full_engines_the_one_that_is_less_over_is_taken() {
+    let mut fast = engine(0, "a", 0, 20);
+    let mut slow = engine(1, "a", 0, 20);
+    fast.layer_step_ms = 0.05;
+    (fast.used_tokens, slow.used_tokens) = (20_000.0, 11_000.0);
+    let engines = [fast, slow];
+    let path = PathFinder::new(LAYERS, &engines).find(&"a".into(), TOKENS);
+    assert_eq!(path.expect("a path").first().addr, addr(1));
+}
+
+#[test]
+fn full_engines_are_waited_for_rather_than_the_link_taken() {
+    let mut engines = vec![
+        engine(0, "a", 0, 10),
+        engine(1, "a", 10, 20),
+        engine(2, "b", 10, 20),
+    ];
+    engines[1].used_tokens = 15_000.0;
+    let taken = |engines: &[PipelineEngine]| {
+        let path = PathFinder::new(LAYERS, engines).find(&"a".into(), TOKENS);
+        let path = path.expect("a path");
+        let stages = path.stages().iter();
+        stages.map(|stage| stage.addr).collect::<Vec<_>>()
+    };
+    assert_eq!(taken(&engines), [addr(0), addr(1)]);
+    // A whole path elsewhere is better than waiting.
+    engines.push(engine(3, "b", 0, 10));
+    assert_eq!(taken(&engines), [addr(3), addr(2)]);
+}
--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener.rs
@@ -23,6 +23,7 @@
 use crate::path_keeper::Watched;
 use crate::plain::may_send;
 use crate::plain::may_send_again;
+use crate::probe;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
@@ -138,6 +139,10 @@
                     self.note_failed(&keeper.describe(), &format!("not run{named}"));
                     let refusing = at_fault.unwrap_or(first);
                     self.target.relay.engine_had_no_room(refusing);
+                    if refusing != first {
+                        // It may be gone; the first engine only sees no answer.
+                        probe::check_soon(&self.target.relay, refusing);
+                    }
                     self.avoided.push(refusing);
                 }
                 Opened::Failed(UpstreamError::Withdrawn) => {
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -297,6 +297,7 @@
                 }
                 Moved::Refused(Some(addr)) => {
                     self.relay.engine_had_no_room(addr);
+                    probe::check_soon(&self.relay, addr);
                     self.refused.push(addr);
                 }
                 Moved::Refused(None) | Moved::Unknown | Moved::Failed => return Watched::Fine,
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -22,6 +22,7 @@
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::load::ServerLoad;
+use crate::probe;
 use crate::relay::Relay;
 use crate::relay::lock;
 
@@ -30,12 +31,22 @@
 const NEAR_EVERY: Duration = Duration::from_millis(150);
 /// Rounds between heartbeats to members of other domains.
 const FAR_ROUNDS: u32 = 4;
+/// The same for the instance that speaks for its domain. What a domain has
+/// under way at another's engines must be known there before they are full.
+const SPEAKER_ROUNDS: u32 = 2;
 /// Most members of other domains written to in one round.
 const FAR_MEMBERS: usize = 8;
+/// The same for a speaker: all of a site of today.
+const SPEAKER_FAR_MEMBERS: usize = 64;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// How long after its start an instance may speak for its domain: before, it
+/// takes itself for the first because it hasn't heard the others.
+const SPEAK_AFTER: Duration = Duration::from_secs(1);
 /// Most loads and members in one heartbeat.
 const MAX_ENTRIES: usize = 64;
+/// Most loads in a speaker's heartbeat; they fit in a datagram.
+const MAX_DOMAIN_ENTRIES: usize = 256;
 /// How long an own watch may take to bring a version that a peer has.
 const OWN_WATCH_FIRST: Duration = Duration::from_millis(120);
 /// Least time between two rounds when news bring one forward.
@@ -129,18 +140,31 @@
                     "peer" => &*instance);
             }
         }
-        let near = addresses.iter().filter(|(_, is_near)| *is_near);
-        let mut targets: Vec<SocketAddr> = near.map(|(addr, _)| *addr).collect();
-        if round.is_multiple_of(FAR_ROUNDS) {
-            let far: Vec<SocketAddr> = addresses
-                .iter()
-                .filter(|(_, is_near)| !*is_near)
-                .map(|(addr, _)| *addr)
-                .collect();
-            targets.extend(far.sample(&mut rand::rng(), FAR_MEMBERS));
-        }
+        let (near, far): (Vec<_>, Vec<_>) =
+            addresses.into_iter().partition(|(_, is_near)| *is_near);
         let beat = self.heartbeat(now);
-        for target in targets.into_iter().filter(|target| *target != own) {
+        self.send(&beat, near.iter().map(|(addr, _)| *addr), now);
+        let is_speaker = self.epoch.elapsed() >= SPEAK_AFTER && self.relay.rank(now) == 0;
+        let (rounds, members) = if is_speaker {
+            (SPEAKER_ROUNDS, SPEAKER_FAR_MEMBERS)
+        } else {
+            (FAR_ROUNDS, FAR_MEMBERS)
+        };
+        if round.is_multiple_of(rounds) {
+            let beat = Heartbeat {
+                loads: self.domain_loads(is_speaker, now),
+                speaks_for_domain: is_speaker,
+                out: Vec::new(),
+                ..beat
+            };
+            let chosen = far.sample(&mut rand::rng(), members);
+            self.send(&beat, chosen.map(|(addr, _)| *addr), now);
+        }
+    }
+
+    fn send(&self, beat: &Heartbeat, targets: impl Iterator<Item = SocketAddr>, now: Instant) {
+        let own = self.relay.settings.listen.peers;
+        for target in targets.filter(|target| *target != own) {
             let mut beat = beat.clone();
             beat.echo = lock(&self.relay.peers).echo(target, now);
             if let Ok(bytes) = postcard::to_stdvec(&beat) {
@@ -150,6 +174,23 @@
         }
     }
 
+    /// What this instance's domain has under way, if it speaks for it.
+    fn domain_loads(&self, is_speaker: bool, now: Instant) -> Vec<LoadEntry> {
+        if !is_speaker {
+            return Vec::new();
+        }
+        let mut loads = lock(&self.relay.peers).near_loads(&self.relay.settings.domain, now);
+        for (addr, own) in self.relay.loads.snapshot() {
+            let load = loads.entry(addr).or_default();
+            load.requests += own.requests;
+            load.tokens += own.tokens;
+        }
+        let loads = loads.into_iter().take(MAX_DOMAIN_ENTRIES);
+        loads
+            .map(|(addr, load)| self.load_entry(addr, load, now))
+            .collect()
+    }
+
     fn heartbeat(&self, now: Instant) -> Heartbeat {
         let age = self.relay.config_age();
         let config = self.relay.config_version().and_then(|version| {
@@ -162,6 +203,8 @@
         let loads = self.relay.loads.snapshot().into_iter().take(MAX_ENTRIES);
         let mut members = lock(&self.relay.peers).members(now);
         members.truncate(MAX_ENTRIES);
+        let mut out = self.relay.health().out();
+        out.truncate(MAX_ENTRIES);
         Heartbeat {
             instance: self.relay.settings.instance.clone(),
             incarnation: self.incarnation,
@@ -174,6 +217,8 @@
             loads: loads
                 .map(|(addr, load)| self.load_entry(addr, load, now))
                 .collect(),
+            speaks_for_domain: false,
+            out,
             members,
         }
     }
@@ -242,6 +287,10 @@
         };
         self.count_members(now);
         self.take_signs(&beat.loads, now);
+        let newly_out = lock(&self.relay.peers).newly_out(from, &beat.out);
+        for addr in newly_out {
+            probe::check_soon(&self.relay, addr);
+        }
         if is_new && let Some(log) = self.relay.events.line(Weight::Notable) {
             info!(log, "peers: an instance is heard"; "event" => "peer_joined",
                 "peer" => &*beat.instance, "incarnation" => beat.incarnation, "addr" => %from);
@@ -281,7 +330,7 @@
         let relay = &self.relay;
         relay.instances.fetch_max(known + 1, Ordering::Relaxed);
         relay.near_instances.fetch_max(near + 1, Ordering::Relaxed);
-        let loads = lock(&self.relay.peers).loads(now);
+        let loads = lock(&self.relay.peers).loads(&self.relay.settings.domain, now);
         self.relay.peer_loads.store(Arc::new(loads));
     }
 
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -26,8 +26,14 @@
     pub(crate) servers_version: ObjectVersion,
     /// The holder that the sender heard of, itself or by others.
     pub(crate) holder: Option<HolderSeen>,
-    /// What is under way at servers by the sender's requests.
+    /// What is under way at servers: by the sender's requests in its own
+    /// domain; to others by all of its domain's, and only from the instance
+    /// that speaks for it.
     pub(crate) loads: Vec<LoadEntry>,
+    /// Whether the loads are those of the sender's domain.
+    pub(crate) speaks_for_domain: bool,
+    /// Servers that don't answer the sender; told in its own domain.
+    pub(crate) out: Vec<SocketAddr>,
     /// Other members that the sender hears.
     pub(crate) members: Vec<SocketAddr>,
 }
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -19,6 +19,9 @@
 /// How long a silent member's load counts. Several heartbeats to its own
 /// failure domain fit in.
 const LOAD_KEPT: Duration = Duration::from_millis(1_200);
+/// How long a domain's loads count after its speaker was last heard; covers the
+/// change from one speaker to the next.
+const DOMAIN_LOADS_KEPT: Duration = Duration::from_secs(2);
 /// How long a silent holder of the lease counts as one; two heartbeats to
 /// other failure domains fit in.
 const HOLDER_KEPT: Duration = Duration::from_millis(1_400);
@@ -39,6 +42,8 @@
     /// When the peer's configuration was known to be the newest, by its word.
     config_at: Option<Instant>,
     loads: Vec<LoadEntry>,
+    /// Servers that don't answer the peer.
+    out: Vec<SocketAddr>,
 }
 
 impl Peer {
@@ -58,6 +63,14 @@
     peers: BTreeMap<SocketAddr, Peer>,
     /// The holder of the lease and when it was last known to hold it.
     holder: Option<(InstanceId, Instant)>,
+    /// What other domains have under way, as their speakers told last.
+    domain_loads: BTreeMap<DomainId, DomainLoads>,
+}
+
+#[derive(Clone, Debug)]
+struct DomainLoads {
+    loads: Vec<LoadEntry>,
+    heard_at: Instant,
 }
 
 impl PeerTable {
@@ -76,6 +89,7 @@
             clock: None,
             config_at: None,
             loads: Vec::new(),
+            out: Vec::new(),
         });
     }
 
@@ -95,13 +109,31 @@
         peer.config_at = beat
             .config
             .and_then(|config| now.checked_sub(Duration::from_millis(config.age_ms)));
-        peer.loads.clone_from(&beat.loads);
+        if beat.speaks_for_domain {
+            let loads = DomainLoads {
+                loads: beat.loads.clone(),
+                heard_at: now,
+            };
+            self.domain_loads.insert(beat.domain.clone(), loads);
+        } else {
+            peer.loads.clone_from(&beat.loads);
+        }
         if let Some(holder) = &beat.holder {
             self.note_holder(holder, now);
         }
         !is_known
     }
 
+    /// Servers that a peer has newly lost since its last heartbeat.
+    pub(crate) fn newly_out(&mut self, from: SocketAddr, out: &[SocketAddr]) -> Vec<SocketAddr> {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return Vec::new();
+        };
+        let before = std::mem::replace(&mut peer.out, out.to_vec());
+        let news = out.iter().filter(|addr| !before.contains(addr));
+        news.copied().collect()
+    }
+
     /// Drops addresses that have been silent for long; tells which instances
     /// fell out of those that share budgets since the last call.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
@@ -253,17 +285,37 @@
             .any(|peer| peer.is_heard(now, LOAD_KEPT))
     }
 
-    /// What members have under way at each server.
-    pub(crate) fn loads(&self, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
-        let mut loads: BTreeMap<SocketAddr, ServerLoad> = BTreeMap::new();
-        let heard = self.peers.values();
-        for peer in heard.filter(|peer| peer.is_heard(now, LOAD_KEPT)) {
-            for entry in &peer.loads {
-                let load = loads.entry(entry.addr).or_default();
-                load.requests += entry.requests;
-                load.tokens += f64::from(entry.tokens);
-            }
+    /// What the other members have under way at each server: those of the own
+    /// domain by their own word, those of others by their speakers'.
+    pub(crate) fn loads(&self, home: &DomainId, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
+        let mut loads = self.near_loads(home, now);
+        let others = self.domain_loads.iter().filter(|(domain, told)| {
+            *domain != home && is_within(Some(told.heard_at), now, DOMAIN_LOADS_KEPT)
+        });
+        for (_, told) in others {
+            add_loads(&mut loads, &told.loads);
         }
         loads
     }
+
+    /// What the other members of a domain have under way at each server.
+    pub(crate) fn near_loads(
+        &self,
+        domain: &DomainId,
+        now: Instant,
+    ) -> BTreeMap<SocketAddr, ServerLoad> {
+        let mut loads = BTreeMap::new();
+        for peer in self.heard_in(domain, now) {
+            add_loads(&mut loads, &peer.loads);
+        }
+        loads
+    }
+}
+
+fn add_loads(loads: &mut BTreeMap<SocketAddr, ServerLoad>, entries: &[LoadEntry]) {
+    for entry in entries {
+        let load = loads.entry(entry.addr).or_default();
+        load.requests += entry.requests;
+        load.tokens += f64::from(entry.tokens);
+    }
 }
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -10,6 +10,7 @@
 use http::Uri;
 use http_body_util::Full;
 
+use crate::protocol::EngineReport;
 use crate::protocol::set_host;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
@@ -48,9 +49,15 @@
             let now = Instant::now();
             relay.signs.of(upstream.addr).note(now);
             let report = relay.protocol.read_report(&answer.body);
-            let slowdown = report.map_or(1.0, |report| report.slowdown);
-            relay.signs.note_report(upstream.addr, slowdown, now);
-            true
+            let Ok(report) = report else {
+                return true;
+            };
+            relay.signs.note_report(upstream.addr, report.slowdown, now);
+            let holds_layers = holds_listed_layers(relay, upstream.addr, &report);
+            if !holds_layers {
+                relay.server_lost(upstream.addr, "it doesn't hold its layers any more");
+            }
+            holds_layers
         }
         Err(error) if error.is_own_limit() => true,
         Err(error) => {
@@ -60,6 +67,35 @@
     }
 }
 
+/// Asks an engine for a sign because another engine, or another instance, had
+/// trouble with it.
+pub(crate) fn check_soon(relay: &Arc<Relay>, addr: SocketAddr) {
+    let is_known = relay.is_listed(addr) && !relay.health().is_out(addr);
+    if !is_known || !relay.signs.begin_asking(addr, ASK_AGAIN, Instant::now()) {
+        return;
+    }
+    let relay = relay.clone();
+    tokio::spawn(async move {
+        let view = relay.view.load_full();
+        if let Some(service) = view.service_at(addr)
+            && service.model.is_some()
+        {
+            check(&relay, relay.upstream(addr, service)).await;
+        }
+    });
+}
+
+/// Whether an engine has the layers that its entry tells of. One that crashed
+/// and came back at its address has none, and its old entry stays for a while.
+fn holds_listed_layers(relay: &Relay, addr: SocketAddr, report: &EngineReport) -> bool {
+    let view = relay.view.load();
+    let server = view.servers.as_ref().and_then(|table| table.at(addr));
+    let Some(listed) = server.and_then(|server| server.held) else {
+        return true;
+    };
+    report.held.is_some_and(|held| held.covers(listed))
+}
+
 /// A last look for an answer that has arrived while this process stood still
 /// itself: after a pause its timers are seen before what came in meanwhile.
 async fn late(
@@ -95,16 +131,11 @@
 
 async fn probe_lost(relay: Arc<Relay>, addr: SocketAddr) {
     let view = relay.view.load_full();
-    let (Some(index), Some(table)) = (&view.index, &view.servers) else {
-        return;
-    };
-    let Some(service) = table
-        .at(addr)
-        .and_then(|server| index.service(&server.service))
-    else {
+    let Some(service) = view.service_at(addr) else {
         return;
     };
-    let request = if service.model.is_some() {
+    let is_engine = service.model.is_some();
+    let request = if is_engine {
         relay.protocol.report_call().request(addr)
     } else {
         let Some(request) = health_request(addr, &service.health_path) else {
@@ -115,11 +146,19 @@
     let upstream = relay.upstream(addr, service);
     // Any answer shows that it is there; one that is full answers too.
     match relay.pool.call(upstream, request, PROBE_TIMEOUT * 3).await {
+        Ok(answer) if is_engine && is_empty(&relay, addr, &answer) => {}
         Ok(_) | Err(UpstreamError::Crossed { .. }) => relay.server_answered(addr),
+        // It stays out, and is probed again.
         Err(_) => {}
     }
 }
 
+/// Whether an engine's answer says that it lacks layers that it is listed with.
+fn is_empty(relay: &Relay, addr: SocketAddr, answer: &WholeAnswer) -> bool {
+    let report = relay.protocol.read_report(&answer.body);
+    report.is_ok_and(|report| !holds_listed_layers(relay, addr, &report))
+}
+
 fn health_request(addr: SocketAddr, path: &str) -> Option<Request<Full<bytes::Bytes>>> {
     let mut request = Request::new(Full::default());
     *request.uri_mut() = path.parse::<Uri>().ok()?;
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -8,6 +8,7 @@
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
 use rookferry_core::ServingIndex;
+use rookferry_core::ServingService;
 use rookferry_wire::ServiceId;
 
 /// A snapshot of configuration and backend servers.
@@ -19,6 +20,14 @@
     pub(crate) servers: Option<Arc<ServerTable>>,
 }
 
+impl SiteView {
+    /// The service of the server at an address.
+    pub(crate) fn service_at(&self, addr: SocketAddr) -> Option<&ServingService> {
+        let server = self.servers.as_ref()?.at(addr)?;
+        self.index.as_ref()?.service(&server.service)
+    }
+}
+
 /// The backend servers with their look-ups.
 #[derive(Debug, Default)]
 pub(crate) struct ServerTable {
