--- a/crates/rookferry_core/src/serving/store_pace.rs
+++ b/crates/rookferry_core/src/serving/store_pace.rs
@@ -9,6 +9,9 @@
 
 use std::time::Duration;
 
+/// Pause of the first in line after one failed call; doubles with each. About
+/// fifteen usual answers of the store.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause of the first in line. A store that comes back serves the
 /// site after this and a heartbeat.
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
@@ -21,13 +24,16 @@
 /// Places in line that are told apart there.
 const RELY_STEPS: u32 = 10;
 
-/// The pause after a call that failed, for an instance that stands behind
-/// `rank` others; `pause` is what it would be without them.
+/// The pause after a number of failed calls in a row, for an instance that
+/// stands behind `rank` others.
 #[must_use]
-pub fn pause_in_line(pause: Duration, rank: usize) -> Duration {
+pub fn pause_in_line(failures: u32, rank: usize) -> Duration {
+    let doublings = failures.saturating_sub(1);
+    let first_in_line = FIRST_PAUSE
+        .saturating_mul(2_u32.saturating_pow(doublings))
+        .min(LONGEST_PAUSE);
     let places = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
-    pause
-        .min(LONGEST_PAUSE)
+    first_in_line
         .saturating_mul(places)
         .min(LONGEST_RANKED_PAUSE)
 }
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -250,13 +250,14 @@
 
 #[test]
 fn instances_that_stand_further_back_spare_a_store_that_is_away() {
-    let longest = Duration::from_millis(500);
-    let pauses: Vec<Duration> = (0..30).map(|rank| pause_in_line(longest, rank)).collect();
+    let without_line = Duration::from_millis(500);
+    let pauses: Vec<Duration> = (0..30).map(|rank| pause_in_line(20, rank)).collect();
     assert!(pauses.is_sorted());
-    assert!(pauses[0] < longest, "the first notices soon");
+    assert!(pauses[0] < without_line, "the first notices soon");
     assert!(pauses[29] <= Duration::from_secs(3), "none stops asking");
+    assert!(pause_in_line(1, 0) < pauses[0], "one failure may be chance");
     let calls_per_s: f64 = pauses.iter().map(|pause| 1.0 / pause.as_secs_f64()).sum();
-    let without: f64 = 30.0 / longest.as_secs_f64();
+    let without: f64 = 30.0 / without_line.as_secs_f64();
     assert!(calls_per_s < without / 2.0, "{calls_per_s} of {without}");
 }
 
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -39,10 +39,6 @@
 const BURST: Duration = Duration::from_millis(100);
 /// How often an instance that relies on peers looks whether it still may.
 const RELY_PAUSE: Duration = Duration::from_millis(150);
-/// First pause after a failed call; doubles up to what the instance's place in
-/// line allows.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// How long after an outage removals may be lapses; they show in the first
 /// answers, and a later removal is a server that left.
 const LAPSES_AFTER: Duration = Duration::from_millis(300);
@@ -51,7 +47,8 @@
 struct Outage {
     name: &'static str,
     since: Option<Instant>,
-    pause: Duration,
+    /// Failed calls in a row.
+    failures: u32,
 }
 
 impl Outage {
@@ -59,13 +56,13 @@
         Self {
             name,
             since: None,
-            pause: FIRST_PAUSE,
+            failures: 0,
         }
     }
 
     /// A call went well; tells whether that ends an outage.
     fn ended(&mut self, relay: &Relay) -> bool {
-        self.pause = FIRST_PAUSE;
+        self.failures = 0;
         let Some(since) = self.since.take() else {
             return false;
         };
@@ -83,9 +80,9 @@
 
     async fn failed(&mut self, relay: &Relay, error: &StoreError) {
         self.begin(relay, error);
-        let pause = pause_in_line(self.pause, relay.rank(Instant::now()));
+        self.failures = self.failures.saturating_add(1);
+        let pause = pause_in_line(self.failures, relay.rank(Instant::now()));
         tokio::time::sleep(pause).await;
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 }
 
