--- /dev/null
+++ b/crates/rookferry_relay/src/engines.rs
@@ -0,0 +1,148 @@
+//! Backend servers as paths and connections need them: what they can take,
+//! what is under way at them, and what this instance may use of them.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use rookferry_core::BackendServer;
+use rookferry_core::ModelShape;
+use rookferry_core::PathStage;
+use rookferry_core::PipelineEngine;
+use rookferry_core::ServerHealth;
+use rookferry_core::ServingService;
+
+use crate::load::ServerLoad;
+use crate::relay::Relay;
+use crate::upstream::Upstream;
+use crate::view::ServerTable;
+
+/// The part of a server's connections that instances of its own failure
+/// domain share; the others share the rest.
+const NEAR_CONNECTIONS: f64 = 0.6;
+/// Connections that an instance may open to a server at the least.
+const MIN_CONNECTIONS: usize = 3;
+
+/// What is known of a stage of a path in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StageState {
+    /// It holds its layers, and nothing speaks against it.
+    Usable,
+    /// It goes, or gives the layers up, and serves what it has until then.
+    Leaving,
+    /// It doesn't answer, or is gone.
+    Lost,
+}
+
+impl Relay {
+    /// An engine had no room for a request, or isn't ready for it.
+    pub(crate) fn engine_had_no_room(&self, addr: SocketAddr) {
+        let used_tokens = self.load_of(addr).tokens;
+        self.health().had_no_room(addr, used_tokens, Instant::now());
+    }
+
+    /// The engines of a service that may be a stage now.
+    pub(crate) fn pipeline_engines(
+        &self,
+        table: &ServerTable,
+        service: &ServingService,
+        model: &ModelShape,
+    ) -> Vec<PipelineEngine> {
+        let now = Instant::now();
+        let health = self.health();
+        let usable = table
+            .of(&service.name)
+            .filter(|server| !server.is_leaving && !health.is_out(server.addr));
+        let engines = usable.filter_map(|server| {
+            let mut engine = self.pipeline_engine(server, model, &health, now)?;
+            if health.is_full(server.addr, now) {
+                engine.used_tokens = engine.cache_tokens;
+            }
+            Some(engine)
+        });
+        engines.collect()
+    }
+
+    fn pipeline_engine(
+        &self,
+        server: &BackendServer,
+        model: &ModelShape,
+        health: &ServerHealth,
+        now: Instant,
+    ) -> Option<PipelineEngine> {
+        let held = server.held.filter(|held| !held.is_empty())?;
+        let kind = server
+            .accelerator
+            .as_deref()
+            .and_then(|name| model.kind(name));
+        let published_tokens = kind.map_or(0.0, |kind| model.cache_tokens(kind, held.len()));
+        Some(PipelineEngine {
+            engine: server.id.clone(),
+            addr: server.addr,
+            domain: server.domain.clone(),
+            held,
+            layer_step_ms: model.layer_step_ms(kind) * self.signs.slowdown(server.addr, now),
+            cache_tokens: health.room_tokens(server.addr, published_tokens, now),
+            used_tokens: self.load_of(server.addr).tokens,
+        })
+    }
+
+    /// What is under way at a server by this instance and those it hears.
+    pub(crate) fn load_of(&self, addr: SocketAddr) -> ServerLoad {
+        let own = self.loads.of(addr);
+        let others = self.peer_loads.load();
+        let others = others.get(&addr).copied().unwrap_or_default();
+        ServerLoad {
+            requests: own.requests + others.requests,
+            tokens: own.tokens + others.tokens,
+        }
+    }
+
+    /// What is known of a stage of a path in use.
+    pub(crate) fn stage_state(&self, table: &ServerTable, stage: &PathStage) -> StageState {
+        if self.health().is_out(stage.addr) {
+            return StageState::Lost;
+        }
+        let Some(server) = table.at(stage.addr) else {
+            return StageState::Lost;
+        };
+        let holds_layers = server.held.is_some_and(|held| held.covers(stage.layers));
+        if server.id != stage.engine {
+            return StageState::Lost;
+        }
+        // Layers that are given up still serve what is passing through.
+        if server.is_leaving || !holds_layers {
+            return StageState::Leaving;
+        }
+        StageState::Usable
+    }
+
+    /// A server with this instance's part of its connections. Most requests
+    /// stay in their failure domain, so its instances have the larger part.
+    pub(crate) fn upstream(&self, addr: SocketAddr, service: &ServingService) -> Upstream {
+        let limit = f64::from(service.max_connections);
+        let view = self.view.load();
+        let server = view.servers.as_ref().and_then(|table| table.at(addr));
+        let is_near = server.is_some_and(|server| server.domain == self.settings.domain);
+        let near = self.near_instances.load(Ordering::Relaxed).max(1);
+        let all = self.instances.load(Ordering::Relaxed).max(near);
+        let part = if is_near {
+            limit * NEAR_CONNECTIONS / near as f64
+        } else {
+            limit * (1.0 - NEAR_CONNECTIONS) / all.saturating_sub(near).max(1) as f64
+        };
+        Upstream {
+            addr,
+            max_connections: whole(part).max(MIN_CONNECTIONS),
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast of a float saturates, and the part isn't below 0"
+)]
+const fn whole(part: f64) -> usize {
+    part as usize
+}
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -21,13 +21,13 @@
 use slog::warn;
 use tokio::sync::watch;
 
+use crate::engines::StageState;
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::load::LoadGuard;
 use crate::opener::StreamTarget;
 use crate::probe;
 use crate::relay::Relay;
-use crate::relay::StageState;
 use crate::request::CallerRequest;
 use crate::signs::Sign;
 
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -9,7 +9,9 @@
 use http::Request;
 use http::Uri;
 use http_body_util::Full;
+use slog::warn;
 
+use crate::event_log::Weight;
 use crate::protocol::EngineReport;
 use crate::protocol::set_host;
 use crate::relay::Relay;
@@ -48,8 +50,7 @@
         Ok(answer) => {
             let now = Instant::now();
             relay.signs.of(upstream.addr).note(now);
-            let report = relay.protocol.read_report(&answer.body);
-            let Ok(report) = report else {
+            let Some(report) = read_report(relay, upstream.addr, &answer) else {
                 return true;
             };
             relay.signs.note_report(upstream.addr, report.slowdown, now);
@@ -146,7 +147,7 @@
     let upstream = relay.upstream(addr, service);
     // Any answer shows that it is there; one that is full answers too.
     match relay.pool.call(upstream, request, PROBE_TIMEOUT * 3).await {
-        Ok(answer) if is_engine && is_empty(&relay, addr, &answer) => {}
+        Ok(answer) if is_engine && lacks_listed_layers(&relay, addr, &answer) => {}
         Ok(_) | Err(UpstreamError::Crossed { .. }) => relay.server_answered(addr),
         // It stays out, and is probed again.
         Err(_) => {}
@@ -154,9 +155,23 @@
 }
 
 /// Whether an engine's answer says that it lacks layers that it is listed with.
-fn is_empty(relay: &Relay, addr: SocketAddr, answer: &WholeAnswer) -> bool {
-    let report = relay.protocol.read_report(&answer.body);
-    report.is_ok_and(|report| !holds_listed_layers(relay, addr, &report))
+fn lacks_listed_layers(relay: &Relay, addr: SocketAddr, answer: &WholeAnswer) -> bool {
+    let report = read_report(relay, addr, answer);
+    report.is_some_and(|report| !holds_listed_layers(relay, addr, &report))
+}
+
+/// An engine's report; one that doesn't read still shows that it is there.
+fn read_report(relay: &Relay, addr: SocketAddr, answer: &WholeAnswer) -> Option<EngineReport> {
+    match relay.protocol.read_report(&answer.body) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            if let Some(log) = relay.events.line(Weight::Notable) {
+                warn!(log, "probe: a report doesn't read"; "event" => "report_unreadable",
+                    "server" => %addr, "status" => answer.status.as_u16(), "cause" => %error);
+            }
+            None
+        }
+    }
 }
 
 fn health_request(addr: SocketAddr, path: &str) -> Option<Request<Full<bytes::Bytes>>> {
