--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -38,6 +38,7 @@
     "placement_planned",
     "refused",
     "reloaded",
+    "report_unreadable",
     "retry_denied",
     "served",
     "server_changed",
