refactor(relay): one lookup, one sum, one record a server, no copy a heartbeat

From reading the whole change again; behaviour stays. - The server at an address was looked up in five places by hand: SiteView::server_at. Relay::is_listed, which one caller used before it looked the same server up again, is gone. - Loads were added by hand in four places: ServerLoad is AddAssign. - Signs kept three maps by the same address behind three locks, pruned one by one: one map of records. - A heartbeat with up to 256 loads was cloned for each of up to 64 members, though only the echo differs; taking one in locked the member table four times, now once. - While it waits for the store, an instance asked twice a turn whether it relies on its peers. - Letting a request in repeated what Relay::knows_site checks.

--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -89,13 +89,10 @@
 
     /// What is under way at a server by this instance and those it hears.
     pub(crate) fn load_of(&self, addr: SocketAddr) -> ServerLoad {
-        let own = self.loads.of(addr);
+        let mut load = self.loads.of(addr);
         let others = self.peer_loads.load();
-        let others = others.get(&addr).copied().unwrap_or_default();
-        ServerLoad {
-            requests: own.requests + others.requests,
-            tokens: own.tokens + others.tokens,
-        }
+        load += others.get(&addr).copied().unwrap_or_default();
+        load
     }
 
     /// What is known of a stage of a path in use.
@@ -122,8 +119,9 @@
     pub(crate) fn upstream(&self, addr: SocketAddr, service: &ServingService) -> Upstream {
         let limit = f64::from(service.max_connections);
         let view = self.view.load();
-        let server = view.servers.as_ref().and_then(|table| table.at(addr));
-        let is_near = server.is_some_and(|server| server.domain == self.settings.domain);
+        let is_near = view
+            .server_at(addr)
+            .is_some_and(|server| server.domain == self.settings.domain);
         let near = self.near_instances.load(Ordering::Relaxed).max(1);
         let all = self.instances.load(Ordering::Relaxed).max(near);
         let part = if is_near {
--- a/crates/rookferry_relay/src/front.rs
+++ b/crates/rookferry_relay/src/front.rs
@@ -124,13 +124,9 @@
         return Err(Refusal::Leaving);
     }
     let view = relay.view.load_full();
-    let Some(index) = &view.index else {
-        return Err(relay.unknown_site());
-    };
     // What isn't known to be the newest may neither let in nor turn away.
-    if view.servers.is_none() || !relay.is_config_fresh() {
-        return Err(relay.unknown_site());
-    }
+    let known = view.index.as_ref().filter(|_| relay.knows_site());
+    let index = known.ok_or_else(|| relay.unknown_site())?;
     let host = host_of(&inbound.headers).ok_or(Refusal::BadRequest("the request names no host"))?;
     let route = index
         .route(&host, inbound.uri.path())
--- a/crates/rookferry_relay/src/load.rs
+++ b/crates/rookferry_relay/src/load.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::AddAssign;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -16,6 +17,13 @@
     pub(crate) tokens: f64,
 }
 
+impl AddAssign for ServerLoad {
+    fn add_assign(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+    }
+}
+
 /// Loads by server.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoadTable {
@@ -38,9 +46,10 @@
     pub(crate) fn enter(&self, addrs: Vec<SocketAddr>, tokens: f64) -> LoadGuard {
         let mut loads = lock(&self.inner);
         for addr in &addrs {
-            let load = loads.entry(*addr).or_default();
-            load.requests += 1;
-            load.tokens += tokens;
+            *loads.entry(*addr).or_default() += ServerLoad {
+                requests: 1,
+                tokens,
+            };
         }
         drop(loads);
         LoadGuard {
--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener.rs
@@ -221,11 +221,7 @@
         let resume = after.map(|id| (names.last_event.clone(), HeaderValue::from(id)));
         let extra = std::iter::once(path).chain(resume);
         let outbound = request.to_server(names, &first.engine, extra);
-        let server = {
-            let view = relay.view.load();
-            let table = view.servers.as_ref();
-            table.and_then(|table| table.at(first.addr)).cloned()
-        };
+        let server = relay.view.load().server_at(first.addr).cloned();
         let Some(server) = server else {
             return Opened::Failed(UpstreamError::Withdrawn);
         };
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -19,6 +19,7 @@
 use super::message::HolderSeen;
 use super::message::LoadEntry;
 use super::message::ReportSeen;
+use super::table::PeerTable;
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::load::ServerLoad;
@@ -142,8 +143,8 @@
         }
         let (near, far): (Vec<_>, Vec<_>) =
             addresses.into_iter().partition(|(_, is_near)| *is_near);
-        let beat = self.heartbeat(now);
-        self.send(&beat, near.iter().map(|(addr, _)| *addr), now);
+        let mut beat = self.heartbeat(now);
+        self.send(&mut beat, near.iter().map(|(addr, _)| *addr), now);
         let is_speaker = self.epoch.elapsed() >= SPEAK_AFTER && self.relay.rank(now) == 0;
         let (rounds, members) = if is_speaker {
             (SPEAKER_ROUNDS, SPEAKER_FAR_MEMBERS)
@@ -151,23 +152,20 @@
             (FAR_ROUNDS, FAR_MEMBERS)
         };
         if round.is_multiple_of(rounds) {
-            let beat = Heartbeat {
-                loads: self.domain_loads(is_speaker, now),
-                speaks_for_domain: is_speaker,
-                out: Vec::new(),
-                ..beat
-            };
+            beat.loads = self.domain_loads(is_speaker, now);
+            beat.speaks_for_domain = is_speaker;
+            beat.out.clear();
             let chosen = far.sample(&mut rand::rng(), members);
-            self.send(&beat, chosen.map(|(addr, _)| *addr), now);
+            self.send(&mut beat, chosen.map(|(addr, _)| *addr), now);
         }
     }
 
-    fn send(&self, beat: &Heartbeat, targets: impl Iterator<Item = SocketAddr>, now: Instant) {
+    /// Sends a heartbeat, to each member with the member's own clock.
+    fn send(&self, beat: &mut Heartbeat, targets: impl Iterator<Item = SocketAddr>, now: Instant) {
         let own = self.relay.settings.listen.peers;
         for target in targets.filter(|target| *target != own) {
-            let mut beat = beat.clone();
             beat.echo = lock(&self.relay.peers).echo(target, now);
-            if let Ok(bytes) = postcard::to_stdvec(&beat) {
+            if let Ok(bytes) = postcard::to_stdvec(beat) {
                 // A full queue or a dead member; the next round tries again.
                 let _ = self.socket.try_send_to(&bytes, target);
             }
@@ -181,9 +179,7 @@
         }
         let mut loads = lock(&self.relay.peers).near_loads(&self.relay.settings.domain, now);
         for (addr, own) in self.relay.loads.snapshot() {
-            let load = loads.entry(addr).or_default();
-            load.requests += own.requests;
-            load.tokens += own.tokens;
+            *loads.entry(addr).or_default() += own;
         }
         let loads = loads.into_iter().take(MAX_DOMAIN_ENTRIES);
         loads
@@ -277,17 +273,18 @@
         let own = &self.relay.settings.instance;
         beat.holder = beat.holder.filter(|holder| holder.instance != *own);
         let now = Instant::now();
-        let is_new = {
+        let (is_new, newly_out) = {
             let mut table = lock(&self.relay.peers);
             let own = self.relay.settings.listen.peers;
             for member in beat.members.iter().filter(|member| **member != own) {
                 table.learn(*member, now);
             }
-            table.heard(from, &beat, now)
+            let is_new = table.heard(from, &beat, now);
+            let newly_out = table.newly_out(from, &beat.out);
+            self.count_members(&table, now);
+            (is_new, newly_out)
         };
-        self.count_members(now);
         self.take_signs(&beat.loads, now);
-        let newly_out = lock(&self.relay.peers).newly_out(from, &beat.out);
         for addr in newly_out {
             probe::check_soon(&self.relay, addr);
         }
@@ -319,19 +316,22 @@
         });
     }
 
-    fn count_members(&self, now: Instant) {
+    /// Counts the members, and what they have under way.
+    fn count_members(&self, table: &PeerTable, now: Instant) {
+        let relay = &self.relay;
+        let own_domain = &relay.settings.domain;
         // All that are told of, also those not heard yet. Budgets shrink at
         // once and grow back only with a restart: a member that is cut off
         // still spends its part.
-        let (known, near) = {
-            let table = lock(&self.relay.peers);
-            (table.known(), table.near(&self.relay.settings.domain))
-        };
-        let relay = &self.relay;
-        relay.instances.fetch_max(known + 1, Ordering::Relaxed);
-        relay.near_instances.fetch_max(near + 1, Ordering::Relaxed);
-        let loads = lock(&self.relay.peers).loads(&self.relay.settings.domain, now);
-        self.relay.peer_loads.store(Arc::new(loads));
+        relay
+            .instances
+            .fetch_max(table.known() + 1, Ordering::Relaxed);
+        relay
+            .near_instances
+            .fetch_max(table.near(own_domain) + 1, Ordering::Relaxed);
+        relay
+            .peer_loads
+            .store(Arc::new(table.loads(own_domain, now)));
     }
 
     /// A peer's word on the configuration: a newer version is fetched, the
--- a/crates/rookferry_relay/src/peers/table.rs
+++ b/crates/rookferry_relay/src/peers/table.rs
@@ -314,8 +314,9 @@
 
 fn add_loads(loads: &mut BTreeMap<SocketAddr, ServerLoad>, entries: &[LoadEntry]) {
     for entry in entries {
-        let load = loads.entry(entry.addr).or_default();
-        load.requests += entry.requests;
-        load.tokens += f64::from(entry.tokens);
+        *loads.entry(entry.addr).or_default() += ServerLoad {
+            requests: entry.requests,
+            tokens: f64::from(entry.tokens),
+        };
     }
 }
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -188,8 +188,7 @@
 }
 
 fn stays(view: &SiteView, server: &BackendServer) -> bool {
-    let table = view.servers.as_ref();
-    let known = table.and_then(|table| table.at(server.addr));
+    let known = view.server_at(server.addr);
     known.is_some_and(|known| known.id == server.id && !known.is_leaving)
 }
 
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -71,27 +71,26 @@
 /// Asks an engine for a sign because another engine, or another instance, had
 /// trouble with it.
 pub(crate) fn check_soon(relay: &Arc<Relay>, addr: SocketAddr) {
-    let is_known = relay.is_listed(addr) && !relay.health().is_out(addr);
-    if !is_known || !relay.signs.begin_asking(addr, ASK_AGAIN, Instant::now()) {
+    let view = relay.view.load();
+    let Some(service) = view
+        .service_at(addr)
+        .filter(|service| service.model.is_some())
+    else {
+        return;
+    };
+    if relay.health().is_out(addr) || !relay.signs.begin_asking(addr, ASK_AGAIN, Instant::now()) {
         return;
     }
+    let upstream = relay.upstream(addr, service);
     let relay = relay.clone();
-    tokio::spawn(async move {
-        let view = relay.view.load_full();
-        if let Some(service) = view.service_at(addr)
-            && service.model.is_some()
-        {
-            check(&relay, relay.upstream(addr, service)).await;
-        }
-    });
+    tokio::spawn(async move { check(&relay, upstream).await });
 }
 
 /// Whether an engine has the layers that its entry tells of. One that crashed
 /// and came back at its address has none, and its old entry stays for a while.
 fn holds_listed_layers(relay: &Relay, addr: SocketAddr, report: &EngineReport) -> bool {
     let view = relay.view.load();
-    let server = view.servers.as_ref().and_then(|table| table.at(addr));
-    let Some(listed) = server.and_then(|server| server.held) else {
+    let Some(listed) = view.server_at(addr).and_then(|server| server.held) else {
         return true;
     };
     report.held.is_some_and(|held| held.covers(listed))
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -277,14 +277,6 @@
         lock(&self.health)
     }
 
-    /// Whether a server is listed at an address.
-    pub(crate) fn is_listed(&self, addr: SocketAddr) -> bool {
-        let view = self.view.load();
-        view.servers
-            .as_ref()
-            .is_some_and(|table| table.at(addr).is_some())
-    }
-
     /// A server didn't answer at all: it is out until a probe finds it.
     pub(crate) fn server_lost(&self, addr: SocketAddr, cause: &str) {
         if !self.health().lost(addr, Instant::now()) {
--- a/crates/rookferry_relay/src/signs.rs
+++ b/crates/rookferry_relay/src/signs.rs
@@ -34,14 +34,19 @@
     at: Instant,
 }
 
+/// What is known of one server.
+#[derive(Debug)]
+struct Seen {
+    sign: Sign,
+    report: Option<Report>,
+    asked_at: Option<Instant>,
+}
+
 /// The signs of all servers.
 #[derive(Debug)]
 pub(crate) struct Signs {
     epoch: Instant,
-    by_addr: Mutex<HashMap<SocketAddr, Sign>>,
-    reports: Mutex<HashMap<SocketAddr, Report>>,
-    /// When each server was last asked.
-    asked: Mutex<HashMap<SocketAddr, Instant>>,
+    by_addr: Mutex<HashMap<SocketAddr, Seen>>,
 }
 
 impl Signs {
@@ -49,32 +54,26 @@
         Self {
             epoch: Instant::now(),
             by_addr: Mutex::default(),
-            reports: Mutex::default(),
-            asked: Mutex::default(),
         }
     }
 
     /// The sign of a server.
     pub(crate) fn of(&self, addr: SocketAddr) -> Sign {
-        let mut signs = lock(&self.by_addr);
-        let sign = signs.entry(addr).or_insert_with(|| Sign {
-            epoch: self.epoch,
-            at_ms: Arc::default(),
-        });
-        sign.clone()
+        self.with(addr, |seen| seen.sign.clone())
     }
 
     /// An engine reported how slow it is, to this instance or another.
     pub(crate) fn note_report(&self, addr: SocketAddr, slowdown: f64, at: Instant) {
-        let mut reports = lock(&self.reports);
-        if reports.get(&addr).is_none_or(|known| known.at < at) {
-            reports.insert(addr, Report { slowdown, at });
-        }
+        self.with(addr, |seen| {
+            if seen.report.is_none_or(|known| known.at < at) {
+                seen.report = Some(Report { slowdown, at });
+            }
+        });
     }
 
     /// What an engine last reported, and how long ago, while it counts.
     pub(crate) fn report(&self, addr: SocketAddr, now: Instant) -> Option<(f64, Duration)> {
-        let known = *lock(&self.reports).get(&addr)?;
+        let known = lock(&self.by_addr).get(&addr)?.report?;
         let age = now.saturating_duration_since(known.at);
         (age < REPORT_KEPT).then_some((known.slowdown, age))
     }
@@ -94,20 +93,33 @@
     /// Whether a server should be asked now: not while an answer to another
     /// stream's question, at most `pause` ago, may still come.
     pub(crate) fn begin_asking(&self, addr: SocketAddr, pause: Duration, now: Instant) -> bool {
-        let mut asked = lock(&self.asked);
-        let last = asked.get(&addr);
-        let is_asked = last.is_some_and(|at| now.saturating_duration_since(*at) < pause);
-        if !is_asked {
-            asked.insert(addr, now);
-        }
-        !is_asked
+        self.with(addr, |seen| {
+            let is_asked = seen
+                .asked_at
+                .is_some_and(|at| now.saturating_duration_since(at) < pause);
+            if !is_asked {
+                seen.asked_at = Some(now);
+            }
+            !is_asked
+        })
     }
 
     /// Forgets servers that `is_known` doesn't know.
     pub(crate) fn retain(&self, is_known: impl Fn(SocketAddr) -> bool) {
         lock(&self.by_addr).retain(|addr, _| is_known(*addr));
-        lock(&self.reports).retain(|addr, _| is_known(*addr));
-        lock(&self.asked).retain(|addr, _| is_known(*addr));
+    }
+
+    fn with<T>(&self, addr: SocketAddr, run: impl FnOnce(&mut Seen) -> T) -> T {
+        let mut by_addr = lock(&self.by_addr);
+        let seen = by_addr.entry(addr).or_insert_with(|| Seen {
+            sign: Sign {
+                epoch: self.epoch,
+                at_ms: Arc::default(),
+            },
+            report: None,
+            asked_at: None,
+        });
+        run(seen)
     }
 }
 
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -199,8 +199,11 @@
     wait: Duration,
     outage: &mut Outage,
 ) -> Result<Read, StoreError> {
-    while relay.relies_on_peers() || relay.is_store_away.load(Ordering::Relaxed) {
+    loop {
         if !relay.relies_on_peers() {
+            if !relay.is_store_away.load(Ordering::Relaxed) {
+                break;
+            }
             outage.begin(relay, &"the configuration can't be read either");
         }
         tokio::time::sleep(RELY_PAUSE).await;
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -21,9 +21,14 @@
 }
 
 impl SiteView {
+    /// The server at an address.
+    pub(crate) fn server_at(&self, addr: SocketAddr) -> Option<&BackendServer> {
+        self.servers.as_ref()?.at(addr)
+    }
+
     /// The service of the server at an address.
     pub(crate) fn service_at(&self, addr: SocketAddr) -> Option<&ServingService> {
-        let server = self.servers.as_ref()?.at(addr)?;
+        let server = self.server_at(addr)?;
         self.index.as_ref()?.service(&server.service)
     }
 }
