feat(pipeline): layouts by a forecast of what a chain carries

Cause: gaps were filled by the largest share of layers at a fixed room of 90 requests, so the slowest kind held 24 to 36 of a domain's 80 layers while engines three times as fast stood by; a token took twice the time, requests piled up and the site stayed in overload after each trouble.

Now a forecast (round time, first event, rate by Little's law) gives the room with the most throughput for its response time; the fastest kinds hold the chain, and the engines beside it have to be able to stand in for its largest stage. Empty engines go where they save time; where nothing is spare, neighbours widen.

--- a/crates/rookferry_core/src/pipeline/mod.rs
+++ b/crates/rookferry_core/src/pipeline/mod.rs
@@ -4,16 +4,21 @@
 //! that a request passes and the part of the layers that each runs; it can
 //! only be made if the parts cover every layer once and in order.
 //! [`PathFinder`] chooses paths and replaces the lost parts of paths in use.
-//! [`LayoutPlanner`] decides which engine holds which layers.
+//! [`LayoutPlanner`] decides which engine holds which layers, by what
+//! [`forecast`] expects of a chain of engines.
 
 mod engine;
 mod finder;
+mod forecast;
 mod layout;
 mod model;
 mod path;
 
 pub use engine::PipelineEngine;
 pub use finder::PathFinder;
+pub use forecast::ChainForecast;
+pub use forecast::ChainStage;
+pub use forecast::forecast;
 pub use layout::LayoutEngine;
 pub use layout::LayoutPlanner;
 pub use layout::NeededPlacement;
--- a/crates/rookferry_core/tests/layout.rs
+++ b/crates/rookferry_core/tests/layout.rs
@@ -27,8 +27,13 @@
         layer_mb: 1_750.0,
         cache_bytes_per_token: 459_000.0,
         step_ms: 0.85,
+        step_ms_per_request: 0.005,
+        step_ms_per_context_k: 0.006,
+        steps_per_pass: 2.0,
         read_tokens_per_ms: 252.0,
-        usual_tokens: 926.0,
+        read_ms_per_m_pairs: 0.2,
+        usual_prompt_tokens: 772.0,
+        usual_answer_tokens: 154.0,
         kinds: vec![
             kind("large", 36_000.0),
             kind("mid", 21_600.0),
@@ -179,6 +184,158 @@
     assert!(orders.iter().all(|order| order.engine != engines[0].engine));
 }
 
+/// Kinds as unlike as a site's can be: the slow one has the most memory.
+fn uneven_model() -> ModelShape {
+    let mut model = model();
+    for (name, memory_mb, factor) in [
+        ("large", 72_000.0, 2.0),
+        ("mid", 21_600.0, 16.0),
+        ("small", 14_400.0, 5.0),
+    ] {
+        let kind = model.kinds.iter_mut().find(|kind| kind.name == name);
+        let kind = kind.expect("a known kind");
+        kind.memory_mb = memory_mb;
+        kind.step_factor = factor;
+        kind.read_factor = factor / 2.0;
+    }
+    model
+}
+
+#[test]
+fn the_faster_kinds_hold_what_they_can_and_the_slow_one_stands_by() {
+    let model = uneven_model();
+    let engines = fleet(&[("a", 1, 4, 10)]);
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    let (needed, copies): (Vec<_>, Vec<_>) =
+        orders.iter().partition(|placement| placement.is_missing);
+    assert!(
+        needed
+            .iter()
+            .all(|placement| !placement.engine.contains("mid")),
+        "{needed:?}"
+    );
+    let slow = copies
+        .iter()
+        .filter(|placement| placement.engine.contains("mid"));
+    assert_eq!(slow.count(), 4, "{copies:?}");
+}
+
+#[test]
+fn engines_beside_the_chain_can_stand_in_for_its_largest_stage() {
+    let model = uneven_model();
+    let mut engines = fleet(&[("a", 1, 4, 10)]);
+    let planner = LayoutPlanner::new(&model);
+    let first = planner.plan(&engines);
+    carry_out(&mut engines, &first);
+    engines.retain(|engine| &*engine.engine != "a-large-0");
+    let orders = planner.plan(&engines);
+    carry_out(&mut engines, &orders);
+    assert!(covers(&engines, "a"), "{orders:?}");
+    assert!(
+        orders
+            .iter()
+            .all(|placement| placement.engine.contains("mid")),
+        "{orders:?}"
+    );
+}
+
+#[test]
+fn an_empty_engine_takes_the_layers_that_a_slower_one_stands_in_for() {
+    let model = uneven_model();
+    let mut engines = fleet(&[("a", 1, 4, 10)]);
+    let planner = LayoutPlanner::new(&model);
+    let first = planner.plan(&engines);
+    carry_out(&mut engines, &first);
+    let lost = engines.remove(0);
+    let held = lost.held.expect("layers");
+    let orders = planner.plan(&engines);
+    carry_out(&mut engines, &orders);
+    engines.push(LayoutEngine { held: None, ..lost });
+    let orders = planner.plan(&engines);
+    let back = orders
+        .iter()
+        .find(|placement| &*placement.engine == "a-large-0");
+    let back = back.expect("an order for the engine that is back").layers;
+    assert!(
+        back.start < held.end && held.start < back.end,
+        "{back:?} for {held:?}"
+    );
+}
+
+#[test]
+fn where_nothing_is_spare_neighbours_widen_their_ranges() {
+    let model = model();
+    let held = |start, end| Some(LayerRange { start, end });
+    let mut engines = fleet(&[("a", 5, 0, 0)]);
+    let ranges = [
+        held(0, 16),
+        held(16, 32),
+        held(32, 48),
+        held(48, 64),
+        held(64, 80),
+    ];
+    for (engine, range) in engines.iter_mut().zip(ranges) {
+        engine.held = range;
+    }
+    engines.remove(2);
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    assert!(!orders.is_empty());
+    carry_out(&mut engines, &orders);
+    assert_fits(&model, &engines);
+    let is_held = |layer: &u16| {
+        let mut held = engines.iter().filter_map(|engine| engine.held);
+        held.any(|range| range.contains(*layer))
+    };
+    let count = (0..80).filter(is_held).count();
+    assert!(count > 64, "{orders:?}");
+    // What stood stays where it is.
+    assert!([0, 20, 50, 70].iter().all(is_held));
+}
+
+#[rstest]
+#[case::no_speed(0.0, 1.0, 36_000.0)]
+#[case::no_reading(1.0, 0.0, 36_000.0)]
+#[case::not_a_number(f64::NAN, 1.0, 36_000.0)]
+#[case::endless(1.0, 1.0, f64::INFINITY)]
+#[case::below_one_layer(1.0, 1.0, 1_000.0)]
+fn a_kind_with_absurd_figures_gets_no_order(
+    #[case] step_factor: f64,
+    #[case] read_factor: f64,
+    #[case] memory_mb: f64,
+) {
+    let mut model = model();
+    model.kinds[0] = AcceleratorKind {
+        name: "large".to_owned(),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    let engines = site();
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    assert!(!orders.is_empty());
+    assert!(
+        orders
+            .iter()
+            .all(|placement| !placement.engine.contains("large")),
+        "{orders:?}"
+    );
+}
+
+#[rstest]
+#[case::layer_mb(|model: &mut ModelShape| model.layer_mb = 0.0)]
+#[case::step_ms(|model: &mut ModelShape| model.step_ms = 0.0)]
+#[case::reading(|model: &mut ModelShape| model.read_tokens_per_ms = 0.0)]
+#[case::layers(|model: &mut ModelShape| model.layers = 0)]
+#[case::passes(|model: &mut ModelShape| model.steps_per_pass = 0.0)]
+fn a_model_with_absurd_figures_is_planned_without_a_fault(#[case] spoil: impl Fn(&mut ModelShape)) {
+    let mut model = model();
+    spoil(&mut model);
+    let mut engines = site();
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    carry_out(&mut engines, &orders);
+    assert_fits(&model, &engines);
+}
+
 proptest! {
     /// Whatever engines hold, orders fit in memory and settle after a few rounds.
     #[test]
