fix(retry): an instance that has just started leaves slack for what it spent before

Ruled out: arrivals that weren't counted; within one life of the instances the sum kept to 0.8.

Test first: all instances restart once or twice in a window, 420 and 567 repeats of 326 allowed before, both within after.

--- a/crates/rookferry_core/src/serving/retry_window.rs
+++ b/crates/rookferry_core/src/serving/retry_window.rs
@@ -3,7 +3,8 @@
 //! The site allows `ratio` x fresh requests + `slack` repeats in a sliding
 //! window, over all instances. Each instance keeps to its own part without
 //! asking the others: the ratio of its own requests, and an equal part of the
-//! slack.
+//! slack. An instance that has just started doesn't know what it spent of the
+//! slack before, so it keeps to a part that was left for that.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,24 +14,32 @@
 /// members can be late.
 const USED_PART: f64 = 0.8;
 
+/// The part of the slack that is used in the first window after a start: half
+/// of what is otherwise left, so that a site may restart twice in a window.
+/// With the whole part, seven instances that were killed together came to 425
+/// repeats in 10 s where 375 were allowed.
+const USED_PART_AFTER_START: f64 = (1.0 - USED_PART) / 2.0;
+
 /// Repeats and fresh requests of one instance for one service.
 #[derive(Clone, Debug)]
 pub struct RetryWindow {
     window: Duration,
     ratio: f64,
     slack: f64,
+    started_at: Instant,
     fresh: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
 impl RetryWindow {
-    /// A window with nothing in it.
+    /// A window with nothing in it, for an instance that started at a time.
     #[must_use]
-    pub const fn new(window: Duration, ratio: f64, slack: f64) -> Self {
+    pub const fn new(window: Duration, ratio: f64, slack: f64, started_at: Instant) -> Self {
         Self {
             window,
             ratio,
             slack,
+            started_at,
             fresh: VecDeque::new(),
             repeats: VecDeque::new(),
         }
@@ -45,8 +54,14 @@
     /// Takes one repeat, if the instance's part allows it.
     pub fn take(&mut self, now: Instant, instances: usize) -> bool {
         self.forget(now);
-        let slack = self.slack / instances.max(1) as f64;
-        let allowed = USED_PART * (self.ratio * self.fresh.len() as f64 + slack);
+        let has_just_started = now.saturating_duration_since(self.started_at) < self.window;
+        let slack_part = if has_just_started {
+            USED_PART_AFTER_START
+        } else {
+            USED_PART
+        };
+        let slack = slack_part * self.slack / instances.max(1) as f64;
+        let allowed = USED_PART * self.ratio * self.fresh.len() as f64 + slack;
         if self.repeats.len() as f64 + 1.0 > allowed {
             return false;
         }
