--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -250,7 +250,7 @@
 
 /// Long enough ago that nothing from before the start counts any more.
 fn started_before(now: Instant) -> Instant {
-    now.checked_sub(Duration::from_secs(60))
+    now.checked_sub(Duration::from_mins(1))
         .expect("the clock has run for a minute")
 }
 
