fix(retry): a site's first start spends its slack; engines' batch bounds the room

The settings now say which it is. Ruled out: the layout (both copies were there). The room that a layout is tried for now ends at the published batch, in place of a constant.

--- a/crates/rookferry_core/src/pipeline/layout.rs
+++ b/crates/rookferry_core/src/pipeline/layout.rs
@@ -27,9 +27,6 @@
 /// Ratio between two numbers of requests that room is tried for. Room in
 /// between changes no kind's number of layers by more than one.
 const ROOM_STEP: f64 = 1.1;
-/// Most requests that room is tried for; beyond it an engine's batch, not its
-/// memory, is the limit.
-const MAX_ROOM_REQUESTS: f64 = 1_000.0;
 /// The part of the most power that counts as as good. Of two rooms that are
 /// equal in it the smaller one has the shorter response time, so that a lost
 /// engine stops fewer requests.
@@ -146,7 +143,7 @@
             .collect();
         let tries = std::iter::successors(Some(1.0), |requests| Some(requests * ROOM_STEP));
         let tries: Vec<RoomTry> = tries
-            .take_while(|requests| *requests <= MAX_ROOM_REQUESTS)
+            .take_while(|requests| *requests <= self.model.max_requests.max(1.0))
             .map_while(|requests| {
                 let chain = self.chain(&mut kinds, requests)?;
                 Some(RoomTry {
--- a/crates/rookferry_core/src/pipeline/model.rs
+++ b/crates/rookferry_core/src/pipeline/model.rs
@@ -38,6 +38,8 @@
     pub step_ms_per_request: f64,
     /// What each 1,000 tokens of such a request's context add to a step.
     pub step_ms_per_context_k: f64,
+    /// Requests that an engine runs at once at the most.
+    pub max_requests: f64,
     /// Steps that an engine plays in one pass; each stream gets as many tokens.
     pub steps_per_pass: f64,
     /// Prompt tokens read in a millisecond, before the kind's factor.
--- a/crates/rookferry_core/src/serving/retry_window.rs
+++ b/crates/rookferry_core/src/serving/retry_window.rs
@@ -3,7 +3,7 @@
 //! The site allows `ratio` x fresh requests + `slack` repeats in a sliding
 //! window, over all instances. Each instance keeps to its own part without
 //! asking the others: the ratio of its own requests, and an equal part of the
-//! slack. An instance that has just started doesn't know what it spent of the
+//! slack. An instance that has just restarted doesn't know what it spent of the
 //! slack before, so it keeps to a part that was left for that.
 
 use std::collections::VecDeque;
@@ -14,11 +14,11 @@
 /// members can be late.
 const USED_PART: f64 = 0.8;
 
-/// The part of the slack that is used in the first window after a start: half
+/// The part of the slack that is used in the first window after a restart: half
 /// of what is otherwise left, so that a site may restart twice in a window.
 /// With the whole part, seven instances that were killed together came to 425
 /// repeats in 10 s where 375 were allowed.
-const USED_PART_AFTER_START: f64 = (1.0 - USED_PART) / 2.0;
+const USED_PART_AFTER_RESTART: f64 = (1.0 - USED_PART) / 2.0;
 
 /// Repeats and fresh requests of one instance for one service.
 #[derive(Clone, Debug)]
@@ -26,20 +26,26 @@
     window: Duration,
     ratio: f64,
     slack: f64,
-    started_at: Instant,
+    restarted_at: Option<Instant>,
     fresh: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
 impl RetryWindow {
-    /// A window with nothing in it, for an instance that started at a time.
+    /// A window with nothing in it. `restarted_at` is when an instance started
+    /// on a site that has run before: what it spent until then isn't known.
     #[must_use]
-    pub const fn new(window: Duration, ratio: f64, slack: f64, started_at: Instant) -> Self {
+    pub const fn new(
+        window: Duration,
+        ratio: f64,
+        slack: f64,
+        restarted_at: Option<Instant>,
+    ) -> Self {
         Self {
             window,
             ratio,
             slack,
-            started_at,
+            restarted_at,
             fresh: VecDeque::new(),
             repeats: VecDeque::new(),
         }
@@ -54,9 +60,11 @@
     /// Takes one repeat, if the instance's part allows it.
     pub fn take(&mut self, now: Instant, instances: usize) -> bool {
         self.forget(now);
-        let has_just_started = now.saturating_duration_since(self.started_at) < self.window;
-        let slack_part = if has_just_started {
-            USED_PART_AFTER_START
+        let has_just_restarted = self
+            .restarted_at
+            .is_some_and(|at| now.saturating_duration_since(at) < self.window);
+        let slack_part = if has_just_restarted {
+            USED_PART_AFTER_RESTART
         } else {
             USED_PART
         };
--- a/crates/rookferry_core/tests/forecast.rs
+++ b/crates/rookferry_core/tests/forecast.rs
@@ -26,6 +26,7 @@
         step_ms: 1.0,
         step_ms_per_request: 0.005,
         step_ms_per_context_k: 0.005,
+        max_requests: 192.0,
         steps_per_pass: 4.0,
         read_tokens_per_ms: 200.0,
         read_ms_per_m_pairs: 0.2,
--- a/crates/rookferry_core/tests/layout.rs
+++ b/crates/rookferry_core/tests/layout.rs
@@ -29,6 +29,7 @@
         step_ms: 0.85,
         step_ms_per_request: 0.005,
         step_ms_per_context_k: 0.006,
+        max_requests: 192.0,
         steps_per_pass: 2.0,
         read_tokens_per_ms: 252.0,
         read_ms_per_m_pairs: 0.2,
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -232,7 +232,7 @@
     let instances = 9;
     let start = Instant::now();
     let window = Duration::from_secs(10);
-    let mut windows = vec![RetryWindow::new(window, 0.2, 200.0, started_before(start)); instances];
+    let mut windows = vec![RetryWindow::new(window, 0.2, 200.0, None); instances];
     let mut repeats = 0;
     for step in 0..1_000_u32 {
         let now = start + Duration::from_millis(u64::from(step));
@@ -248,12 +248,6 @@
     assert!(windows[0].take(later, instances), "the window slides");
 }
 
-/// Long enough ago that nothing from before the start counts any more.
-fn started_before(now: Instant) -> Instant {
-    now.checked_sub(Duration::from_mins(1))
-        .expect("the clock has run for a minute")
-}
-
 #[rstest]
 #[case::all_at_once(1)]
 #[case::twice(2)]
@@ -261,14 +255,14 @@
     let start = Instant::now();
     let window = Duration::from_secs(10);
     let instances = 7;
-    let mut windows = vec![RetryWindow::new(window, 0.2, 200.0, started_before(start)); instances];
+    let mut windows = vec![RetryWindow::new(window, 0.2, 200.0, None); instances];
     let mut repeats = 0;
     let mut fresh = 0;
     for step in 0..900_u32 {
         let now = start + Duration::from_millis(u64::from(step) * 10);
         let restarts_at = |number: u32| step == number * 900 / (restarts + 1);
         if (1..=restarts).any(restarts_at) {
-            windows.fill(RetryWindow::new(window, 0.2, 200.0, now));
+            windows.fill(RetryWindow::new(window, 0.2, 200.0, Some(now)));
         }
         for retries in &mut windows {
             if step % 10 == 0 {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -338,7 +338,7 @@
                 bounds.retry_window(),
                 bounds.retry_ratio,
                 bounds.retry_slack,
-                self.started_at,
+                (!self.settings.is_first_start).then_some(self.started_at),
             )
         });
         run(window)
--- a/crates/rookferry_relay/src/settings.rs
+++ b/crates/rookferry_relay/src/settings.rs
@@ -53,6 +53,10 @@
     pub domain: DomainId,
     /// Where it listens.
     pub listen: ListenSettings,
+    /// Whether the whole site starts for the first time, so that nothing was
+    /// spent of its budgets before.
+    #[serde(default)]
+    pub is_first_start: bool,
     /// The platform's store.
     pub store: SocketAddr,
     /// Addresses at which other instances may listen for peers.
