feat(relay): streams without room are turned away at the door; layouts carry the most

Hypothesis: under overload everybody waits for room and is late, so one that finds none on its best path is better told at once. Change: a first run whose path has a full engine is refused (503, not run), with a Retry-After of about as long as requests have been turned away so far, spread over callers.

What binds is room, not time: first events after 60 ms of 500, longest pauses 95 ms of 200.

Now a copy moves to layers with under half of the room aimed at. Ruled out: a move that needn't hold the tight layer (orders went on and on, a property test).

--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -49,6 +49,16 @@
     engines: Vec<&'a PipelineEngine>,
 }
 
+/// The engine of a path with the least room.
+#[derive(Clone, Copy, Debug)]
+pub struct FullestStage<'a> {
+    /// The engine.
+    pub engine: &'a PipelineEngine,
+    /// The part of its room that the request goes beyond it; 0 or less if it
+    /// fits.
+    pub overfill: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Reached {
     cost_ms: f64,
@@ -76,6 +86,23 @@
         PipelinePath::new(stages, self.layers).ok()
     }
 
+    /// The engine of a path that a request's tokens leave the least room on.
+    /// An engine keeps a token's cache for the layers that it runs only.
+    #[must_use]
+    pub fn fullest(&self, path: &PipelinePath, tokens: f64) -> Option<FullestStage<'a>> {
+        let stages = path.stages().iter();
+        let filled = stages.filter_map(|stage| {
+            let engine = *self
+                .engines
+                .iter()
+                .find(|engine| engine.addr == stage.addr)?;
+            let part = f64::from(stage.layers.len()) / f64::from(engine.held.len().max(1));
+            let overfill = engine.overfill(tokens * part);
+            Some(FullestStage { engine, overfill })
+        });
+        filled.max_by(|left, right| left.overfill.total_cmp(&right.overfill))
+    }
+
     /// Replaces the parts of a path that `is_lost` names; the others stay as
     /// they are, so that they keep what they have cached. `None` if nothing
     /// can stand in, or the first stage is lost, which can't be replaced.
--- a/crates/rookferry_core/src/pipeline/forecast.rs
+++ b/crates/rookferry_core/src/pipeline/forecast.rs
@@ -40,15 +40,6 @@
     pub requests_per_s: f64,
 }
 
-impl ChainForecast {
-    /// Throughput over response time: rises while more room carries more, and
-    /// falls once it only lengthens what is under way.
-    #[must_use]
-    pub fn power(&self) -> f64 {
-        self.requests_per_s / self.request_ms
-    }
-}
-
 /// Reckons a chain with `requests` of usual size always under way.
 /// `handover_ms` is the time from one stage to the next.
 #[must_use]
--- /dev/null
+++ b/crates/rookferry_core/src/pipeline/layout/draft.rs
@@ -0,0 +1,134 @@
+//! A layout in the making: what engines hold once the orders so far are done.
+
+use std::collections::BTreeSet;
+
+use rookferry_wire::LayerRange;
+
+use super::super::AcceleratorKind;
+use super::super::ModelShape;
+use super::LayoutEngine;
+use super::NeededPlacement;
+
+/// What a group loses when an engine takes other layers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum MoveLoss {
+    /// It holds none.
+    Nothing,
+    /// A copy that others as fast stand in for.
+    Copy,
+    /// The fastest copy of some layer.
+    Speed,
+    /// Layers that no other holds.
+    Layers,
+}
+
+/// Engines, what they will hold, and the orders that lead there.
+#[derive(Debug)]
+pub(super) struct Draft<'a> {
+    pub(super) engines: &'a [LayoutEngine],
+    model: &'a ModelShape,
+    held: Vec<Option<LayerRange>>,
+    ordered: BTreeSet<usize>,
+    placements: Vec<NeededPlacement>,
+}
+
+impl<'a> Draft<'a> {
+    pub(super) fn new(engines: &'a [LayoutEngine], model: &'a ModelShape) -> Self {
+        Self {
+            engines,
+            model,
+            held: engines.iter().map(|engine| engine.held).collect(),
+            ordered: BTreeSet::new(),
+            placements: Vec::new(),
+        }
+    }
+
+    /// The orders.
+    pub(super) fn into_placements(self) -> Vec<NeededPlacement> {
+        self.placements
+    }
+
+    /// Has an engine hold a range.
+    pub(super) fn order(&mut self, index: usize, layers: LayerRange, is_missing: bool) {
+        self.held[index] = Some(layers);
+        self.ordered.insert(index);
+        self.placements.push(NeededPlacement {
+            engine: self.engines[index].engine.clone(),
+            layers,
+            is_missing,
+        });
+    }
+
+    /// What an engine will hold.
+    pub(super) fn held(&self, index: usize) -> Option<LayerRange> {
+        self.held[index]
+    }
+
+    /// Whether an engine may get an order.
+    pub(super) fn is_free(&self, index: usize) -> bool {
+        !self.engines[index].is_busy && !self.ordered.contains(&index)
+    }
+
+    /// The kind of an engine, if it can be planned with.
+    pub(super) fn kind(&self, index: usize) -> Option<&'a AcceleratorKind> {
+        let kind = self.model.kind(&self.engines[index].kind)?;
+        self.model.is_usable(kind).then_some(kind)
+    }
+
+    /// Time a step takes on a layer of an engine.
+    pub(super) fn layer_step_ms(&self, index: usize) -> f64 {
+        let kind = self.model.kind(&self.engines[index].kind);
+        self.model.layer_step_ms(kind)
+    }
+
+    /// Tokens that fit on an engine beside a range.
+    pub(super) fn room_tokens(&self, index: usize, layers: LayerRange) -> f64 {
+        let kind = self.kind(index);
+        kind.map_or(0.0, |kind| self.model.cache_tokens(kind, layers.len()))
+    }
+
+    /// Those of a group that will hold a layer.
+    pub(super) fn holders(&self, group: &[usize], layer: u16) -> impl Iterator<Item = usize> {
+        let holds = move |index: &usize| self.held[*index].is_some_and(|own| own.contains(layer));
+        group.iter().copied().filter(holds)
+    }
+
+    /// Tokens that fit on a layer's holders in a group together.
+    pub(super) fn layer_room_tokens(&self, group: &[usize], layer: u16) -> f64 {
+        let holders = self.holders(group, layer);
+        let rooms = holders.filter_map(|index| Some(self.room_tokens(index, self.held[index]?)));
+        rooms.sum()
+    }
+
+    /// The first run of layers that nobody in a group holds.
+    pub(super) fn first_gap(&self, group: &[usize]) -> Option<LayerRange> {
+        let is_held = |layer: u16| self.holders(group, layer).next().is_some();
+        let start = (0..self.model.layers).find(|layer| !is_held(*layer))?;
+        let mut behind = start..self.model.layers;
+        let end = behind.find(|layer| is_held(*layer));
+        Some(LayerRange {
+            start,
+            end: end.unwrap_or(self.model.layers),
+        })
+    }
+
+    /// What a group loses when an engine takes other layers.
+    pub(super) fn move_loss(&self, group: &[usize], index: usize) -> MoveLoss {
+        let Some(own) = self.held[index] else {
+            return MoveLoss::Nothing;
+        };
+        let own_ms = self.layer_step_ms(index);
+        let loss = |layer: u16| {
+            let holders = self.holders(group, layer);
+            let others = holders.filter(|other| *other != index);
+            let fastest = others.map(|other| self.layer_step_ms(other));
+            match fastest.min_by(f64::total_cmp) {
+                None => MoveLoss::Layers,
+                Some(other_ms) if other_ms > own_ms => MoveLoss::Speed,
+                Some(_) => MoveLoss::Copy,
+            }
+        };
+        let losses = (own.start..own.end).map(loss);
+        losses.max().unwrap_or(MoveLoss::Nothing)
+    }
+}
--- a/crates/rookferry_core/src/pipeline/mod.rs
+++ b/crates/rookferry_core/src/pipeline/mod.rs
@@ -15,6 +15,7 @@
 mod path;
 
 pub use engine::PipelineEngine;
+pub use finder::FullestStage;
 pub use finder::PathFinder;
 pub use forecast::ChainForecast;
 pub use forecast::ChainStage;
--- a/crates/rookferry_core/src/serving/config.rs
+++ b/crates/rookferry_core/src/serving/config.rs
@@ -124,6 +124,20 @@
     pub limits: CallerLimits,
 }
 
+impl ServingConfig {
+    /// The longest pause between two events that is in time on every route to
+    /// a service; none if no route has an objective.
+    #[must_use]
+    pub fn longest_pause(&self, service: &ServiceId) -> Option<Duration> {
+        let routes = self.routes.iter();
+        let leading = routes.filter(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.service == *service)
+        });
+        leading.filter_map(|route| route.gap_objective).min()
+    }
+}
+
 /// A configuration with the tables for look-ups.
 #[derive(Debug)]
 pub struct ServingIndex {
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -10,6 +10,7 @@
 mod config;
 mod directory;
 mod health;
+mod overload;
 mod retry_window;
 mod store_pace;
 
@@ -26,6 +27,8 @@
 pub use directory::Directory;
 pub use directory::DirectoryChange;
 pub use health::ServerHealth;
+pub use overload::Overload;
+pub use overload::Overloaded;
 pub use retry_window::RetryWindow;
 pub use store_pace::pause_in_line;
 pub use store_pace::reliance_in_line;
--- a/crates/rookferry_core/tests/layout.rs
+++ b/crates/rookferry_core/tests/layout.rs
@@ -1,6 +1,8 @@
 //! Which engine holds which layers: whole domains, never over memory, and
 //! nothing moved without need.
 
+use std::time::Duration;
+
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::proptest;
@@ -240,6 +242,36 @@
     );
 }
 
+#[test]
+fn a_short_pause_makes_a_chain_of_fewer_requests_and_less_time() {
+    let model = uneven_model();
+    let engines = fleet(&[("a", 1, 4, 10)]);
+    let held_by_large = |pause_ms| {
+        let planner = LayoutPlanner::new(&model);
+        let planner = planner.with_longest_pause(Duration::from_millis(pause_ms));
+        let orders = planner.plan(&engines);
+        let large = orders.iter().find(|order| &*order.engine == "a-large-0");
+        large.expect("an order").layers.len()
+    };
+    assert!(held_by_large(40) > held_by_large(200));
+}
+
+#[test]
+fn a_fast_engine_stays_though_slow_ones_could_stand_in_for_it() {
+    let model = uneven_model();
+    let mut engines = fleet(&[("a", 2, 4, 4)]);
+    let planner = LayoutPlanner::new(&model);
+    let first = planner.plan(&engines);
+    carry_out(&mut engines, &first);
+    engines.remove(1);
+    let orders = planner.plan(&engines);
+    assert!(!orders.is_empty());
+    assert!(
+        orders.iter().all(|order| &*order.engine != "a-large-0"),
+        "{orders:?}"
+    );
+}
+
 #[test]
 fn an_empty_engine_takes_the_layers_that_a_slower_one_stands_in_for() {
     let model = uneven_model();
@@ -293,6 +325,34 @@
     assert!([0, 20, 50, 70].iter().all(is_held));
 }
 
+#[test]
+fn a_copy_moves_to_where_next_to_no_room_is_left() {
+    let model = model();
+    let held = |start, end| Some(LayerRange { start, end });
+    let mut engines = fleet(&[("a", 4, 6, 0)]);
+    let ranges = [
+        held(0, 16),
+        held(16, 32),
+        held(32, 48),
+        // 20 layers leave a large engine room for some ten requests.
+        held(48, 68),
+        held(68, 80),
+        held(0, 9),
+        held(0, 9),
+        held(9, 18),
+        held(18, 27),
+        held(27, 36),
+    ];
+    for (engine, range) in engines.iter_mut().zip(ranges) {
+        engine.held = range;
+    }
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    let relieving = orders.iter().find(|order| order.layers.start >= 48);
+    assert!(relieving.is_some(), "{orders:?}");
+    carry_out(&mut engines, &orders);
+    assert!(covers(&engines, "a"));
+}
+
 #[rstest]
 #[case::no_speed(0.0, 1.0, 36_000.0)]
 #[case::no_reading(1.0, 0.0, 36_000.0)]
--- a/crates/rookferry_core/tests/pipeline_paths.rs
+++ b/crates/rookferry_core/tests/pipeline_paths.rs
@@ -105,6 +105,34 @@
     assert_eq!(path.first().addr, addr(1));
 }
 
+#[rstest]
+#[case::room(8_000.0, false)]
+#[case::none(9_950.0, true)]
+fn the_fullest_engine_of_a_path_tells_whether_a_request_fits(
+    #[case] used_tokens: f64,
+    #[case] is_over: bool,
+) {
+    let mut engines = [engine(0, "a", 0, 10), engine(1, "a", 10, 20)];
+    engines[1].used_tokens = used_tokens;
+    let finder = PathFinder::new(LAYERS, &engines);
+    let path = finder.find(&"a".into(), TOKENS).expect("a path");
+    let full = finder.fullest(&path, TOKENS).expect("an engine");
+    assert_eq!(full.engine.addr, addr(1));
+    assert_eq!(full.overfill > 0.0, is_over);
+}
+
+#[test]
+fn a_request_holds_only_the_layers_that_an_engine_runs() {
+    let mut engines = [engine(0, "a", 0, 18), engine(1, "a", 16, 20)];
+    engines[0].layer_step_ms = 0.01;
+    // Half of the second engine's layers are run, so half a request fits.
+    engines[1].used_tokens = engines[1].cache_tokens - TOKENS * 0.6;
+    let finder = PathFinder::new(LAYERS, &engines);
+    let path = PipelinePath::new(vec![stage(0, 0, 18), stage(1, 18, 20)], LAYERS).expect("a path");
+    let full = finder.fullest(&path, TOKENS).expect("an engine");
+    assert!(full.overfill <= 0.0);
+}
+
 #[test]
 fn a_repair_keeps_the_parts_that_are_not_lost() {
     let engines = [
--- a/crates/rookferry_relay/src/load.rs
+++ b/crates/rookferry_relay/src/load.rs
@@ -34,8 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct LoadGuard {
     table: LoadTable,
-    addrs: Vec<SocketAddr>,
-    tokens: f64,
+    parts: Vec<(SocketAddr, f64)>,
 }
 
 impl LoadTable {
@@ -43,19 +42,19 @@
         lock(&self.inner).get(&addr).copied().unwrap_or_default()
     }
 
-    pub(crate) fn enter(&self, addrs: Vec<SocketAddr>, tokens: f64) -> LoadGuard {
+    /// Counts a request at servers, at each with the tokens it holds there.
+    pub(crate) fn enter(&self, parts: Vec<(SocketAddr, f64)>) -> LoadGuard {
         let mut loads = lock(&self.inner);
-        for addr in &addrs {
+        for (addr, tokens) in &parts {
             *loads.entry(*addr).or_default() += ServerLoad {
                 requests: 1,
-                tokens,
+                tokens: *tokens,
             };
         }
         drop(loads);
         LoadGuard {
             table: self.clone(),
-            addrs,
-            tokens,
+            parts,
         }
     }
 
@@ -69,12 +68,12 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         let mut loads = lock(&self.table.inner);
-        for addr in &self.addrs {
+        for (addr, tokens) in &self.parts {
             let Some(load) = loads.get_mut(addr) else {
                 continue;
             };
             load.requests = load.requests.saturating_sub(1);
-            load.tokens = (load.tokens - self.tokens).max(0.0);
+            load.tokens = (load.tokens - tokens).max(0.0);
             if load.requests == 0 {
                 loads.remove(addr);
             }
--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use rookferry_core::BackendServer;
+use rookferry_core::FullestStage;
 use rookferry_core::ModelShape;
 use rookferry_core::PathFinder;
 use rookferry_core::PipelinePath;
@@ -114,6 +115,14 @@
                 self.note_failed("", "no engines cover the layers");
                 break;
             };
+            // One that would wait for room is late, and makes others late: where
+            // all were let in, first events came after 1.4 to 2 s for as long
+            // as the site was over its capacity.
+            if self.is_fresh()
+                && let Some(refusal) = self.turn_away(&path)
+            {
+                return Err(Served::Refused(refusal));
+            }
             let first = path.first().addr;
             let mut keeper = PathKeeper::new(self.target, path);
             match self.send(&mut keeper, after).await {
@@ -182,6 +191,36 @@
         Err(Served::Refused(refusal))
     }
 
+    /// Whether nothing of the request has been made yet.
+    fn is_fresh(&self) -> bool {
+        self.runs == 0 && self.target.request.head.last_event.is_none()
+    }
+
+    /// Why a request that would take a path is turned away, if an engine on it
+    /// has no room.
+    fn turn_away(&self, path: &PipelinePath) -> Option<Refusal> {
+        let tokens = self.target.request.tokens();
+        self.with_finder(&[], |finder| {
+            let full = finder.fullest(path, tokens)?;
+            (full.overfill > 0.0).then(|| self.overloaded(&full))
+        })?
+    }
+
+    fn overloaded(&self, full: &FullestStage<'_>) -> Refusal {
+        let overload = self.target.relay.overloaded();
+        if let Some(log) = self.target.relay.events.line(Weight::Notable) {
+            warn!(log, "stream: the engines have no room"; "event" => "no_room",
+                "request" => &self.target.request.attempt,
+                "tokens" => self.target.request.tokens(),
+                "engine" => &*full.engine.engine, "addr" => %full.engine.addr,
+                "used_tokens" => full.engine.used_tokens,
+                "room_tokens" => full.engine.cache_tokens,
+                "overload_ms" => millis(overload.lasted),
+                "retry_after_ms" => millis(overload.retry_after));
+        }
+        Refusal::Overloaded(overload.retry_after)
+    }
+
     /// Whether another run could begin at another engine; takes it out of the
     /// budget.
     fn can_start_elsewhere(&self, first: SocketAddr) -> bool {
@@ -194,6 +233,17 @@
 
     /// The best path over engines that may be used, without avoided ones.
     fn choose(&self, also_avoided: &[SocketAddr]) -> Option<PipelinePath> {
+        let home = &self.target.relay.settings.domain;
+        let tokens = self.target.request.tokens();
+        self.with_finder(also_avoided, |finder| finder.find(home, tokens))?
+    }
+
+    /// Runs a search over engines that may be used, without avoided ones.
+    fn with_finder<T>(
+        &self,
+        also_avoided: &[SocketAddr],
+        run: impl FnOnce(&PathFinder<'_>) -> T,
+    ) -> Option<T> {
         let view = self.target.relay.view.load();
         let table = view.servers.as_ref()?;
         let engines =
@@ -204,11 +254,7 @@
             .iter()
             .filter(|engine| !self.avoided.contains(&engine.addr))
             .filter(|engine| !also_avoided.contains(&engine.addr));
-        let finder = PathFinder::new(self.target.model.layers, usable);
-        finder.find(
-            &self.target.relay.settings.domain,
-            self.target.request.tokens(),
-        )
+        Some(run(&PathFinder::new(self.target.model.layers, usable)))
     }
 
     /// Sends the request along a path and waits for the answer's head.
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -18,6 +18,7 @@
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
 use rookferry_core::ServingService;
+use rookferry_wire::LayerRange;
 use slog::warn;
 use tokio::sync::watch;
 
@@ -409,8 +410,18 @@
 }
 
 fn enter(relay: &Relay, request: &CallerRequest, path: &PipelinePath) -> LoadGuard {
-    let addrs = path.stages().iter().map(|stage| stage.addr).collect();
-    relay.loads.enter(addrs, request.tokens())
+    let view = relay.view.load();
+    // An engine keeps a token's cache for the layers that it runs only.
+    let part = |stage: &PathStage| {
+        let held = view.server_at(stage.addr).and_then(|server| server.held);
+        let held = held.map_or(stage.layers.len(), LayerRange::len);
+        f64::from(stage.layers.len()) / f64::from(held.max(stage.layers.len()).max(1))
+    };
+    let parts = path
+        .stages()
+        .iter()
+        .map(|stage| (stage.addr, request.tokens() * part(stage)));
+    relay.loads.enter(parts.collect())
 }
 
 fn signs(relay: &Relay, path: &PipelinePath) -> Vec<Sign> {
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -271,7 +271,8 @@
         };
         for service in &index.config().services {
             if let Some(model) = &service.model {
-                self.plan(service, model, table, scope).await;
+                let longest_pause = index.config().longest_pause(&service.name);
+                self.plan(service, model, longest_pause, table, scope).await;
             }
         }
     }
@@ -280,6 +281,7 @@
         &mut self,
         service: &ServingService,
         model: &ModelShape,
+        longest_pause: Option<Duration>,
         table: &ServerTable,
         scope: Scope,
     ) {
@@ -292,7 +294,12 @@
         if engines.is_empty() || self.is_filling(service, &engines) {
             return;
         }
-        let needed = LayoutPlanner::new(model).plan(&engines);
+        let planner = LayoutPlanner::new(model);
+        let planner = match longest_pause {
+            Some(pause) => planner.with_longest_pause(pause),
+            None => planner,
+        };
+        let needed = planner.plan(&engines);
         if needed.is_empty() {
             return;
         }
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -142,7 +142,7 @@
     server: &BackendServer,
 ) -> Tried {
     let names = relay.protocol.names();
-    let _load = relay.loads.enter(vec![server.addr], request.tokens());
+    let _load = relay.loads.enter(vec![(server.addr, request.tokens())]);
     let outbound = request.to_server(names, &server.id, None);
     let upstream = relay.upstream(server.addr, service);
     let may_send = || may_send(relay, request, server);
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -39,6 +39,8 @@
     Leaving,
     /// No server can take it now; nothing was sent, or it was refused.
     NoServer,
+    /// The engines have no room for it; it comes back after a time.
+    Overloaded(Duration),
     /// The time was over before it was sent, or while it was not run.
     TimeOverNotRun,
     /// It was sent, and the time was over before an answer.
@@ -71,6 +73,7 @@
             | Self::ConfigStale
             | Self::Leaving
             | Self::NoServer
+            | Self::Overloaded(_)
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -90,6 +93,7 @@
             Self::ConfigStale => "config_stale",
             Self::Leaving => "leaving",
             Self::NoServer => "no_server",
+            Self::Overloaded(_) => "overloaded",
             Self::TimeOverNotRun => "time_over_not_run",
             Self::TimeOver => "time_over",
             Self::Unknown => "unknown",
@@ -114,6 +118,7 @@
             Self::Starting | Self::ConfigUnknown | Self::ConfigStale => ReasonCode::NotReady,
             Self::Leaving => ReasonCode::Leaving,
             Self::NoServer => ReasonCode::NoChain,
+            Self::Overloaded(_) => ReasonCode::Overloaded,
             Self::TimeOverNotRun | Self::TimeOver => ReasonCode::DeadlinePassed,
             Self::Unknown => ReasonCode::EngineLost,
         }
@@ -130,6 +135,7 @@
             Self::ConfigUnknown | Self::Leaving => Some(Duration::from_millis(20)),
             // About the time of a repair of placement by a standing copy.
             Self::NoServer => Some(Duration::from_millis(300)),
+            Self::Overloaded(wait) => Some(wait),
             Self::TimeOverNotRun | Self::BodyTooSlow => Some(Duration::from_millis(100)),
             _ => None,
         }
@@ -147,6 +153,7 @@
             Self::ConfigStale => "no instance in reach knows the newest configuration; come back",
             Self::Leaving => "this instance is stopping; come back, another one answers",
             Self::NoServer => "no server can take the request now; come back",
+            Self::Overloaded(_) => "the engines have no room for the request now; come back",
             Self::TimeOverNotRun => "the time was over before a server took the request",
             Self::TimeOver => "the time was over before the answer; the request may have run",
             Self::Unknown => "the answer is lost; the request may have run",
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -19,6 +19,8 @@
 use metrics::counter;
 use rookferry_core::BackendServer;
 use rookferry_core::ConfigAge;
+use rookferry_core::Overload;
+use rookferry_core::Overloaded;
 use rookferry_core::RetryWindow;
 use rookferry_core::ServerHealth;
 use rookferry_core::ServingConfig;
@@ -96,6 +98,7 @@
     config_age: Mutex<ConfigAge>,
     health: Mutex<ServerHealth>,
     retries: Mutex<HashMap<ServiceId, RetryWindow>>,
+    overload: Mutex<Overload>,
 }
 
 impl Relay {
@@ -129,6 +132,7 @@
             config_age: Mutex::new(ConfigAge::new()),
             health: Mutex::new(ServerHealth::new()),
             retries: Mutex::new(HashMap::new()),
+            overload: Mutex::new(Overload::new()),
         }
     }
 
@@ -330,6 +334,11 @@
         is_taken
     }
 
+    /// A request is turned away for want of room.
+    pub(crate) fn overloaded(&self) -> Overloaded {
+        lock(&self.overload).refused(Instant::now(), rand::random())
+    }
+
     fn with_retries<T>(&self, service: &ServiceId, run: impl FnOnce(&mut RetryWindow) -> T) -> T {
         let bounds = &self.settings.bounds;
         let mut retries = lock(&self.retries);
