--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -29,6 +29,7 @@
     "lease_held",
     "lease_lost",
     "lines_dropped",
+    "no_room",
     "order_sent",
     "order_failed",
     "path_repaired",
