feat(relay): room is counted by the caller's guess; starters count others as alike

Hypothesis: after a loss of power six instances each see all the room for themselves (224 requests let in where 150 fit, then 130 queued and turned away for 5 s).

Hypothesis: the most that callers ask for is 643 tokens on the mean, what comes is 214 (1,014 streams), so a fifth of the room is held for nothing.

--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use rookferry_core::BackendServer;
@@ -23,6 +24,10 @@
 /// Connections that an instance may open to a server at the least.
 const MIN_CONNECTIONS: usize = 3;
 
+/// Time from an instance's start until it has heard what others have under
+/// way: speakers begin after 0.4 s and tell it each 0.3 s.
+const HEARD_AFTER: Duration = Duration::from_secs(1);
+
 /// What is known of a stage of a path in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StageState {
@@ -88,11 +93,36 @@
     }
 
     /// What is under way at a server by this instance and those it hears.
+    ///
+    /// Instances that start together don't hear each other yet, and each sees
+    /// all the room for itself: six that came back after a loss of power had
+    /// 224 requests let in where 150 fit. Meanwhile the others count as if each
+    /// had as much under way as this one.
     pub(crate) fn load_of(&self, addr: SocketAddr) -> ServerLoad {
-        let mut load = self.loads.of(addr);
+        let own = self.loads.of(addr);
         let others = self.peer_loads.load();
+        let mut load = own;
         load += others.get(&addr).copied().unwrap_or_default();
-        load
+        if self.age() >= HEARD_AFTER {
+            return load;
+        }
+        let alike = own.times(self.sharers(addr));
+        ServerLoad {
+            requests: load.requests.max(alike.requests),
+            tokens: load.tokens.max(alike.tokens),
+        }
+    }
+
+    /// How many instances may have requests under way at a server.
+    fn sharers(&self, addr: SocketAddr) -> usize {
+        let server = self.view.load().server_at(addr).cloned();
+        let is_near = server.is_some_and(|server| server.domain == self.settings.domain);
+        let known = if is_near {
+            &self.near_instances
+        } else {
+            &self.instances
+        };
+        known.load(Ordering::Relaxed)
     }
 
     /// What is known of a stage of a path in use.
--- a/crates/rookferry_relay/src/load.rs
+++ b/crates/rookferry_relay/src/load.rs
@@ -17,6 +17,17 @@
     pub(crate) tokens: f64,
 }
 
+impl ServerLoad {
+    /// As much again for each of some instances.
+    pub(crate) fn times(self, instances: usize) -> Self {
+        let requests = u32::try_from(instances).unwrap_or(u32::MAX);
+        Self {
+            requests: self.requests.saturating_mul(requests),
+            tokens: self.tokens * instances as f64,
+        }
+    }
+}
+
 impl AddAssign for ServerLoad {
     fn add_assign(&mut self, other: Self) {
         self.requests += other.requests;
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -42,8 +42,9 @@
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// How long after its start an instance may speak for its domain: before, it
-/// takes itself for the first because it hasn't heard the others.
-const SPEAK_AFTER: Duration = Duration::from_secs(1);
+/// takes itself for the first because it hasn't heard the others, which are
+/// heard within two rounds.
+const SPEAK_AFTER: Duration = Duration::from_millis(400);
 /// Most loads and members in one heartbeat.
 const MAX_ENTRIES: usize = 64;
 /// Most loads in a speaker's heartbeat; they fit in a datagram.
--- a/crates/rookferry_relay/src/protocol.rs
+++ b/crates/rookferry_relay/src/protocol.rs
@@ -55,10 +55,24 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub answer_tokens: u32,
+    /// Tokens of the answer that the caller expects, if it says so.
+    pub expected_answer_tokens: Option<u32>,
     /// The last event that an earlier attempt delivered.
     pub last_event: Option<u64>,
 }
 
+impl CallerHead {
+    /// Tokens that the request holds in an engine's cache, over its life on
+    /// average. The caller's guess has the mean of what comes; the most that
+    /// it asks for is three times that, and had a fifth of the room unused.
+    #[must_use]
+    pub fn held_tokens(&self) -> f64 {
+        let most = self.answer_tokens;
+        let answer = self.expected_answer_tokens.unwrap_or(most).min(most);
+        f64::from(self.prompt_tokens) + f64::from(answer) / 2.0
+    }
+}
+
 /// An engine's report on itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineReport {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -175,6 +175,11 @@
         lock(&self.peers).rank(&own.instance, &own.domain, now)
     }
 
+    /// Time since the instance's start.
+    pub(crate) fn age(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_leaving() && self.knows_site()
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -61,7 +61,7 @@
 
     /// Tokens that it holds in an engine's cache, over its life on average.
     pub(crate) fn tokens(&self) -> f64 {
-        f64::from(self.head.prompt_tokens) + f64::from(self.head.answer_tokens) / 2.0
+        self.head.held_tokens()
     }
 
     /// Whether a configuration still lets it in and leads to its service.
