--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -104,6 +104,7 @@
 pub use outcome::Unknown;
 pub use outcome::Verdict;
 pub use pipeline::AcceleratorKind;
+pub use pipeline::Arrivals;
 pub use pipeline::ChainForecast;
 pub use pipeline::ChainStage;
 pub use pipeline::FullestStage;
--- a/crates/rookferry_core/src/pipeline/layout/mod.rs
+++ b/crates/rookferry_core/src/pipeline/layout/mod.rs
@@ -15,11 +15,13 @@
 //! hold something useful are left alone otherwise: a load takes seconds and
 //! is paid for.
 
+mod arrivals;
 mod draft;
 mod engine;
 mod planner;
 mod room;
 
+pub use arrivals::Arrivals;
 pub use engine::LayoutEngine;
 pub use engine::NeededPlacement;
 pub use planner::LayoutPlanner;
--- a/crates/rookferry_core/src/pipeline/mod.rs
+++ b/crates/rookferry_core/src/pipeline/mod.rs
@@ -20,6 +20,7 @@
 pub use forecast::ChainForecast;
 pub use forecast::ChainStage;
 pub use forecast::forecast;
+pub use layout::Arrivals;
 pub use layout::LayoutEngine;
 pub use layout::LayoutPlanner;
 pub use layout::NeededPlacement;
--- a/crates/rookferry_core/tests/layout.rs
+++ b/crates/rookferry_core/tests/layout.rs
@@ -2,11 +2,13 @@
 //! nothing moved without need.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::proptest;
 use rookferry_core::AcceleratorKind;
+use rookferry_core::Arrivals;
 use rookferry_core::LayoutEngine;
 use rookferry_core::LayoutPlanner;
 use rookferry_core::ModelShape;
@@ -353,6 +355,49 @@
     assert!(covers(&engines, "a"));
 }
 
+#[test]
+fn a_domain_whose_engines_come_back_one_by_one_is_waited_for() {
+    let window = Duration::from_millis(700);
+    let all = site();
+    let without_a: Vec<LayoutEngine> = all
+        .iter()
+        .filter(|engine| &*engine.domain != "a")
+        .cloned()
+        .collect();
+    let mut arrivals = Arrivals::new(window);
+    let mut now = Instant::now();
+    arrivals.observe(&all, now);
+    assert!(
+        !arrivals.is_returning(&"a".into(), now),
+        "what is first seen was there"
+    );
+    now += Duration::from_secs(5);
+    arrivals.observe(&without_a, now);
+    assert!(!arrivals.is_returning(&"a".into(), now));
+    for back in 2..=11 {
+        now += Duration::from_millis(100);
+        let mut listed = without_a.clone();
+        listed.extend(all.iter().take(back).cloned());
+        arrivals.observe(&listed, now);
+        assert!(arrivals.is_returning(&"a".into(), now), "{back}");
+        assert!(!arrivals.is_returning(&"b".into(), now));
+    }
+    now += window;
+    arrivals.observe(&all, now);
+    assert!(!arrivals.is_returning(&"a".into(), now), "all are back");
+}
+
+#[test]
+fn an_engine_that_comes_alone_is_not_waited_for() {
+    let mut arrivals = Arrivals::new(Duration::from_millis(700));
+    let all = site();
+    let now = Instant::now();
+    arrivals.observe(&all[1..], now);
+    let later = now + Duration::from_secs(1);
+    arrivals.observe(&all, later);
+    assert!(!arrivals.is_returning(&"a".into(), later));
+}
+
 #[rstest]
 #[case::no_speed(0.0, 1.0, 36_000.0)]
 #[case::no_reading(1.0, 0.0, 36_000.0)]
--- a/crates/rookferry_relay/src/placement.rs
+++ b/crates/rookferry_relay/src/placement.rs
@@ -14,6 +14,7 @@
 
 use futures_util::future::join_all;
 use http::StatusCode;
+use rookferry_core::Arrivals;
 use rookferry_core::LayoutEngine;
 use rookferry_core::LayoutPlanner;
 use rookferry_core::Lease;
@@ -65,8 +66,10 @@
 /// Heartbeats of the engines to wait for, where none holds a layer, before
 /// the first plan; a plan for a part of them would have to be undone.
 const FIRST_PLAN_HEARTBEATS: f64 = 1.2;
-/// The same since the last engine was first seen.
-const FIRST_PLAN_QUIET_HEARTBEATS: f64 = 0.6;
+/// The same since the last engine was first seen; also for a domain whose
+/// engines come back after a cut. Without it a domain was planned with 10 of
+/// its 11 engines a moment after the cut, and held next to no room afterwards.
+const QUIET_HEARTBEATS: f64 = 0.6;
 /// The part of a site's engines that may be out before it is more likely
 /// that this instance is cut off than that they are lost.
 const MAX_LOST_PART: f64 = 0.34;
@@ -88,8 +91,9 @@
     Site,
 }
 
+/// How the engines of a service began to show.
 #[derive(Clone, Copy, Debug)]
-struct Arrivals {
+struct FirstShow {
     first_at: Instant,
     last_at: Instant,
     engines: usize,
@@ -106,7 +110,8 @@
     away_since: Option<Instant>,
     started_at: Instant,
     ordered: BTreeMap<EngineId, Ordered>,
-    /// How the engines of a service began to show.
+    shown: BTreeMap<ServiceId, FirstShow>,
+    /// Engines that came to be listed, by service.
     arrivals: BTreeMap<ServiceId, Arrivals>,
 }
 
@@ -124,6 +129,7 @@
             away_since: None,
             started_at: Instant::now(),
             ordered: BTreeMap::new(),
+            shown: BTreeMap::new(),
             arrivals: BTreeMap::new(),
         }
     }
@@ -262,9 +268,6 @@
 
     async fn plan_all(&mut self) {
         let scope = self.scope();
-        if scope == Scope::Nothing {
-            return;
-        }
         let view = self.relay.view.load_full();
         let (Some(index), Some(table)) = (&view.index, &view.servers) else {
             return;
@@ -285,8 +288,16 @@
         table: &ServerTable,
         scope: Scope,
     ) {
-        self.settle(service, table).await;
-        let mut engines = self.layout(service, table);
+        if scope != Scope::Nothing {
+            self.settle(service, table).await;
+        }
+        // Also by those that don't order: one that begins to knows what has
+        // just come back.
+        let engines = self.layout(service, table);
+        let mut engines = self.settled(service, engines);
+        if scope == Scope::Nothing {
+            return;
+        }
         if scope == Scope::Domain {
             let own = &self.relay.settings.domain;
             engines.retain(|engine| engine.domain == *own);
@@ -321,22 +332,44 @@
         }
     }
 
+    /// How often backend servers write their entries.
+    fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.relay.settings.bounds.heartbeat_ms)
+    }
+
+    /// The engines without those of domains whose engines are coming back.
+    fn settled(
+        &mut self,
+        service: &ServingService,
+        engines: Vec<LayoutEngine>,
+    ) -> Vec<LayoutEngine> {
+        let now = Instant::now();
+        let window = self.heartbeat().mul_f64(QUIET_HEARTBEATS);
+        let arrivals = self.arrivals.entry(service.name.clone());
+        let arrivals = arrivals.or_insert_with(|| Arrivals::new(window));
+        arrivals.observe(&engines, now);
+        let settled = engines.into_iter();
+        settled
+            .filter(|engine| !arrivals.is_returning(&engine.domain, now))
+            .collect()
+    }
+
     /// Whether the engines have just begun to show, and hold nothing yet.
     fn is_filling(&mut self, service: &ServingService, engines: &[LayoutEngine]) -> bool {
         let now = Instant::now();
-        let arrivals = self.arrivals.entry(service.name.clone());
-        let arrivals = arrivals.or_insert(Arrivals {
+        let heartbeat = self.heartbeat();
+        let shown = self.shown.entry(service.name.clone());
+        let shown = shown.or_insert(FirstShow {
             first_at: now,
             last_at: now,
             engines: 0,
         });
-        if arrivals.engines < engines.len() {
-            arrivals.engines = engines.len();
-            arrivals.last_at = now;
+        if shown.engines < engines.len() {
+            shown.engines = engines.len();
+            shown.last_at = now;
         }
-        let heartbeat = Duration::from_millis(self.relay.settings.bounds.heartbeat_ms);
-        let is_early = arrivals.first_at.elapsed() < heartbeat.mul_f64(FIRST_PLAN_HEARTBEATS)
-            || arrivals.last_at.elapsed() < heartbeat.mul_f64(FIRST_PLAN_QUIET_HEARTBEATS);
+        let is_early = shown.first_at.elapsed() < heartbeat.mul_f64(FIRST_PLAN_HEARTBEATS)
+            || shown.last_at.elapsed() < heartbeat.mul_f64(QUIET_HEARTBEATS);
         is_early && engines.iter().all(|engine| engine.held.is_none())
     }
 
