feat(relay): streams wait at the door while they can be in time

Hypothesis: room comes free every 20 to 40 ms, so one that finds none may be in time if it waits a little, and fluctuations needn't cost refusals.

--- a/crates/rookferry_core/src/serving/config.rs
+++ b/crates/rookferry_core/src/serving/config.rs
@@ -68,6 +68,8 @@
     pub gap_objective: Option<Duration>,
     /// The most servers that a request is sent to.
     pub max_servers: u32,
+    /// How urgent its requests are, 0 first.
+    pub priority: u8,
     /// Whether it takes requests without a key.
     pub is_public: bool,
     /// Where its requests go; not empty.
@@ -94,6 +96,8 @@
     pub name: AccountId,
     /// Its keys.
     pub keys: Vec<String>,
+    /// How urgent its requests are, 0 first; goes before a route's.
+    pub priority: u8,
 }
 
 /// What callers are held to.
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -4,7 +4,8 @@
 //! accounts. [`Directory`] is what is known of the backend servers.
 //! [`ConfigAge`] bounds how old a configuration may be when a request is sent,
 //! [`RetryWindow`] what may be sent twice, and [`ServerHealth`] whom to avoid.
-//! [`pause_in_line`] spares a store that doesn't answer.
+//! [`RoomQueue`] says who waits for room and how long, [`Overload`] when those
+//! that are turned away come back. [`pause_in_line`] spares a store that doesn't answer.
 
 mod age;
 mod config;
@@ -12,6 +13,7 @@
 mod health;
 mod overload;
 mod retry_window;
+mod room_queue;
 mod store_pace;
 
 pub use age::ConfigAge;
@@ -30,5 +32,8 @@
 pub use overload::Overload;
 pub use overload::Overloaded;
 pub use retry_window::RetryWindow;
+pub use room_queue::RoomQueue;
+pub use room_queue::RoomTicket;
+pub use room_queue::Urgency;
 pub use store_pace::pause_in_line;
 pub use store_pace::reliance_in_line;
--- /dev/null
+++ b/crates/rookferry_core/tests/room_queue.rs
@@ -0,0 +1,90 @@
+//! Who waits for room, for how long, and in which order.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::RoomQueue;
+use rookferry_core::Urgency;
+use rstest::rstest;
+
+const OBJECTIVE: Duration = Duration::from_millis(500);
+
+const fn urgency(account: u8, route: u8) -> Urgency {
+    Urgency { account, route }
+}
+
+/// A queue that saw some first events and room come free at a steady pace.
+fn observed(first_event: Duration, freed_every: Duration) -> RoomQueue {
+    let mut queue = RoomQueue::new();
+    let start = Instant::now();
+    for number in 0..100 {
+        queue.note_first_event(first_event);
+        queue.note_freed(start + freed_every * number);
+    }
+    queue
+}
+
+#[test]
+fn the_more_urgent_go_first_and_of_those_alike_the_earlier() {
+    let mut queue = RoomQueue::new();
+    let late = queue.join(urgency(2, 1));
+    let route = queue.join(urgency(1, 2));
+    let first = queue.join(urgency(1, 1));
+    let second = queue.join(urgency(1, 1));
+    for ticket in [first, second, route, late] {
+        assert!(queue.is_next(ticket));
+        queue.leave(ticket);
+    }
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn a_new_request_waits_behind_those_alike_and_not_behind_the_less_urgent() {
+    let mut queue = RoomQueue::new();
+    queue.join(urgency(1, 1));
+    assert!(queue.is_behind(urgency(1, 1)));
+    assert!(queue.is_behind(urgency(2, 0)));
+    assert!(!queue.is_behind(urgency(1, 0)));
+}
+
+#[rstest]
+#[case::soon(Duration::from_millis(60), true)]
+#[case::late(Duration::from_millis(490), false)]
+#[case::too_late(Duration::from_secs(2), false)]
+fn a_request_waits_only_while_its_first_event_can_be_in_time(
+    #[case] first_event: Duration,
+    #[case] waits: bool,
+) {
+    let queue = observed(first_event, Duration::from_millis(30));
+    let patience = queue.patience(OBJECTIVE);
+    assert!(patience + first_event <= OBJECTIVE || patience.is_zero());
+    assert_eq!(
+        patience >= Duration::from_millis(100),
+        waits,
+        "{patience:?}"
+    );
+}
+
+#[test]
+fn first_events_that_vary_leave_less_time_to_wait() {
+    let steady = observed(Duration::from_millis(100), Duration::from_millis(30));
+    let mut varying = steady.clone();
+    for number in 0..100 {
+        let took = if number % 2 == 0 { 40 } else { 160 };
+        varying.note_first_event(Duration::from_millis(took));
+    }
+    assert!(varying.patience(OBJECTIVE) < steady.patience(OBJECTIVE));
+}
+
+#[test]
+fn each_request_in_front_adds_to_the_wait() {
+    let mut queue = observed(Duration::from_millis(60), Duration::from_millis(30));
+    let tickets: Vec<_> = (0..10).map(|_| queue.join(urgency(1, 1))).collect();
+    let waits: Vec<_> = tickets
+        .iter()
+        .map(|ticket| queue.expected_wait(*ticket))
+        .collect();
+    assert!(waits.is_sorted());
+    assert!(waits[0].abs_diff(Duration::from_millis(30)) < Duration::from_millis(2));
+    assert!(waits[9].abs_diff(Duration::from_millis(300)) < Duration::from_millis(10));
+}
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -31,6 +31,7 @@
         latency_objective: Duration::from_millis(100),
         gap_objective: None,
         max_servers: 2,
+        priority: 1,
         is_public: false,
         targets: vec![
             RouteTarget {
@@ -57,6 +58,7 @@
         accounts: vec![ServingAccount {
             name: "first".into(),
             keys: vec!["k1".to_owned(), "k2".to_owned()],
+            priority: 1,
         }],
         limits: CallerLimits {
             max_body_bytes: 10,
--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -28,6 +28,7 @@
     "dependency_regained",
     "lease_held",
     "lease_lost",
+    "let_in",
     "lines_dropped",
     "no_room",
     "order_sent",
--- a/crates/rookferry_relay/src/front.rs
+++ b/crates/rookferry_relay/src/front.rs
@@ -8,7 +8,9 @@
 use http::Response;
 use metrics::counter;
 use metrics::histogram;
+use rookferry_core::ServingAccount;
 use rookferry_core::ServingIndex;
+use rookferry_core::Urgency;
 use rookferry_net::BodyError;
 use rookferry_net::Inbound;
 use slog::info;
@@ -136,6 +138,10 @@
         .clone()
         .ok_or(Refusal::BadRequest("the request has no id"))?;
     let account = account_of(index, route.is_public, head)?;
+    let urgency = Urgency {
+        account: account.map_or(route.priority, |account| account.priority),
+        route: route.priority,
+    };
     let target = route.target(rand::random()).ok_or(Refusal::NoServer)?;
     let timeout = head.time_left_ms.map_or(route.timeout, |left| {
         route.timeout.min(Duration::from_millis(left))
@@ -147,7 +153,8 @@
         headers: inbound.headers.clone(),
         body,
         head: head.clone(),
-        account,
+        account: account.map(|account| account.name.clone()),
+        urgency,
         service: target.service.clone(),
         route: route.clone(),
         received_at,
@@ -156,14 +163,14 @@
     })
 }
 
-fn account_of(
-    index: &ServingIndex,
+fn account_of<'a>(
+    index: &'a ServingIndex,
     is_public: bool,
     head: &CallerHead,
-) -> Result<Option<rookferry_wire::AccountId>, Refusal> {
+) -> Result<Option<&'a ServingAccount>, Refusal> {
     let known = head.key.as_deref().and_then(|key| index.account(key));
     match known {
-        Some(account) => Ok(Some(account.name.clone())),
+        Some(account) => Ok(Some(account)),
         None if is_public || !index.needs_keys() => Ok(None),
         None => Err(Refusal::UnknownKey),
     }
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -13,6 +13,7 @@
 #![warn(missing_docs)]
 
 mod counted_store;
+mod door;
 mod engines;
 mod event_log;
 mod events;
--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener.rs
@@ -9,13 +9,15 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use rookferry_core::BackendServer;
-use rookferry_core::FullestStage;
 use rookferry_core::ModelShape;
 use rookferry_core::PathFinder;
+use rookferry_core::PipelineEngine;
 use rookferry_core::PipelinePath;
 use rookferry_core::ServingService;
+use slog::info;
 use slog::warn;
 
+use crate::door::Place;
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::front::Served;
@@ -37,6 +39,10 @@
 /// The least time left in which sending makes sense.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
 
+/// How often the first that waits looks for room that others' word or an
+/// engine's estimate brought, which nothing tells of.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
 /// A stream's request, and the engines that it is for.
 #[derive(Clone)]
 pub(crate) struct StreamTarget {
@@ -46,6 +52,16 @@
     pub(crate) model: Arc<ModelShape>,
 }
 
+/// What a look for room came to.
+enum Room {
+    /// No engines cover the layers.
+    None,
+    /// All engines of a path have room.
+    On(PipelinePath),
+    /// The fullest engine of the best path has none.
+    Full(PipelineEngine),
+}
+
 /// What one try to open a stream came to.
 enum Opened {
     /// The engine answers; a success is a stream that runs.
@@ -111,18 +127,15 @@
             if self.arrived > 0 && !is_paid && !self.target.relay.take_retry(&self.target.request) {
                 break;
             }
-            let Some(path) = self.choose(&[]) else {
+            let chosen = if self.is_fresh() {
+                self.choose_with_room().await.map_err(Served::Refused)?
+            } else {
+                self.choose(&[])
+            };
+            let Some(path) = chosen else {
                 self.note_failed("", "no engines cover the layers");
                 break;
             };
-            // One that would wait for room is late, and makes others late: where
-            // all were let in, first events came after 1.4 to 2 s for as long
-            // as the site was over its capacity.
-            if self.is_fresh()
-                && let Some(refusal) = self.turn_away(&path)
-            {
-                return Err(Served::Refused(refusal));
-            }
             let first = path.first().addr;
             let mut keeper = PathKeeper::new(self.target, path);
             match self.send(&mut keeper, after).await {
@@ -196,25 +209,80 @@
         self.runs == 0 && self.target.request.head.last_event.is_none()
     }
 
-    /// Why a request that would take a path is turned away, if an engine on it
-    /// has no room.
-    fn turn_away(&self, path: &PipelinePath) -> Option<Refusal> {
+    /// A path with room for the request; it waits for one while it can be in
+    /// time. One that waited at an engine would be late, and make others late:
+    /// where all were let in, first events came after 1.4 to 2 s for as long as
+    /// the site was over its capacity.
+    async fn choose_with_room(&self) -> Result<Option<PipelinePath>, Refusal> {
+        let request = &self.target.request;
+        let door = &self.target.relay.door;
+        let service = &self.target.service.name;
+        let objective = request.route.latency_objective;
+        let mut full = None;
+        if !door.is_behind(service, request.urgency) {
+            match self.look_for_room() {
+                Room::None => return Ok(None),
+                Room::On(path) => return Ok(Some(path)),
+                Room::Full(engine) => full = Some(engine),
+            }
+        }
+        let place = door.join(service, request.urgency);
+        loop {
+            if !place.is_hopeful(objective, request.held_for()) {
+                return Err(self.turn_away(full.as_ref(), &place));
+            }
+            let left = objective.saturating_sub(request.held_for());
+            place.changed(left.min(LOOK_AGAIN)).await;
+            if !place.is_next() {
+                continue;
+            }
+            match self.look_for_room() {
+                Room::None => return Ok(None),
+                Room::On(path) => {
+                    self.note_let_in(&place);
+                    return Ok(Some(path));
+                }
+                Room::Full(engine) => full = Some(engine),
+            }
+        }
+    }
+
+    fn look_for_room(&self) -> Room {
+        let home = &self.target.relay.settings.domain;
         let tokens = self.target.request.tokens();
-        self.with_finder(&[], |finder| {
-            let full = finder.fullest(path, tokens)?;
-            (full.overfill > 0.0).then(|| self.overloaded(&full))
-        })?
+        let found = self.with_finder(&[], |finder| {
+            let Some(path) = finder.find(home, tokens) else {
+                return Room::None;
+            };
+            match finder.fullest(&path, tokens) {
+                Some(full) if full.overfill > 0.0 => Room::Full(full.engine.clone()),
+                _ => Room::On(path),
+            }
+        });
+        found.unwrap_or(Room::None)
+    }
+
+    fn note_let_in(&self, place: &Place) {
+        let request = &self.target.request;
+        if let Some(log) = self.target.relay.events.line(Weight::Routine) {
+            info!(log, "stream: there is room after a wait"; "event" => "let_in",
+                "request" => &request.attempt, "held_ms" => millis(request.held_for()),
+                "waiting" => place.waiting());
+        }
     }
 
-    fn overloaded(&self, full: &FullestStage<'_>) -> Refusal {
-        let overload = self.target.relay.overloaded();
+    fn turn_away(&self, full: Option<&PipelineEngine>, place: &Place) -> Refusal {
+        let overload = self.target.relay.door.turn_away();
+        let request = &self.target.request;
         if let Some(log) = self.target.relay.events.line(Weight::Notable) {
             warn!(log, "stream: the engines have no room"; "event" => "no_room",
-                "request" => &self.target.request.attempt,
-                "tokens" => self.target.request.tokens(),
-                "engine" => &*full.engine.engine, "addr" => %full.engine.addr,
-                "used_tokens" => full.engine.used_tokens,
-                "room_tokens" => full.engine.cache_tokens,
+                "request" => &request.attempt, "tokens" => request.tokens(),
+                "engine" => full.map(|engine| engine.engine.to_string()),
+                "addr" => full.map(|engine| engine.addr.to_string()),
+                "used_tokens" => full.map(|engine| engine.used_tokens),
+                "room_tokens" => full.map(|engine| engine.cache_tokens),
+                "waiting" => place.waiting(),
+                "held_ms" => millis(request.held_for()),
                 "overload_ms" => millis(overload.lasted),
                 "retry_after_ms" => millis(overload.retry_after));
         }
--- a/crates/rookferry_relay/src/path_keeper.rs
+++ b/crates/rookferry_relay/src/path_keeper.rs
@@ -164,6 +164,11 @@
         parts.join(",")
     }
 
+    /// How long ago the last event came, or the request was sent.
+    pub(crate) fn stands_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.stalled_since)
+    }
+
     /// Events came.
     pub(crate) fn progressed(&mut self, now: Instant) {
         self.stalled_since = now;
@@ -409,6 +414,13 @@
     }
 }
 
+impl Drop for PathKeeper {
+    fn drop(&mut self) {
+        // The load's own drop comes after this; a waiter looks a moment later.
+        self.relay.door.note_freed(&self.service.name);
+    }
+}
+
 fn enter(relay: &Relay, request: &CallerRequest, path: &PipelinePath) -> LoadGuard {
     let view = relay.view.load();
     // An engine keeps a token's cache for the layers that it runs only.
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -333,6 +333,7 @@
         relay
             .peer_loads
             .store(Arc::new(table.loads(own_domain, now)));
+        relay.door.note_change();
     }
 
     /// A peer's word on the configuration: a newer version is fetched, the
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -19,8 +19,6 @@
 use metrics::counter;
 use rookferry_core::BackendServer;
 use rookferry_core::ConfigAge;
-use rookferry_core::Overload;
-use rookferry_core::Overloaded;
 use rookferry_core::RetryWindow;
 use rookferry_core::ServerHealth;
 use rookferry_core::ServingConfig;
@@ -32,6 +30,7 @@
 use slog::warn;
 use tokio::sync::watch;
 
+use crate::door::Door;
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
@@ -72,6 +71,7 @@
     pub(crate) view: ArcSwap<SiteView>,
     pub(crate) loads: LoadTable,
     pub(crate) signs: Signs,
+    pub(crate) door: Arc<Door>,
     pub(crate) events: EventLog,
     /// Raised whenever paths may have to be looked at again.
     pub(crate) fleet_changes: watch::Sender<u64>,
@@ -98,7 +98,6 @@
     config_age: Mutex<ConfigAge>,
     health: Mutex<ServerHealth>,
     retries: Mutex<HashMap<ServiceId, RetryWindow>>,
-    overload: Mutex<Overload>,
 }
 
 impl Relay {
@@ -116,6 +115,7 @@
             view: ArcSwap::default(),
             loads: LoadTable::default(),
             signs: Signs::new(),
+            door: Arc::new(Door::new()),
             events,
             fleet_changes: watch::Sender::new(0),
             versions: watch::Sender::new(0),
@@ -132,7 +132,6 @@
             config_age: Mutex::new(ConfigAge::new()),
             health: Mutex::new(ServerHealth::new()),
             retries: Mutex::new(HashMap::new()),
-            overload: Mutex::new(Overload::new()),
         }
     }
 
@@ -339,11 +338,6 @@
         is_taken
     }
 
-    /// A request is turned away for want of room.
-    pub(crate) fn overloaded(&self) -> Overloaded {
-        lock(&self.overload).refused(Instant::now(), rand::random())
-    }
-
     fn with_retries<T>(&self, service: &ServiceId, run: impl FnOnce(&mut RetryWindow) -> T) -> T {
         let bounds = &self.settings.bounds;
         let mut retries = lock(&self.retries);
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use rookferry_core::ServingIndex;
 use rookferry_core::ServingRoute;
+use rookferry_core::Urgency;
 use rookferry_wire::AccountId;
 use rookferry_wire::EngineId;
 use rookferry_wire::ServiceId;
@@ -45,6 +46,7 @@
     pub(crate) body: Bytes,
     pub(crate) head: CallerHead,
     pub(crate) account: Option<AccountId>,
+    pub(crate) urgency: Urgency,
     pub(crate) route: ServingRoute,
     pub(crate) service: ServiceId,
     pub(crate) received_at: Instant,
@@ -64,6 +66,11 @@
         self.head.held_tokens()
     }
 
+    /// The time since it came.
+    pub(crate) fn held_for(&self) -> Duration {
+        self.received_at.elapsed()
+    }
+
     /// Whether a configuration still lets it in and leads to its service.
     pub(crate) fn is_allowed_by(&self, index: &ServingIndex) -> bool {
         if index.config().version == self.config_version {
