refactor(relay): placement and the opener by job; absurd figures have a line

Looking for room at the door stands beside the opener. One difference: accelerators whose published figures can't be reckoned with are told of when a configuration comes into force.

--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -26,6 +26,7 @@
     "config_adopted",
     "dependency_lost",
     "dependency_regained",
+    "figures_unusable",
     "lease_held",
     "lease_lost",
     "let_in",
--- a/crates/rookferry_relay/src/opener.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -1,6 +1,8 @@
 //! Opens runs of one stream: chooses paths, sends along them, and judges what
 //! comes back until an engine answers or nothing is left to try.
 
+mod room;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,13 +13,10 @@
 use rookferry_core::BackendServer;
 use rookferry_core::ModelShape;
 use rookferry_core::PathFinder;
-use rookferry_core::PipelineEngine;
 use rookferry_core::PipelinePath;
 use rookferry_core::ServingService;
-use slog::info;
 use slog::warn;
 
-use crate::door::Place;
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::front::Served;
@@ -39,10 +38,6 @@
 /// The least time left in which sending makes sense.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
 
-/// How often the first that waits looks for room that others' word or an
-/// engine's estimate brought, which nothing tells of.
-const LOOK_AGAIN: Duration = Duration::from_millis(25);
-
 /// A stream's request, and the engines that it is for.
 #[derive(Clone)]
 pub(crate) struct StreamTarget {
@@ -52,16 +47,6 @@
     pub(crate) model: Arc<ModelShape>,
 }
 
-/// What a look for room came to.
-enum Room {
-    /// No engines cover the layers.
-    None,
-    /// All engines of a path have room.
-    On(PipelinePath),
-    /// The fullest engine of the best path has none.
-    Full(PipelineEngine),
-}
-
 /// What one try to open a stream came to.
 enum Opened {
     /// The engine answers; a success is a stream that runs.
@@ -209,86 +194,6 @@
         self.runs == 0 && self.target.request.head.last_event.is_none()
     }
 
-    /// A path with room for the request; it waits for one while it can be in
-    /// time. One that waited at an engine would be late, and make others late:
-    /// where all were let in, first events came after 1.4 to 2 s for as long as
-    /// the site was over its capacity.
-    async fn choose_with_room(&self) -> Result<Option<PipelinePath>, Refusal> {
-        let request = &self.target.request;
-        let door = &self.target.relay.door;
-        let service = &self.target.service.name;
-        let objective = request.route.latency_objective;
-        let mut full = None;
-        if !door.is_behind(service, request.urgency) {
-            match self.look_for_room() {
-                Room::None => return Ok(None),
-                Room::On(path) => return Ok(Some(path)),
-                Room::Full(engine) => full = Some(engine),
-            }
-        }
-        let place = door.join(service, request.urgency);
-        loop {
-            if !place.is_hopeful(objective, request.held_for()) {
-                return Err(self.turn_away(full.as_ref(), &place));
-            }
-            let left = objective.saturating_sub(request.held_for());
-            place.changed(left.min(LOOK_AGAIN)).await;
-            if !place.is_next() {
-                continue;
-            }
-            match self.look_for_room() {
-                Room::None => return Ok(None),
-                Room::On(path) => {
-                    self.note_let_in(&place);
-                    return Ok(Some(path));
-                }
-                Room::Full(engine) => full = Some(engine),
-            }
-        }
-    }
-
-    fn look_for_room(&self) -> Room {
-        let home = &self.target.relay.settings.domain;
-        let tokens = self.target.request.tokens();
-        let found = self.with_finder(&[], |finder| {
-            let Some(path) = finder.find(home, tokens) else {
-                return Room::None;
-            };
-            match finder.fullest(&path, tokens) {
-                Some(full) if full.overfill > 0.0 => Room::Full(full.engine.clone()),
-                _ => Room::On(path),
-            }
-        });
-        found.unwrap_or(Room::None)
-    }
-
-    fn note_let_in(&self, place: &Place) {
-        let request = &self.target.request;
-        if let Some(log) = self.target.relay.events.line(Weight::Routine) {
-            info!(log, "stream: there is room after a wait"; "event" => "let_in",
-                "request" => &request.attempt, "held_ms" => millis(request.held_for()),
-                "waiting" => place.waiting());
-        }
-    }
-
-    fn turn_away(&self, full: Option<&PipelineEngine>, place: &Place) -> Refusal {
-        let overload = self.target.relay.door.turn_away();
-        let request = &self.target.request;
-        if let Some(log) = self.target.relay.events.line(Weight::Notable) {
-            warn!(log, "stream: the engines have no room"; "event" => "no_room",
-                "request" => &request.attempt, "tokens" => request.tokens(),
-                "engine" => full.map(|engine| engine.engine.to_string()),
-                "addr" => full.map(|engine| engine.addr.to_string()),
-                "used_tokens" => full.map(|engine| engine.used_tokens),
-                "room_tokens" => full.map(|engine| engine.cache_tokens),
-                "waiting" => place.waiting(),
-                "held_ms" => millis(request.held_for()),
-                "overload_ms" => millis(overload.lasted),
-                "retry_after_ms" => millis(overload.retry_after));
-        }
-        Refusal::Overloaded(overload.retry_after)
-    }
-
     /// Whether another run could begin at another engine; takes it out of the
     /// budget.
     fn can_start_elsewhere(&self, first: SocketAddr) -> bool {
--- /dev/null
+++ b/crates/rookferry_relay/src/placement/mod.rs
@@ -0,0 +1,136 @@
+//! Orders engines to hold layers, under the site's lease.
+//!
+//! One instance holds the lease and plans for the whole site from what the
+//! engines' entries say, so that a new holder goes on from what stands. An
+//! order names the engine's sequence as last reported; an engine that has
+//! taken another order meanwhile refuses it, which fences orders of a former
+//! holder.
+
+mod census;
+mod lease_keeper;
+mod orders;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rookferry_core::LayoutPlanner;
+use rookferry_core::ModelShape;
+use rookferry_core::ServingService;
+use rookferry_wire::Incarnation;
+use slog::info;
+
+use self::census::Census;
+use self::lease_keeper::LeaseKeeper;
+use self::lease_keeper::Scope;
+use self::orders::Orders;
+use crate::event_log::Weight;
+use crate::relay::Relay;
+use crate::view::ServerTable;
+
+/// Longest time between two plans; a change of the fleet brings one forward.
+const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// Least time between two plans.
+const PLAN_PAUSE: Duration = Duration::from_millis(60);
+
+/// Plans and orders while this instance holds the lease.
+pub(crate) struct Placement {
+    relay: Arc<Relay>,
+    keeper: LeaseKeeper,
+    census: Census,
+    orders: Orders,
+}
+
+impl Placement {
+    pub(crate) fn new(relay: Arc<Relay>, incarnation: Incarnation) -> Self {
+        Self {
+            keeper: LeaseKeeper::new(relay.clone(), incarnation),
+            census: Census::new(relay.clone()),
+            orders: Orders::new(relay.clone()),
+            relay,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(mut self) {
+        let mut fleet = self.relay.fleet_changes.subscribe();
+        loop {
+            if self.relay.is_leaving() {
+                return self.keeper.give_up().await;
+            }
+            if self.keeper.keep().await {
+                self.orders.clear();
+            }
+            self.plan_all().await;
+            tokio::time::sleep(PLAN_PAUSE).await;
+            tokio::select! {
+                () = tokio::time::sleep(PLAN_EVERY) => {}
+                _ = fleet.changed(), if self.holds_lease() || self.relay.is_leaving() => {}
+            }
+        }
+    }
+
+    /// Whether this instance ordered engines of the whole site when it last
+    /// looked.
+    fn holds_lease(&self) -> bool {
+        self.relay.holds_lease.load(Ordering::Relaxed)
+    }
+
+    async fn plan_all(&mut self) {
+        let scope = self.keeper.scope();
+        let view = self.relay.view.load_full();
+        let (Some(index), Some(table)) = (&view.index, &view.servers) else {
+            return;
+        };
+        for service in &index.config().services {
+            if let Some(model) = &service.model {
+                let longest_pause = index.config().longest_pause(&service.name);
+                self.plan(service, model, longest_pause, table, scope).await;
+            }
+        }
+    }
+
+    async fn plan(
+        &mut self,
+        service: &ServingService,
+        model: &ModelShape,
+        longest_pause: Option<Duration>,
+        table: &ServerTable,
+        scope: Scope,
+    ) {
+        if scope != Scope::Nothing {
+            self.orders.settle(service, table).await;
+        }
+        // Also by those that don't order: one that begins to knows what has
+        // just come back.
+        let mut engines = self.census.take(service, table, &self.orders);
+        if scope == Scope::Nothing {
+            return;
+        }
+        if scope == Scope::Domain {
+            let own = &self.relay.settings.domain;
+            engines.retain(|engine| engine.domain == *own);
+        }
+        if engines.is_empty() || self.census.is_filling(service, &engines) {
+            return;
+        }
+        let planner = LayoutPlanner::new(model);
+        let planner = match longest_pause {
+            Some(pause) => planner.with_longest_pause(pause),
+            None => planner,
+        };
+        let needed = planner.plan(&engines);
+        if needed.is_empty() {
+            return;
+        }
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            info!(log, "placement: layers are needed"; "event" => "placement_planned",
+                "service" => &*service.name, "engines" => engines.len(),
+                "orders" => needed.len(),
+                "missing" => needed.iter().filter(|placement| placement.is_missing).count());
+        }
+        let keeper = &self.keeper;
+        let may_order = || keeper.scope() != Scope::Nothing;
+        self.orders.send(service, table, needed, may_order).await;
+    }
+}
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -242,6 +242,7 @@
                     "version" => version, "before" => before, "source" => source,
                     "routes" => routes, "accounts" => accounts);
             }
+            self.note_unusable_figures(&index);
             self.note_fleet_change();
         }
         self.confirm_config(version, at);
@@ -250,6 +251,25 @@
         }
     }
 
+    /// Tells of accelerators that can't be planned with.
+    fn note_unusable_figures(&self, index: &ServingIndex) {
+        for service in &index.config().services {
+            let Some(model) = &service.model else {
+                continue;
+            };
+            let kinds = model.kinds.iter();
+            for kind in kinds.filter(|kind| !model.is_usable(kind)) {
+                if let Some(log) = self.events.line(Weight::Notable) {
+                    warn!(log, "config: an accelerator's figures can't be reckoned with";
+                        "event" => "figures_unusable", "service" => &*service.name,
+                        "accelerator" => &kind.name, "memory_mb" => kind.memory_mb,
+                        "step_factor" => kind.step_factor, "read_factor" => kind.read_factor,
+                        "layer_mb" => model.layer_mb, "step_ms" => model.step_ms);
+                }
+            }
+        }
+    }
+
     /// The version in force.
     pub(crate) fn config_version(&self) -> Option<u64> {
         let view = self.view.load();
