refactor(relay): one check for a near server, one for the instance's age

Cause: the read of the whole change found two checks that stood twice (whether a server is in the own domain, time since the start) and a wake-up of waiters written out beside the call for it; the first also copied a server's record for a look-up.

--- a/crates/rookferry_relay/src/door.rs
+++ b/crates/rookferry_relay/src/door.rs
@@ -54,7 +54,7 @@
     /// A stream has left its room.
     pub(crate) fn note_freed(&self, service: &ServiceId) {
         self.with(service, |queue| queue.note_freed(Instant::now()));
-        self.changed.notify_waiters();
+        self.note_change();
     }
 
     /// There may be room where there was none.
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -115,9 +115,7 @@
 
     /// How many instances may have requests under way at a server.
     fn sharers(&self, addr: SocketAddr) -> usize {
-        let server = self.view.load().server_at(addr).cloned();
-        let is_near = server.is_some_and(|server| server.domain == self.settings.domain);
-        let known = if is_near {
+        let known = if self.is_near(addr) {
             &self.near_instances
         } else {
             &self.instances
@@ -125,6 +123,13 @@
         known.load(Ordering::Relaxed)
     }
 
+    /// Whether a server is in this instance's failure domain.
+    fn is_near(&self, addr: SocketAddr) -> bool {
+        let view = self.view.load();
+        let server = view.server_at(addr);
+        server.is_some_and(|server| server.domain == self.settings.domain)
+    }
+
     /// What is known of a stage of a path in use.
     pub(crate) fn stage_state(&self, table: &ServerTable, stage: &PathStage) -> StageState {
         if self.health().is_out(stage.addr) {
@@ -148,13 +153,9 @@
     /// stay in their failure domain, so its instances have the larger part.
     pub(crate) fn upstream(&self, addr: SocketAddr, service: &ServingService) -> Upstream {
         let limit = f64::from(service.max_connections);
-        let view = self.view.load();
-        let is_near = view
-            .server_at(addr)
-            .is_some_and(|server| server.domain == self.settings.domain);
         let near = self.near_instances.load(Ordering::Relaxed).max(1);
         let all = self.instances.load(Ordering::Relaxed).max(near);
-        let part = if is_near {
+        let part = if self.is_near(addr) {
             limit * NEAR_CONNECTIONS / near as f64
         } else {
             limit * (1.0 - NEAR_CONNECTIONS) / all.saturating_sub(near).max(1) as f64
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -187,7 +187,7 @@
     /// Whether this instance has just started, and may know the site within
     /// moments.
     pub(crate) fn is_starting(&self) -> bool {
-        self.started_at.elapsed() < STARTING && !self.knows_site()
+        self.age() < STARTING && !self.knows_site()
     }
 
     /// Whether configuration and servers are known well enough to serve by.
@@ -342,7 +342,7 @@
     pub(crate) fn take_retry(&self, request: &CallerRequest) -> bool {
         let service = &request.service;
         let heard = self.instances.load(Ordering::Relaxed);
-        let instances = if self.started_at.elapsed() < COUNTING_INSTANCES {
+        let instances = if self.age() < COUNTING_INSTANCES {
             heard.max(ASSUMED_INSTANCES)
         } else {
             heard
