--- a/crates/rookferry_core/examples/path_time.rs
+++ b/crates/rookferry_core/examples/path_time.rs
@@ -11,6 +11,7 @@
 use rand::rngs::StdRng;
 use rookferry_core::PathFinder;
 use rookferry_core::PipelineEngine;
+use rookferry_core::ServerKey;
 use rookferry_wire::LayerRange;
 
 const LAYERS: u16 = 80;
@@ -31,7 +32,11 @@
         let place = u16::try_from(number / DOMAINS).unwrap_or(0) % (LAYERS / length);
         PipelineEngine {
             engine: format!("engine-{number}").into(),
-            addr: SocketAddr::from(([10, 0, 0, 1], u16::try_from(number).unwrap_or(0))),
+            server: ServerKey::new(
+                SocketAddr::from(([10, 0, 0, 1], u16::try_from(number).unwrap_or(0))),
+                &number.to_string(),
+                None,
+            ),
             domain: format!("domain-{}", number % DOMAINS).into(),
             held: LayerRange {
                 start: place * length,
@@ -51,7 +56,7 @@
     let started_at = Instant::now();
     for _ in 0..SEARCHES {
         let path = PathFinder::new(LAYERS, engines).find(&home, TOKENS);
-        std::hint::black_box(path);
+        let _ = std::hint::black_box(path);
     }
     started_at.elapsed() / SEARCHES
 }
--- a/crates/rookferry_core/src/peers/doubt.rs
+++ b/crates/rookferry_core/src/peers/doubt.rs
@@ -8,9 +8,10 @@
 //! the others leave a doubted server alone until it shows that it lives.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Instant;
 
+use crate::serving::ServerKey;
+
 /// Instances of a failure domain, first in order, that ask a server which
 /// another has trouble with, besides those with work under way there: as many
 /// as a large domain has heads, so that one that ends or stands still isn't
@@ -40,27 +41,27 @@
 #[derive(Clone, Debug, Default)]
 pub struct DoubtedServers {
     /// When the last of those that doubt a server began to.
-    since: BTreeMap<SocketAddr, Instant>,
+    since: BTreeMap<ServerKey, Instant>,
 }
 
 impl DoubtedServers {
     /// A member that doubts a server began to at some time.
-    pub(super) fn add(&mut self, addr: SocketAddr, since: Instant) {
-        let known = self.since.entry(addr).or_insert(since);
+    pub(super) fn add(&mut self, server: ServerKey, since: Instant) {
+        let known = self.since.entry(server).or_insert(since);
         *known = (*known).max(since);
     }
 
     /// Since when a server is doubted.
     #[must_use]
-    pub fn since(&self, addr: SocketAddr) -> Option<Instant> {
-        self.since.get(&addr).copied()
+    pub fn since(&self, server: ServerKey) -> Option<Instant> {
+        self.since.get(&server).copied()
     }
 
     /// Whether a server is left alone that gave its last sign of life at some
     /// time: a later one, to any instance, is worth more than the doubt.
     #[must_use]
-    pub fn is_left_alone(&self, addr: SocketAddr, last_sign_at: Option<Instant>) -> bool {
-        let since = self.since.get(&addr);
+    pub fn is_left_alone(&self, server: ServerKey, last_sign_at: Option<Instant>) -> bool {
+        let since = self.since.get(&server);
         since.is_some_and(|since| last_sign_at.is_none_or(|at| at < *since))
     }
 }
--- a/crates/rookferry_core/src/peers/load.rs
+++ b/crates/rookferry_core/src/peers/load.rs
@@ -1,12 +1,13 @@
 //! What is under way at a server.
 
-use std::net::SocketAddr;
 use std::ops::AddAssign;
 use std::ops::Sub;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::serving::ServerKey;
+
 /// What is under way at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerLoad {
@@ -50,8 +51,8 @@
 /// What a sender has under way at a server, and what it saw of it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadEntry {
-    /// Where the server listens.
-    pub addr: SocketAddr,
+    /// The server.
+    pub server: ServerKey,
     /// Requests under way there.
     pub requests: u32,
     /// Their tokens.
--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -11,6 +11,7 @@
 
 use super::LoadEntry;
 use crate::serving::ClosedSeen;
+use crate::serving::ServerKey;
 
 /// A heartbeat; one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -38,7 +39,7 @@
     /// What the sender's domain has under way, if it speaks for it.
     pub domain_loads: Option<DomainLoads>,
     /// Servers that don't answer the sender; told in its own domain.
-    pub out: Vec<SocketAddr>,
+    pub out: Vec<ServerKey>,
     /// Servers that take no new work; told in the sender's own domain.
     pub closed: Vec<ClosedSeen>,
     /// Some of the members that the sender knows.
--- a/crates/rookferry_core/src/peers/peer.rs
+++ b/crates/rookferry_core/src/peers/peer.rs
@@ -12,6 +12,7 @@
 use super::DomainLoads;
 use super::LoadEntry;
 use super::MemberSeen;
+use crate::serving::ServerKey;
 
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
@@ -27,7 +28,7 @@
     pub(super) config_at: Option<Instant>,
     pub(super) loads: Vec<LoadEntry>,
     /// Servers that don't answer the peer, and since when it says so.
-    pub(super) out: BTreeMap<SocketAddr, Instant>,
+    pub(super) out: BTreeMap<ServerKey, Instant>,
     /// What its domain has under way, if it last spoke for it.
     pub(super) sums: Option<(DomainLoads, Instant)>,
 }
--- a/crates/rookferry_core/src/peers/sums.rs
+++ b/crates/rookferry_core/src/peers/sums.rs
@@ -11,6 +11,7 @@
 use super::PeerTable;
 use super::ServerLoad;
 use super::peer::is_within;
+use crate::serving::ServerKey;
 
 /// How long a head's sums count: two of its rounds and one that is lost.
 const SUMS_KEPT: Duration = Duration::from_secs(1);
@@ -44,7 +45,7 @@
     /// domain by their own word or a head's, whichever has more instances in
     /// it, and those of others by their speakers'.
     #[must_use]
-    pub fn loads(&self, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
+    pub fn loads(&self, now: Instant) -> BTreeMap<ServerKey, ServerLoad> {
         let heard = self.heard_near(now).count();
         let sums = self.sums(now);
         let sums =
@@ -69,7 +70,7 @@
     /// What the other members of the own domain have under way at each server,
     /// by their own word.
     #[must_use]
-    pub fn near_loads(&self, now: Instant) -> BTreeMap<SocketAddr, ServerLoad> {
+    pub fn near_loads(&self, now: Instant) -> BTreeMap<ServerKey, ServerLoad> {
         let mut loads = BTreeMap::new();
         for (_, peer) in self.heard_near(now) {
             add_loads(&mut loads, &peer.loads);
@@ -92,10 +93,10 @@
     pub fn sums_for(&self, to: SocketAddr, sums: &DomainSums) -> DomainLoads {
         let place = sums.heard.binary_search(&to);
         let member = self.peers.get(&to).filter(|_| place.is_ok());
-        let mut own: BTreeMap<SocketAddr, ServerLoad> = BTreeMap::new();
+        let mut own: BTreeMap<ServerKey, ServerLoad> = BTreeMap::new();
         add_loads(&mut own, member.map_or(&[], |member| &member.loads));
         let others = sums.entries.iter().map(|entry| {
-            let own = own.get(&entry.addr).copied().unwrap_or_default();
+            let own = own.get(&entry.server).copied().unwrap_or_default();
             entry.with_load(entry.load() - own)
         });
         let (Ok(before) | Err(before)) = place;
@@ -121,8 +122,8 @@
     }
 }
 
-fn add_loads(loads: &mut BTreeMap<SocketAddr, ServerLoad>, entries: &[LoadEntry]) {
+fn add_loads(loads: &mut BTreeMap<ServerKey, ServerLoad>, entries: &[LoadEntry]) {
     for entry in entries {
-        *loads.entry(entry.addr).or_default() += entry.load();
+        *loads.entry(entry.server).or_default() += entry.load();
     }
 }
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -18,6 +18,7 @@
 use super::peer::Peer;
 use super::peer::is_within;
 use crate::millis::millis;
+use crate::serving::ServerKey;
 
 /// How long a silent member's load counts. Several heartbeats to its own
 /// failure domain fit in, and four of a head's.
@@ -122,18 +123,18 @@
     pub fn newly_out(
         &mut self,
         from: SocketAddr,
-        out: &[SocketAddr],
+        out: &[ServerKey],
         now: Instant,
-    ) -> Vec<SocketAddr> {
+    ) -> Vec<ServerKey> {
         let Some(peer) = self.peers.get_mut(&from) else {
             return Vec::new();
         };
         let before = std::mem::take(&mut peer.out);
         let told = out.iter().copied();
         peer.out = told
-            .map(|addr| (addr, before.get(&addr).copied().unwrap_or(now)))
+            .map(|server| (server, before.get(&server).copied().unwrap_or(now)))
             .collect();
-        let news = out.iter().filter(|addr| !before.contains_key(addr));
+        let news = out.iter().filter(|server| !before.contains_key(server));
         news.copied().collect()
     }
 
@@ -142,8 +143,8 @@
     pub fn doubted(&self, now: Instant) -> DoubtedServers {
         let mut doubted = DoubtedServers::default();
         for (_, peer) in self.heard_near(now) {
-            for (addr, since) in &peer.out {
-                doubted.add(*addr, *since);
+            for (server, since) in &peer.out {
+                doubted.add(*server, *since);
             }
         }
         doubted
--- a/crates/rookferry_core/src/pipeline/cover.rs
+++ b/crates/rookferry_core/src/pipeline/cover.rs
@@ -215,9 +215,12 @@
         self.crossing.before(self.cuts[cut])
     }
 
-    /// Whether the way to a node uses an engine.
+    /// Whether the way to a node uses an engine, or another start at its
+    /// address: engines take no path that names an address twice.
     fn uses(&self, node: usize, engine: usize) -> bool {
-        self.way_back(node).any(|link| link.engine == engine)
+        let addr = self.engines[engine].addr();
+        self.way_back(node)
+            .any(|link| self.engines[link.engine].addr() == addr)
     }
 
     /// The way to a node, its last part first.
--- a/crates/rookferry_core/src/pipeline/engine.rs
+++ b/crates/rookferry_core/src/pipeline/engine.rs
@@ -6,13 +6,15 @@
 use rookferry_wire::EngineId;
 use rookferry_wire::LayerRange;
 
+use crate::serving::ServerKey;
+
 /// An engine that may be a stage.
 #[derive(Clone, Debug)]
 pub struct PipelineEngine {
     /// Its name.
     pub engine: EngineId,
-    /// Where it listens.
-    pub addr: SocketAddr,
+    /// This start of it, and where it listens.
+    pub server: ServerKey,
     /// Its failure domain.
     pub domain: DomainId,
     /// The layers it holds, ready to run.
@@ -28,6 +30,12 @@
 }
 
 impl PipelineEngine {
+    /// Where it listens.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+
     /// Whether it holds all of a range.
     #[must_use]
     pub const fn holds(&self, layers: LayerRange) -> bool {
--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -1,9 +1,13 @@
 //! Search for the path with the lowest expected time a token, and what taking
 //! an engine into it counts for.
 
+use std::net::SocketAddr;
+
 use rookferry_wire::DomainId;
 use rookferry_wire::LayerRange;
+use snafu::Snafu;
 
+use super::PathFault;
 use super::PathStage;
 use super::PipelineEngine;
 use super::PipelinePath;
@@ -56,6 +60,21 @@
     engines: Vec<&'a PipelineEngine>,
 }
 
+/// Why a search has no path.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum NoPath {
+    /// A layer is held by no engine that may be used.
+    #[snafu(display("no engines cover the layers"))]
+    Uncovered,
+    /// The way that was found is no path; a fault of the search, unless it
+    /// takes more stages than engines accept.
+    #[snafu(display("the way found is no path: {fault}"))]
+    Unusable {
+        /// What speaks against it.
+        fault: PathFault,
+    },
+}
+
 /// The engine of a path with the least room.
 #[derive(Clone, Copy, Debug)]
 pub struct FullestStage<'a> {
@@ -76,14 +95,19 @@
     }
 
     /// The best path for a request of some tokens that enters in a domain.
-    #[must_use]
-    pub fn find(&self, home: &DomainId, tokens: f64) -> Option<PipelinePath> {
+    ///
+    /// # Errors
+    ///
+    /// If the engines don't cover the layers, or only with more stages than
+    /// engines accept.
+    pub fn find(&self, home: &DomainId, tokens: f64) -> Result<PipelinePath, NoPath> {
         let whole = LayerRange {
             start: 0,
             end: self.layers,
         };
-        let stages = self.cover(whole, home, tokens, &[])?;
-        PipelinePath::new(stages, self.layers).ok()
+        let stages = self.cover(whole, home, tokens, &[]);
+        let stages = stages.ok_or(NoPath::Uncovered)?;
+        PipelinePath::new(stages, self.layers).map_err(|fault| NoPath::Unusable { fault })
     }
 
     /// What a path's stages count for, by which paths are compared: the expected
@@ -95,7 +119,9 @@
         let mut domain = home;
         for stage in stages {
             let engine = self.engines.iter();
-            let engine = engine.copied().find(|engine| engine.addr == stage.addr)?;
+            let engine = engine
+                .copied()
+                .find(|engine| engine.server == stage.server)?;
             let EngineCost { entry_ms, layer_ms } = cost(engine, tokens);
             cost_ms += entry_ms + f64::from(stage.layers.len()) * layer_ms;
             if engine.domain != *domain {
@@ -115,7 +141,7 @@
             let engine = *self
                 .engines
                 .iter()
-                .find(|engine| engine.addr == stage.addr)?;
+                .find(|engine| engine.server == stage.server)?;
             let part = f64::from(stage.layers.len()) / f64::from(engine.held.len().max(1));
             let overfill = engine.overfill(tokens * part);
             Some(FullestStage { engine, overfill })
@@ -142,7 +168,7 @@
             .iter()
             .filter(|stage| !is_lost(stage))
             .collect();
-        let mut taken: Vec<std::net::SocketAddr> = kept.iter().map(|stage| stage.addr).collect();
+        let mut taken: Vec<SocketAddr> = kept.iter().map(|stage| stage.addr()).collect();
         let mut stages = Vec::with_capacity(path.stages().len());
         let mut next = 0;
         for stage in kept {
@@ -152,7 +178,7 @@
                     end: stage.layers.start,
                 };
                 let filled = self.cover(gap, home, tokens, &taken)?;
-                taken.extend(filled.iter().map(|stage| stage.addr));
+                taken.extend(filled.iter().map(PathStage::addr));
                 stages.extend(filled);
             }
             next = stage.layers.end;
@@ -174,9 +200,9 @@
         range: LayerRange,
         home: &DomainId,
         tokens: f64,
-        without: &[std::net::SocketAddr],
+        without: &[SocketAddr],
     ) -> Option<Vec<PathStage>> {
-        let is_usable = |engine: &PipelineEngine| !without.contains(&engine.addr);
+        let is_usable = |engine: &PipelineEngine| !without.contains(&engine.addr());
         let cost = |engine: &PipelineEngine| cost(engine, tokens);
         let cover = Cover::new(&self.engines, range, home, CROSSING, is_usable, cost);
         let parts = cover.cheapest()?;
@@ -194,7 +220,7 @@
             };
             stages.push(PathStage {
                 engine: engine.engine.clone(),
-                addr: engine.addr,
+                server: engine.server,
                 layers,
             });
             next = part.end;
--- a/crates/rookferry_core/src/pipeline/mod.rs
+++ b/crates/rookferry_core/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 
 pub use engine::PipelineEngine;
 pub use finder::FullestStage;
+pub use finder::NoPath;
 pub use finder::PathFinder;
 pub use forecast::ChainForecast;
 pub use forecast::ChainStage;
--- a/crates/rookferry_core/src/pipeline/path.rs
+++ b/crates/rookferry_core/src/pipeline/path.rs
@@ -6,6 +6,8 @@
 use rookferry_wire::LayerRange;
 use snafu::Snafu;
 
+use crate::serving::ServerKey;
+
 /// Most stages of a path, as engines accept them.
 pub const MAX_STAGES: usize = 32;
 
@@ -14,12 +16,20 @@
 pub struct PathStage {
     /// The engine.
     pub engine: EngineId,
-    /// Where it listens.
-    pub addr: SocketAddr,
+    /// The start of it that is meant.
+    pub server: ServerKey,
     /// The layers it runs.
     pub layers: LayerRange,
 }
 
+impl PathStage {
+    /// Where the engine listens.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+}
+
 /// Why stages are no path.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum PathFault {
@@ -99,7 +109,9 @@
                     found,
                 });
             }
-            let is_repeated = stages[..stage].iter().any(|other| other.addr == part.addr);
+            let is_repeated = stages[..stage]
+                .iter()
+                .any(|other| other.addr() == part.addr());
             if is_repeated {
                 let engine = part.engine.clone();
                 return Err(PathFault::Repeated { engine });
@@ -130,6 +142,6 @@
     /// Whether an address is among the stages.
     #[must_use]
     pub fn visits(&self, addr: SocketAddr) -> bool {
-        self.stages.iter().any(|stage| stage.addr == addr)
+        self.stages.iter().any(|stage| stage.addr() == addr)
     }
 }
--- a/crates/rookferry_core/src/serving/closed.rs
+++ b/crates/rookferry_core/src/serving/closed.rs
@@ -8,13 +8,13 @@
 //! again after a time that doubles.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::ServerKey;
 use crate::millis::millis;
 
 /// The part of its room under which a server that refuses isn't just full.
@@ -37,8 +37,8 @@
 /// A server that takes no new work, as instances tell each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClosedSeen {
-    /// Where it listens.
-    pub addr: SocketAddr,
+    /// The server.
+    pub server: ServerKey,
     /// How long ago it refused, in milliseconds.
     pub age_ms: u64,
     /// How often in a row it refused after having been left alone.
@@ -59,7 +59,7 @@
 pub struct ClosedServers {
     /// How many times as long as the least this instance leaves one alone.
     patience: f64,
-    records: HashMap<SocketAddr, Record>,
+    records: HashMap<ServerKey, Record>,
 }
 
 impl ClosedServers {
@@ -76,7 +76,7 @@
     /// and room for others. Tells whether it counts as closed for that.
     pub fn refused(
         &mut self,
-        addr: SocketAddr,
+        server: ServerKey,
         used_tokens: f64,
         room_tokens: f64,
         now: Instant,
@@ -84,8 +84,8 @@
         if used_tokens >= room_tokens * FULL_PART {
             return false;
         }
-        if !self.is_closed(addr, now) {
-            let record = self.record(addr);
+        if !self.is_closed(server, now) {
+            let record = self.record(server);
             record.refusals = (record.refusals + 1).min(MOST_REFUSALS);
             record.refused_at = Some(now);
         }
@@ -98,18 +98,18 @@
         let Some(at) = now.checked_sub(Duration::from_millis(seen.age_ms)) else {
             return false;
         };
-        let was_closed = self.is_closed(seen.addr, now);
-        let record = self.record(seen.addr);
+        let was_closed = self.is_closed(seen.server, now);
+        let record = self.record(seen.server);
         if record.refused_at.max(record.accepted_at) < Some(at) {
             record.refused_at = Some(at);
             record.refusals = seen.refusals.clamp(1, MOST_REFUSALS);
         }
-        !was_closed && self.is_closed(seen.addr, now)
+        !was_closed && self.is_closed(seen.server, now)
     }
 
     /// A server took work.
-    pub fn accepted(&mut self, addr: SocketAddr, now: Instant) {
-        if let Some(record) = self.records.get_mut(&addr) {
+    pub fn accepted(&mut self, server: ServerKey, now: Instant) {
+        if let Some(record) = self.records.get_mut(&server) {
             record.refused_at = None;
             record.refusals = 0;
             record.accepted_at = Some(now);
@@ -117,14 +117,14 @@
     }
 
     /// A server's entry changed: what it refused before says nothing now.
-    pub fn changed(&mut self, addr: SocketAddr) {
-        self.records.remove(&addr);
+    pub fn changed(&mut self, server: ServerKey) {
+        self.records.remove(&server);
     }
 
     /// Whether a server is left alone for now.
     #[must_use]
-    pub fn is_closed(&self, addr: SocketAddr, now: Instant) -> bool {
-        let record = self.records.get(&addr);
+    pub fn is_closed(&self, server: ServerKey, now: Instant) -> bool {
+        let record = self.records.get(&server);
         record.is_some_and(|record| record.is_closed(self.patience, now))
     }
 
@@ -135,10 +135,10 @@
             .records
             .iter()
             .filter(|(_, record)| record.is_closed(self.patience, now));
-        let seen = closed.filter_map(|(addr, record)| {
+        let seen = closed.filter_map(|(server, record)| {
             let age = now.saturating_duration_since(record.refused_at?);
             Some(ClosedSeen {
-                addr: *addr,
+                server: *server,
                 age_ms: millis(age),
                 refusals: record.refusals,
             })
@@ -147,12 +147,12 @@
     }
 
     /// Forgets servers that `is_known` doesn't know.
-    pub fn retain(&mut self, is_known: impl Fn(SocketAddr) -> bool) {
-        self.records.retain(|addr, _| is_known(*addr));
+    pub fn retain(&mut self, is_known: impl Fn(ServerKey) -> bool) {
+        self.records.retain(|server, _| is_known(*server));
     }
 
-    fn record(&mut self, addr: SocketAddr) -> &mut Record {
-        self.records.entry(addr).or_insert(Record {
+    fn record(&mut self, server: ServerKey) -> &mut Record {
+        self.records.entry(server).or_insert(Record {
             refused_at: None,
             refusals: 0,
             accepted_at: None,
--- a/crates/rookferry_core/src/serving/health.rs
+++ b/crates/rookferry_core/src/serving/health.rs
@@ -6,10 +6,11 @@
 //! request counts as smaller than published until that has worn off.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use super::ServerKey;
+
 /// Time after which a failure counts for about a third.
 const DECAY: Duration = Duration::from_secs(3);
 /// How long a server that turned a request away for want of room counts as
@@ -44,7 +45,7 @@
 /// What requests met at each server.
 #[derive(Clone, Debug, Default)]
 pub struct ServerHealth {
-    records: HashMap<SocketAddr, Record>,
+    records: HashMap<ServerKey, Record>,
 }
 
 impl ServerHealth {
@@ -55,8 +56,8 @@
     }
 
     /// A request or probe went as it should.
-    pub fn succeeded(&mut self, addr: SocketAddr, now: Instant) {
-        if let Some(record) = self.records.get_mut(&addr) {
+    pub fn succeeded(&mut self, server: ServerKey, now: Instant) {
+        if let Some(record) = self.records.get_mut(&server) {
             record.out_since = None;
             record.failing_share = decayed(record, now) * (1.0 - SAMPLE_WEIGHT);
             record.updated_at = now;
@@ -64,30 +65,30 @@
     }
 
     /// A request failed at a server that answers.
-    pub fn failed(&mut self, addr: SocketAddr, now: Instant) {
-        let record = self.record(addr, now);
+    pub fn failed(&mut self, server: ServerKey, now: Instant) {
+        let record = self.record(server, now);
         record.failing_share = decayed(record, now) * (1.0 - SAMPLE_WEIGHT) + SAMPLE_WEIGHT;
         record.updated_at = now;
     }
 
     /// A server doesn't answer. Tells whether that is news.
-    pub fn lost(&mut self, addr: SocketAddr, now: Instant) -> bool {
-        let record = self.record(addr, now);
+    pub fn lost(&mut self, server: ServerKey, now: Instant) -> bool {
+        let record = self.record(server, now);
         let is_news = record.out_since.is_none();
         record.out_since.get_or_insert(now);
         is_news
     }
 
     /// A server turned a request away.
-    pub fn turned_away(&mut self, addr: SocketAddr, now: Instant) {
-        self.record(addr, now).full_at = Some(now);
+    pub fn turned_away(&mut self, server: ServerKey, now: Instant) {
+        self.record(server, now).full_at = Some(now);
     }
 
     /// A server had no room for a request while it was known to hold some
     /// tokens.
-    pub fn had_no_room(&mut self, addr: SocketAddr, used_tokens: f64, now: Instant) {
-        self.turned_away(addr, now);
-        self.record(addr, now).no_room = Some(NoRoom {
+    pub fn had_no_room(&mut self, server: ServerKey, used_tokens: f64, now: Instant) {
+        self.turned_away(server, now);
+        self.record(server, now).no_room = Some(NoRoom {
             used_tokens,
             at: now,
         });
@@ -96,8 +97,8 @@
     /// Tokens that a server can be expected to hold: what is published, or
     /// less if it lately had no room before that.
     #[must_use]
-    pub fn room_tokens(&self, addr: SocketAddr, published_tokens: f64, now: Instant) -> f64 {
-        let no_room = self.records.get(&addr).and_then(|record| record.no_room);
+    pub fn room_tokens(&self, server: ServerKey, published_tokens: f64, now: Instant) -> f64 {
+        let no_room = self.records.get(&server).and_then(|record| record.no_room);
         let Some(NoRoom { used_tokens, at }) = no_room else {
             return published_tokens;
         };
@@ -108,48 +109,48 @@
 
     /// Whether a server turned a request away a moment ago.
     #[must_use]
-    pub fn is_full(&self, addr: SocketAddr, now: Instant) -> bool {
-        let full_at = self.records.get(&addr).and_then(|record| record.full_at);
+    pub fn is_full(&self, server: ServerKey, now: Instant) -> bool {
+        let full_at = self.records.get(&server).and_then(|record| record.full_at);
         full_at.is_some_and(|at| now.saturating_duration_since(at) < FULL_FOR)
     }
 
     /// Whether a server is out.
     #[must_use]
-    pub fn is_out(&self, addr: SocketAddr) -> bool {
-        self.out_since(addr).is_some()
+    pub fn is_out(&self, server: ServerKey) -> bool {
+        self.out_since(server).is_some()
     }
 
     /// Since when a server is out.
     #[must_use]
-    pub fn out_since(&self, addr: SocketAddr) -> Option<Instant> {
-        self.records.get(&addr)?.out_since
+    pub fn out_since(&self, server: ServerKey) -> Option<Instant> {
+        self.records.get(&server)?.out_since
     }
 
     /// The servers that are out.
     #[must_use]
-    pub fn out(&self) -> Vec<SocketAddr> {
+    pub fn out(&self) -> Vec<ServerKey> {
         let out = self
             .records
             .iter()
             .filter(|(_, record)| record.out_since.is_some());
-        out.map(|(addr, _)| *addr).collect()
+        out.map(|(server, _)| *server).collect()
     }
 
     /// The decayed share of requests that failed, 0 to 1.
     #[must_use]
-    pub fn failing_share(&self, addr: SocketAddr, now: Instant) -> f64 {
+    pub fn failing_share(&self, server: ServerKey, now: Instant) -> f64 {
         self.records
-            .get(&addr)
+            .get(&server)
             .map_or(0.0, |record| decayed(record, now))
     }
 
     /// Forgets servers that `is_known` doesn't know.
-    pub fn retain(&mut self, is_known: impl Fn(SocketAddr) -> bool) {
-        self.records.retain(|addr, _| is_known(*addr));
+    pub fn retain(&mut self, is_known: impl Fn(ServerKey) -> bool) {
+        self.records.retain(|server, _| is_known(*server));
     }
 
-    fn record(&mut self, addr: SocketAddr, now: Instant) -> &mut Record {
-        self.records.entry(addr).or_insert(Record {
+    fn record(&mut self, server: ServerKey, now: Instant) -> &mut Record {
+        self.records.entry(server).or_insert(Record {
             failing_share: 0.0,
             updated_at: now,
             out_since: None,
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -1,7 +1,8 @@
 //! Serving requests in front of backend servers that the router doesn't step.
 //!
 //! [`ServingConfig`] is what the operator wants: routes, services and client
-//! accounts. [`Directory`] is what is known of the backend servers.
+//! accounts. [`Directory`] is what is known of the backend servers, and
+//! [`ServerKey`] one start of one of them.
 //! [`ConfigAge`] bounds how old a configuration may be when a request is sent,
 //! [`RetryWindow`] what may be sent twice, and [`ServerHealth`] whom to avoid.
 //! [`RoomQueue`] says who waits for room and how long, [`Overload`] when those
@@ -17,6 +18,7 @@
 mod overload;
 mod retry_window;
 mod room_queue;
+mod server_key;
 mod store_pace;
 
 pub use age::ConfigAge;
@@ -41,6 +43,7 @@
 pub use room_queue::RoomQueue;
 pub use room_queue::RoomTicket;
 pub use room_queue::Urgency;
+pub use server_key::ServerKey;
 pub use store_pace::first_read_in_line;
 pub use store_pace::pause_in_line;
 pub use store_pace::reliance_in_line;
--- a/crates/rookferry_core/tests/closed.rs
+++ b/crates/rookferry_core/tests/closed.rs
@@ -12,6 +12,7 @@
 use rookferry_core::ClosedServers;
 use rookferry_core::PathFinder;
 use rookferry_core::PipelineEngine;
+use rookferry_core::ServerKey;
 use rookferry_wire::LayerRange;
 
 const INSTANCES: usize = 59;
@@ -22,15 +23,16 @@
 const ROOM_TOKENS: f64 = 100_000.0;
 const STREAM_TOKENS: f64 = 900.0;
 
-fn addr(number: u16) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, 1], number))
+fn key(number: u16) -> ServerKey {
+    let addr = SocketAddr::from(([10, 0, 0, 1], number));
+    ServerKey::new(addr, &format!("engine-{number}"), None)
 }
 
 /// A domain's engines: four stages, three engines for each.
 fn engines() -> Vec<PipelineEngine> {
     let engine = |number: u16| PipelineEngine {
         engine: format!("engine-{number}").into(),
-        addr: addr(number),
+        server: key(number),
         domain: "domain".into(),
         held: LayerRange {
             start: number % 4 * 20,
@@ -59,7 +61,7 @@
     let mut engines = engines();
     // Nothing is under way where nothing is taken.
     for engine in &mut engines {
-        if leaving.contains(&engine.addr.port()) {
+        if leaving.contains(&engine.addr().port()) {
             engine.used_tokens = 0.0;
         }
     }
@@ -82,7 +84,7 @@
         let place = rng.random_range(0..INSTANCES);
         let instance = &mut closed[place];
         for engine in &mut engines {
-            engine.is_closed = instance.is_closed(engine.addr, now);
+            engine.is_closed = instance.is_closed(engine.server, now);
         }
         let finder = PathFinder::new(80, &engines);
         let path = finder
@@ -91,17 +93,17 @@
         let refusing = path
             .stages()
             .iter()
-            .find(|stage| leaving.contains(&stage.addr.port()));
+            .find(|stage| leaving.contains(&stage.addr().port()));
         if let Some(refusing) = refusing {
             tries += 1;
-            instance.refused(refusing.addr, 0.0, ROOM_TOKENS, now);
+            instance.refused(refusing.server, 0.0, ROOM_TOKENS, now);
             let seen = instance.seen(now).into_iter();
-            if shares && let Some(seen) = seen.max_by_key(|seen| seen.addr == refusing.addr) {
+            if shares && let Some(seen) = seen.max_by_key(|seen| seen.server == refusing.server) {
                 told.push_back((at + TOLD_AFTER, place, seen));
             }
         } else {
             for stage in path.stages() {
-                instance.accepted(stage.addr, now);
+                instance.accepted(stage.server, now);
             }
         }
         at += ARRIVAL;
@@ -129,9 +131,9 @@
     let mut at = start;
     let mut pauses = Vec::new();
     for _ in 0..6 {
-        closed.refused(addr(1), 0.0, ROOM_TOKENS, at);
+        closed.refused(key(1), 0.0, ROOM_TOKENS, at);
         let begun = at;
-        while closed.is_closed(addr(1), at) {
+        while closed.is_closed(key(1), at) {
             at += Duration::from_millis(50);
         }
         pauses.push(at - begun);
@@ -144,39 +146,39 @@
 fn a_full_server_is_not_closed() {
     let now = Instant::now();
     let mut closed = ClosedServers::new(0.0);
-    assert!(!closed.refused(addr(1), 80_000.0, ROOM_TOKENS, now));
-    assert!(!closed.is_closed(addr(1), now));
+    assert!(!closed.refused(key(1), 80_000.0, ROOM_TOKENS, now));
+    assert!(!closed.is_closed(key(1), now));
 }
 
 #[test]
 fn work_that_is_taken_or_a_new_entry_opens_it() {
     let now = Instant::now();
     let mut closed = ClosedServers::new(0.0);
-    closed.refused(addr(1), 0.0, ROOM_TOKENS, now);
-    closed.accepted(addr(1), now);
-    assert!(!closed.is_closed(addr(1), now));
+    closed.refused(key(1), 0.0, ROOM_TOKENS, now);
+    closed.accepted(key(1), now);
+    assert!(!closed.is_closed(key(1), now));
     // A word from before that says nothing new.
     let old = ClosedSeen {
-        addr: addr(1),
+        server: key(1),
         age_ms: 300,
         refusals: 1,
     };
     closed.learn(old, now);
-    assert!(!closed.is_closed(addr(1), now));
-    closed.refused(addr(1), 0.0, ROOM_TOKENS, now);
-    assert!(closed.is_closed(addr(1), now));
-    closed.changed(addr(1));
-    assert!(!closed.is_closed(addr(1), now));
+    assert!(!closed.is_closed(key(1), now));
+    closed.refused(key(1), 0.0, ROOM_TOKENS, now);
+    assert!(closed.is_closed(key(1), now));
+    closed.changed(key(1));
+    assert!(!closed.is_closed(key(1), now));
 }
 
 #[test]
 fn where_nothing_else_holds_the_layers_a_closed_engine_is_still_tried() {
     let mut engines = engines();
     for engine in &mut engines {
-        engine.is_closed = engine.addr.port() % 4 == 1;
+        engine.is_closed = engine.addr().port() % 4 == 1;
     }
     let finder = PathFinder::new(80, &engines);
-    assert!(finder.find(&"domain".into(), STREAM_TOKENS).is_some());
+    assert!(finder.find(&"domain".into(), STREAM_TOKENS).is_ok());
 }
 
 #[test]
@@ -184,12 +186,12 @@
     let now = Instant::now();
     let mut closed = ClosedServers::new(0.0);
     let damaged = ClosedSeen {
-        addr: addr(1),
+        server: key(1),
         age_ms: u64::MAX,
         refusals: u8::MAX,
     };
     closed.learn(damaged, now);
-    assert!(!closed.is_closed(addr(1), now));
+    assert!(!closed.is_closed(key(1), now));
     closed.learn(
         ClosedSeen {
             age_ms: 0,
@@ -197,6 +199,6 @@
         },
         now,
     );
-    assert!(closed.is_closed(addr(1), now));
-    assert!(!closed.is_closed(addr(1), now + Duration::from_secs(4)));
+    assert!(closed.is_closed(key(1), now));
+    assert!(!closed.is_closed(key(1), now + Duration::from_secs(4)));
 }
--- a/crates/rookferry_core/tests/one_door.rs
+++ b/crates/rookferry_core/tests/one_door.rs
@@ -10,7 +10,7 @@
 use std::collections::BinaryHeap;
 
 use peer_site::Site;
-use peer_site::engine_addr;
+use peer_site::engine_key;
 use rand::RngExt;
 use rstest::rstest;
 
@@ -65,7 +65,7 @@
         let now = site.now();
         let instance = &mut site.instances[place];
         let others = instance.table.loads(now);
-        let others = others.get(&engine_addr(0)).map_or(0, |load| load.requests);
+        let others = others.get(&engine_key(0)).map_or(0, |load| load.requests);
         if instance.requests + others < ROOM {
             instance.requests += 1;
             let end_ms = site.now_ms + REQUEST_MS;
--- a/crates/rookferry_core/tests/peers.rs
+++ b/crates/rookferry_core/tests/peers.rs
@@ -10,12 +10,13 @@
 use peer_site::Site;
 use peer_site::bare_heartbeat;
 use peer_site::domain_name;
-use peer_site::engine_addr;
+use peer_site::engine_key;
 use peer_site::heartbeat;
 use peer_site::instance_addr;
 use rookferry_core::DoubtedUse;
 use rookferry_core::Heartbeat;
 use rookferry_core::PeerTable;
+use rookferry_core::ServerKey;
 use rstest::rstest;
 
 #[rstest]
@@ -79,7 +80,7 @@
 
 /// A table in domain 0 that hears a member of a domain, which says that some
 /// servers don't answer it.
-fn hear_out(table: &mut PeerTable, domain: usize, out: &[SocketAddr], now: Instant) {
+fn hear_out(table: &mut PeerTable, domain: usize, out: &[ServerKey], now: Instant) {
     let from = instance_addr(domain, 7);
     let beat = Heartbeat {
         out: out.to_vec(),
@@ -91,7 +92,7 @@
 
 #[test]
 fn a_server_that_a_member_has_lost_is_left_alone_until_it_gives_a_sign() {
-    let lost = engine_addr(0);
+    let lost = engine_key(0);
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut table = PeerTable::new(instance_addr(0, 1), domain_name(0).into());
@@ -101,7 +102,7 @@
     assert!(doubted.is_left_alone(lost, None), "it gave no sign");
     assert!(doubted.is_left_alone(lost, Some(at(900))), "a sign before");
     assert!(!doubted.is_left_alone(lost, Some(at(1_050))), "one since");
-    assert!(!doubted.is_left_alone(engine_addr(1), None), "another");
+    assert!(!doubted.is_left_alone(engine_key(1), None), "another");
     hear_out(&mut table, 0, &[], at(1_300));
     let doubted = table.doubted(at(1_300));
     assert!(!doubted.is_left_alone(lost, None), "it answers again");
@@ -109,7 +110,7 @@
 
 #[test]
 fn the_word_of_a_silent_member_or_another_domain_is_no_doubt() {
-    let lost = engine_addr(0);
+    let lost = engine_key(0);
     let now = Instant::now();
     let mut table = PeerTable::new(instance_addr(0, 1), domain_name(0).into());
     hear_out(&mut table, 1, &[lost], now);
@@ -121,8 +122,9 @@
 }
 
 /// Some engines of domain 0.
-fn some_engines(count: u16) -> Vec<SocketAddr> {
-    let engines = (0..count).map(|number| SocketAddr::from(([10, 0, 64, 2], 8_000 + number)));
+fn some_engines(count: u16) -> Vec<ServerKey> {
+    let addr = |number| SocketAddr::from(([10, 0, 64, 2], 8_000 + number));
+    let engines = (0..count).map(|number| ServerKey::new(addr(number), "engine", None));
     engines.collect()
 }
 
@@ -240,7 +242,7 @@
     site.cut = None;
     site.run_for(2_000);
     assert_eq!(site.incomplete(), Vec::new());
-    let far = engine_addr(2);
+    let far = engine_key(2);
     let now = site.now();
     let others = site.up().filter(|instance| instance.domain != 2);
     let told = others.filter(|instance| instance.table.loads(now).contains_key(&far));
@@ -277,5 +279,5 @@
     table.heard(other_addr, &other, now);
     let table = &site.instances[0].table;
     assert_eq!(table.instances(), 3);
-    assert_eq!(table.loads(now)[&engine_addr(0)].requests, u32::MAX);
+    assert_eq!(table.loads(now)[&engine_key(0)].requests, u32::MAX);
 }
--- a/crates/rookferry_core/tests/pipeline_paths.rs
+++ b/crates/rookferry_core/tests/pipeline_paths.rs
@@ -6,11 +6,13 @@
 use proptest::collection::vec;
 use proptest::prelude::Strategy;
 use proptest::proptest;
+use rookferry_core::NoPath;
 use rookferry_core::PathFault;
 use rookferry_core::PathFinder;
 use rookferry_core::PathStage;
 use rookferry_core::PipelineEngine;
 use rookferry_core::PipelinePath;
+use rookferry_core::ServerKey;
 use rookferry_wire::DomainId;
 use rookferry_wire::LayerRange;
 use rstest::rstest;
@@ -22,10 +24,14 @@
     SocketAddr::from(([10, 0, 0, 1], u16::try_from(9_000 + index).expect("a port")))
 }
 
+fn key(index: usize) -> ServerKey {
+    ServerKey::new(addr(index), &format!("e{index}"), None)
+}
+
 fn stage(index: usize, start: u16, end: u16) -> PathStage {
     PathStage {
         engine: format!("e{index}").into(),
-        addr: addr(index),
+        server: key(index),
         layers: LayerRange { start, end },
     }
 }
@@ -33,7 +39,7 @@
 fn engine(index: usize, domain: &str, start: u16, end: u16) -> PipelineEngine {
     PipelineEngine {
         engine: format!("e{index}").into(),
-        addr: addr(index),
+        server: key(index),
         domain: domain.into(),
         held: LayerRange { start, end },
         layer_step_ms: 0.2,
@@ -92,7 +98,7 @@
     let path = PathFinder::new(LAYERS, &engines)
         .find(&"a".into(), TOKENS)
         .expect("a path");
-    assert_eq!(path.first().addr, addr(2), "{path:?}");
+    assert_eq!(path.first().addr(), addr(2), "{path:?}");
 }
 
 #[test]
@@ -103,7 +109,7 @@
     let path = PathFinder::new(LAYERS, &engines)
         .find(&"a".into(), TOKENS)
         .expect("a path");
-    assert_eq!(path.first().addr, addr(1));
+    assert_eq!(path.first().addr(), addr(1));
 }
 
 #[rstest]
@@ -118,7 +124,7 @@
     let finder = PathFinder::new(LAYERS, &engines);
     let path = finder.find(&"a".into(), TOKENS).expect("a path");
     let full = finder.fullest(&path, TOKENS).expect("an engine");
-    assert_eq!(full.engine.addr, addr(1));
+    assert_eq!(full.engine.addr(), addr(1));
     assert_eq!(full.overfill > 0.0, is_over);
 }
 
@@ -145,7 +151,7 @@
     let old = PipelinePath::new(vec![stage(0, 0, 7), stage(1, 7, 14), stage(2, 14, 20)], 20)
         .expect("a path");
     let new = PathFinder::new(LAYERS, &engines)
-        .repair(&old, &"a".into(), TOKENS, |stage| stage.addr == addr(1))
+        .repair(&old, &"a".into(), TOKENS, |stage| stage.addr() == addr(1))
         .expect("a repair");
     let stages = new.stages();
     assert_eq!(stages.first(), old.stages().first());
@@ -187,7 +193,7 @@
 
 fn assert_held(path: &PipelinePath, engines: &[PipelineEngine]) {
     for stage in path.stages() {
-        let engine = engines.iter().find(|engine| engine.addr == stage.addr);
+        let engine = engines.iter().find(|engine| engine.server == stage.server);
         assert!(engine.expect("a known engine").holds(stage.layers));
     }
 }
@@ -198,26 +204,48 @@
     fn whatever_the_fleet_a_path_runs_on_engines_that_hold_it(engines in fleets()) {
         let home: DomainId = "a".into();
         let path = PathFinder::new(LAYERS, &engines).find(&home, TOKENS);
-        if let Some(path) = &path {
+        if let Ok(path) = &path {
             assert_held(path, &engines);
         }
         if !is_covered(&engines) {
-            assert_eq!(path, None);
+            assert_eq!(path, Err(NoPath::Uncovered));
+        }
+    }
+
+    /// An address that is listed twice, once for a former process, is no reason
+    /// to find nothing: a path is lacking only where a layer is.
+    #[test]
+    fn a_path_is_found_wherever_all_layers_are_held(
+        engines in fleets(),
+        formers in vec((0..14_usize, 0_u16..LAYERS), 0..6),
+    ) {
+        let mut listed = engines.clone();
+        for (number, start) in formers {
+            let end = (start + 7).min(LAYERS);
+            let mut former = engine(number, "a", start, end);
+            former.server = ServerKey::new(addr(number), "former", None);
+            listed.push(former);
+        }
+        let home: DomainId = "a".into();
+        let path = PathFinder::new(LAYERS, &listed).find(&home, TOKENS);
+        if let Err(no_path) = &path {
+            assert_eq!(no_path, &NoPath::Uncovered);
+            assert!(!is_covered(&engines), "{engines:?}");
         }
     }
 
     #[test]
     fn whatever_is_lost_a_repair_uses_none_of_it(engines in fleets(), lost in vec(0..14_usize, 1..4)) {
         let home: DomainId = "a".into();
-        let Some(old) = PathFinder::new(LAYERS, &engines).find(&home, TOKENS) else {
+        let Ok(old) = PathFinder::new(LAYERS, &engines).find(&home, TOKENS) else {
             return Ok(());
         };
         let lost: BTreeSet<SocketAddr> = lost.into_iter().map(addr).collect();
-        let rest = engines.iter().filter(|engine| !lost.contains(&engine.addr));
+        let rest = engines.iter().filter(|engine| !lost.contains(&engine.addr()));
         let repaired = PathFinder::new(LAYERS, rest)
-            .repair(&old, &home, TOKENS, |stage| lost.contains(&stage.addr));
+            .repair(&old, &home, TOKENS, |stage| lost.contains(&stage.addr()));
         if let Some(new) = repaired {
-            assert!(new.stages().iter().all(|stage| !lost.contains(&stage.addr)));
+            assert!(new.stages().iter().all(|stage| !lost.contains(&stage.addr())));
             assert_eq!(new.first(), old.first());
             assert_held(&new, &engines);
         }
@@ -261,7 +289,7 @@
     let next = holders.flat_map(|engine| {
         (start + 1..=engine.held.end).map(move |end| PathStage {
             engine: engine.engine.clone(),
-            addr: engine.addr,
+            server: engine.server,
             layers: LayerRange { start, end },
         })
     });
@@ -288,7 +316,7 @@
         });
         let found = finder.find(&home, TOKENS);
         let Some(cheapest) = cheapest else {
-            assert_eq!(found, None);
+            assert_eq!(found, Err(NoPath::Uncovered));
             return Ok(());
         };
         let best_ms = cost_ms(&cheapest);
@@ -296,7 +324,7 @@
         if PipelinePath::new(cheapest, FEW_LAYERS).is_ok() {
             let found_ms = found_ms.expect("a path");
             assert!((found_ms - best_ms).abs() < 1e-6, "{found_ms} ms, and {best_ms} is there");
-        } else if let Some(found_ms) = found_ms {
+        } else if let Ok(found_ms) = found_ms {
             assert!(found_ms >= best_ms);
         }
     }
@@ -310,7 +338,7 @@
     (fast.used_tokens, slow.used_tokens) = (20_000.0, 11_000.0);
     let engines = [fast, slow];
     let path = PathFinder::new(LAYERS, &engines).find(&"a".into(), TOKENS);
-    assert_eq!(path.expect("a path").first().addr, addr(1));
+    assert_eq!(path.expect("a path").first().addr(), addr(1));
 }
 
 #[test]
@@ -325,7 +353,7 @@
         let path = PathFinder::new(LAYERS, engines).find(&"a".into(), TOKENS);
         let path = path.expect("a path");
         let stages = path.stages().iter();
-        stages.map(|stage| stage.addr).collect::<Vec<_>>()
+        stages.map(PathStage::addr).collect::<Vec<_>>()
     };
     assert_eq!(taken(&engines), [addr(0), addr(1)]);
     // A whole path elsewhere is better than waiting.
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -13,6 +13,7 @@
 use rookferry_core::RetryWindow;
 use rookferry_core::RouteTarget;
 use rookferry_core::ServerHealth;
+use rookferry_core::ServerKey;
 use rookferry_core::ServingAccount;
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
@@ -143,7 +144,9 @@
     BackendServer {
         id: id.into(),
         service: "s".into(),
-        addr: SocketAddr::from(([10, 0, 0, 1], 80)),
+        key: ServerKey::new(SocketAddr::from(([10, 0, 0, 1], 80)), id, None),
+        incarnation: None,
+        writes: 1,
         domain: "a".into(),
         slots: 1,
         is_leaving: false,
@@ -154,7 +157,7 @@
 
 fn ids(directory: &Directory) -> Vec<String> {
     directory
-        .servers()
+        .entries()
         .map(|server| server.id.to_string())
         .collect()
 }
@@ -167,7 +170,7 @@
     directory.replace(vec![server("1"), server("2"), server("3")], false, start);
     directory.replace(vec![server("1")], true, start);
     assert_eq!(ids(&directory), ["1", "2", "3"]);
-    directory.apply(DirectoryChange::Updated(server("2")));
+    directory.apply(DirectoryChange::Updated(server("2")), start);
     assert!(directory.expire(start + grace / 2, grace).is_empty());
     let gone = directory.expire(start + grace, grace);
     assert_eq!(gone.len(), 1);
@@ -182,13 +185,13 @@
     directory.replace(vec![server("1"), server("2")], false, now);
     directory.replace(vec![server("2")], false, now);
     assert_eq!(ids(&directory), ["2"]);
-    directory.apply(DirectoryChange::Removed("2".into()));
+    directory.apply(DirectoryChange::Removed("2".into()), now);
     assert!(ids(&directory).is_empty());
 }
 
 #[test]
 fn a_silent_server_is_out_until_it_answers_and_a_failing_one_is_avoided() {
-    let addr = server("1").addr;
+    let addr = server("1").key;
     let start = Instant::now();
     let mut health = ServerHealth::new();
     assert!(health.lost(addr, start));
@@ -207,7 +210,7 @@
 
 #[test]
 fn a_server_without_room_counts_as_smaller_until_that_wears_off() {
-    let addr: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let addr = server("1").key;
     let start = Instant::now();
     let mut health = ServerHealth::new();
     assert!((health.room_tokens(addr, 1_000.0, start) - 1_000.0).abs() < 1e-9);
@@ -222,7 +225,7 @@
 
 #[test]
 fn a_server_that_turned_a_request_away_is_full_for_a_moment() {
-    let addr = server("1").addr;
+    let addr = server("1").key;
     let start = Instant::now();
     let mut health = ServerHealth::new();
     health.turned_away(addr, start);
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -18,6 +18,7 @@
 use rookferry_core::LoadEntry;
 use rookferry_core::PeerTable;
 use rookferry_core::Round;
+use rookferry_core::ServerKey;
 
 pub const ROUND_MS: u64 = 150;
 pub const DELAY_MS: u64 = 1;
@@ -38,7 +39,7 @@
     /// Requests under way at the domain's engine.
     pub requests: u32,
     /// Servers that don't answer it.
-    pub out: Vec<SocketAddr>,
+    pub out: Vec<ServerKey>,
     /// Questions that it asked of servers which others have trouble with.
     pub asked: usize,
     pub sent: u64,
@@ -51,18 +52,18 @@
     }
 
     /// Another instance has trouble with a server; without work there.
-    pub fn look_into(&mut self, addr: SocketAddr, dead: &[SocketAddr], now: Instant) {
+    pub fn look_into(&mut self, server: ServerKey, dead: &[ServerKey], now: Instant) {
         let of = DoubtedUse {
             has_work: false,
             plans_layers: false,
             rank: self.table.rank(now),
         };
-        if !of.is_asking() || self.out.contains(&addr) {
+        if !of.is_asking() || self.out.contains(&server) {
             return;
         }
         self.asked += 1;
-        if dead.contains(&addr) {
-            self.out.push(addr);
+        if dead.contains(&server) {
+            self.out.push(server);
         }
     }
 }
@@ -84,7 +85,7 @@
     /// A domain that is cut off from the others.
     pub cut: Option<usize>,
     /// Servers that answer nobody.
-    pub dead: Vec<SocketAddr>,
+    pub dead: Vec<ServerKey>,
     pub rng: StdRng,
 }
 
@@ -95,8 +96,9 @@
     ))
 }
 
-pub fn engine_addr(domain: usize) -> SocketAddr {
-    SocketAddr::from(([10, u8::try_from(domain).unwrap(), 64, 1], 80))
+pub fn engine_key(domain: usize) -> ServerKey {
+    let addr = SocketAddr::from(([10, u8::try_from(domain).unwrap(), 64, 1], 80));
+    ServerKey::new(addr, "engine", None)
 }
 
 pub fn domain_name(domain: usize) -> String {
@@ -279,8 +281,8 @@
             return;
         }
         receiver.table.heard(from_addr, &beat, now);
-        for addr in receiver.table.newly_out(from_addr, &beat.out, now) {
-            receiver.look_into(addr, &self.dead, now);
+        for server in receiver.table.newly_out(from_addr, &beat.out, now) {
+            receiver.look_into(server, &self.dead, now);
         }
         if beat.is_joining {
             let domain = domain_name(from_domain).into();
@@ -310,7 +312,7 @@
         let is_informed = |instance: &&Instance| {
             let loads = instance.table.loads(now);
             let known = loads
-                .get(&engine_addr(instance.domain))
+                .get(&engine_key(instance.domain))
                 .copied()
                 .unwrap_or_default();
             known.requests == self.others_requests(instance)
@@ -394,7 +396,7 @@
 
 pub fn entry(domain: usize, requests: u32) -> LoadEntry {
     LoadEntry {
-        addr: engine_addr(domain),
+        server: engine_key(domain),
         requests,
         tokens: requests * 100,
         silent_ms: 0,
@@ -405,7 +407,7 @@
 pub fn domain_entries(instance: &Instance, now: Instant) -> Vec<LoadEntry> {
     let near = instance.table.near_loads(now);
     let others = near
-        .get(&engine_addr(instance.domain))
+        .get(&engine_key(instance.domain))
         .copied()
         .unwrap_or_default();
     vec![entry(instance.domain, others.requests + instance.requests)]
--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -163,6 +163,21 @@
         self.call(Method::GET, addr, path, None::<&()>, wait).await
     }
 
+    /// Gets an answer as it came.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer within `wait`.
+    pub async fn get_bytes(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        wait: Duration,
+    ) -> Result<Bytes, ClientError> {
+        let request = build(Method::GET, addr, path, Bytes::new())?;
+        self.exchange(addr, request, wait).await
+    }
+
     /// Gets an answer as text.
     ///
     /// # Errors
@@ -174,8 +189,7 @@
         path: &str,
         wait: Duration,
     ) -> Result<String, ClientError> {
-        let request = build(Method::GET, addr, path, Bytes::new())?;
-        let body = self.exchange(addr, request, wait).await?;
+        let body = self.get_bytes(addr, path, wait).await?;
         Ok(String::from_utf8_lossy(&body).into_owned())
     }
 
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -12,7 +12,9 @@
 use rookferry_core::ModelShape;
 use rookferry_core::PathStage;
 use rookferry_core::PipelineEngine;
+use rookferry_core::PipelinePath;
 use rookferry_core::ServerHealth;
+use rookferry_core::ServerKey;
 use rookferry_core::ServerLoad;
 use rookferry_core::ServingService;
 use rookferry_wire::LayerRange;
@@ -46,35 +48,47 @@
 }
 
 impl Relay {
-    /// An engine refused a request: it has no room, or takes no new work.
-    pub(crate) fn engine_refused(&self, addr: SocketAddr, model: &ModelShape) {
+    /// An engine refused a request: it has no room, or takes no new work. Tells
+    /// whether it has room by what is known.
+    pub(crate) fn engine_refused(&self, server: ServerKey, model: &ModelShape) -> bool {
         let now = Instant::now();
-        let used_tokens = self.load_of(addr).tokens;
+        let used_tokens = self.load_of(server).tokens;
         let view = self.view.load();
-        let server = view.server_at(addr);
-        let room_tokens = server.map_or(0.0, |server| published_tokens(server, model));
+        let entry = view.server(server);
+        let room_tokens = entry.map_or(0.0, |entry| published_tokens(entry, model));
         let (was_closed, is_closed) = {
             let mut closed = lock(&self.closed);
-            let was_closed = closed.is_closed(addr, now);
+            let was_closed = closed.is_closed(server, now);
             (
                 was_closed,
-                closed.refused(addr, used_tokens, room_tokens, now),
+                closed.refused(server, used_tokens, room_tokens, now),
             )
         };
         if !is_closed {
-            self.health().had_no_room(addr, used_tokens, now);
+            self.health().had_no_room(server, used_tokens, now);
         } else if !was_closed && let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "health: a server takes no new work"; "event" => "server_closed",
-                "server" => %addr, "source" => "own", "used_tokens" => used_tokens,
+                "server" => %server.addr, "source" => "own", "used_tokens" => used_tokens,
                 "room_tokens" => room_tokens);
         }
+        is_closed
+    }
+
+    /// The engine that is meant where only an address is named: the start that
+    /// the path goes through, else the one in use there.
+    pub(crate) fn engine_at(&self, addr: SocketAddr, path: &PipelinePath) -> Option<ServerKey> {
+        let mut stages = path.stages().iter();
+        let stage = stages.find(|stage| stage.addr() == addr);
+        stage
+            .map(|stage| stage.server)
+            .or_else(|| self.view.load().server_at(addr))
     }
 
     /// Engines began a request's work.
     pub(crate) fn engines_accepted(&self, stages: &[PathStage], now: Instant) {
         let mut closed = lock(&self.closed);
         for stage in stages {
-            closed.accepted(stage.addr, now);
+            closed.accepted(stage.server, now);
         }
     }
 
@@ -91,12 +105,12 @@
         let doubted = self.doubted.load();
         let usable = table
             .of(&service.name)
-            .filter(|server| !server.is_leaving && !health.is_out(server.addr));
+            .filter(|server| !server.is_leaving && !health.is_out(server.key));
         let engines = usable.filter_map(|server| {
             let mut engine = self.pipeline_engine(server, model, &health, now)?;
             engine.is_closed =
-                closed.is_closed(server.addr, now) || self.is_doubted(&doubted, server.addr, now);
-            if health.is_full(server.addr, now) {
+                closed.is_closed(server.key, now) || self.is_doubted(&doubted, server.key, now);
+            if health.is_full(server.key, now) {
                 engine.used_tokens = engine.cache_tokens;
             }
             Some(engine)
@@ -105,20 +119,20 @@
     }
 
     /// Whether others have trouble with a server that has shown nothing since.
-    fn is_doubted(&self, doubted: &DoubtedServers, addr: SocketAddr, now: Instant) -> bool {
+    fn is_doubted(&self, doubted: &DoubtedServers, server: ServerKey, now: Instant) -> bool {
         // A sign is looked up under a lock, and few servers are doubted.
-        if doubted.since(addr).is_none() {
+        if doubted.since(server).is_none() {
             return false;
         }
-        let sign_at = now.checked_sub(self.signs.of(addr).age(now));
-        doubted.is_left_alone(addr, sign_at)
+        let sign_at = now.checked_sub(self.signs.of(server).age(now));
+        doubted.is_left_alone(server, sign_at)
     }
 
     /// What this instance, behind `rank` others, has to do with a server that
     /// others doubt.
-    pub(crate) fn doubted_use(&self, addr: SocketAddr, rank: usize) -> DoubtedUse {
+    pub(crate) fn doubted_use(&self, server: ServerKey, rank: usize) -> DoubtedUse {
         DoubtedUse {
-            has_work: self.loads.of(addr).requests > 0,
+            has_work: self.loads.of(server).requests > 0,
             plans_layers: self.holds_lease.load(Ordering::Relaxed),
             rank,
         }
@@ -138,12 +152,12 @@
             .and_then(|name| model.kind(name));
         Some(PipelineEngine {
             engine: server.id.clone(),
-            addr: server.addr,
+            server: server.key,
             domain: server.domain.clone(),
             held,
-            layer_step_ms: model.layer_step_ms(kind) * self.signs.slowdown(server.addr, now),
-            cache_tokens: health.room_tokens(server.addr, published_tokens(server, model), now),
-            used_tokens: self.load_of(server.addr).tokens,
+            layer_step_ms: model.layer_step_ms(kind) * self.signs.slowdown(server.key, now),
+            cache_tokens: health.room_tokens(server.key, published_tokens(server, model), now),
+            used_tokens: self.load_of(server.key).tokens,
             is_closed: false,
         })
     }
@@ -154,15 +168,15 @@
     /// all the room for itself: six that came back after a loss of power had
     /// 224 requests let in where 150 fit. Meanwhile the others count as if each
     /// had as much under way as this one.
-    pub(crate) fn load_of(&self, addr: SocketAddr) -> ServerLoad {
-        let own = self.loads.of(addr);
+    pub(crate) fn load_of(&self, server: ServerKey) -> ServerLoad {
+        let own = self.loads.of(server);
         let others = self.peer_loads.load();
         let mut load = own;
-        load += others.get(&addr).copied().unwrap_or_default();
+        load += others.get(&server).copied().unwrap_or_default();
         if self.age() >= HEARD_AFTER {
             return load;
         }
-        let alike = own.times(self.sharers(addr));
+        let alike = own.times(self.sharers(server));
         ServerLoad {
             requests: load.requests.max(alike.requests),
             tokens: load.tokens.max(alike.tokens),
@@ -170,8 +184,8 @@
     }
 
     /// How many instances may have requests under way at a server.
-    fn sharers(&self, addr: SocketAddr) -> usize {
-        let known = if self.is_near(addr) {
+    fn sharers(&self, server: ServerKey) -> usize {
+        let known = if self.is_near(server) {
             &self.near_instances
         } else {
             &self.instances
@@ -180,24 +194,22 @@
     }
 
     /// Whether a server is in this instance's failure domain.
-    fn is_near(&self, addr: SocketAddr) -> bool {
+    fn is_near(&self, server: ServerKey) -> bool {
         let view = self.view.load();
-        let server = view.server_at(addr);
-        server.is_some_and(|server| server.domain == self.settings.domain)
+        let entry = view.server(server);
+        entry.is_some_and(|entry| entry.domain == self.settings.domain)
     }
 
     /// What is known of a stage of a path in use.
     pub(crate) fn stage_state(&self, table: &ServerTable, stage: &PathStage) -> StageState {
-        if self.health().is_out(stage.addr) {
+        if self.health().is_out(stage.server) {
             return StageState::Lost;
         }
-        let Some(server) = table.at(stage.addr) else {
+        // One that has started again has nothing of the request.
+        let Some(server) = table.get(stage.server) else {
             return StageState::Lost;
         };
         let holds_layers = server.held.is_some_and(|held| held.covers(stage.layers));
-        if server.id != stage.engine {
-            return StageState::Lost;
-        }
         // Layers that are given up still serve what is passing through.
         if server.is_leaving || !holds_layers {
             return StageState::Leaving;
@@ -207,17 +219,17 @@
 
     /// A server with this instance's part of its connections. Most requests
     /// stay in their failure domain, so its instances have the larger part.
-    pub(crate) fn upstream(&self, addr: SocketAddr, service: &ServingService) -> Upstream {
+    pub(crate) fn upstream(&self, server: ServerKey, service: &ServingService) -> Upstream {
         let limit = f64::from(service.max_connections);
         let near = self.near_instances.load(Ordering::Relaxed).max(1);
         let all = self.instances.load(Ordering::Relaxed).max(near);
-        let part = if self.is_near(addr) {
+        let part = if self.is_near(server) {
             limit * NEAR_CONNECTIONS / near as f64
         } else {
             limit * (1.0 - NEAR_CONNECTIONS) / all.saturating_sub(near).max(1) as f64
         };
         Upstream {
-            addr,
+            server,
             max_connections: whole(part).max(MIN_CONNECTIONS),
         }
     }
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod restarts;
 mod retries;
 mod settings;
 mod signs;
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -12,8 +12,10 @@
 use http::HeaderValue;
 use rookferry_core::BackendServer;
 use rookferry_core::ModelShape;
+use rookferry_core::NoPath;
 use rookferry_core::PathFinder;
 use rookferry_core::PipelinePath;
+use rookferry_core::ServerKey;
 use rookferry_core::ServingService;
 use slog::warn;
 
@@ -52,7 +54,7 @@
     /// The engine answers; a success is a stream that runs.
     Answer(Box<UpstreamAnswer>),
     NotRun {
-        at_fault: Option<SocketAddr>,
+        at_fault: Option<ServerKey>,
     },
     Failed(UpstreamError),
     TimeOver,
@@ -62,7 +64,7 @@
 pub(crate) struct Opener<'a> {
     target: &'a StreamTarget,
     /// Servers that no further try may begin at.
-    pub(crate) avoided: Vec<SocketAddr>,
+    pub(crate) avoided: Vec<ServerKey>,
     /// Runs that the request has had.
     pub(crate) runs: u32,
     /// Tries that have reached an engine.
@@ -86,7 +88,7 @@
     /// For a run after others.
     pub(crate) const fn again(
         target: &'a StreamTarget,
-        avoided: Vec<SocketAddr>,
+        avoided: Vec<ServerKey>,
         runs: u32,
     ) -> Self {
         Self {
@@ -121,7 +123,7 @@
                 self.note_failed("", "no engines cover the layers");
                 break;
             };
-            let first = path.first().addr;
+            let first = path.first().server;
             let mut keeper = PathKeeper::new(self.target, path);
             match self.send(&mut keeper, after).await {
                 Opened::Answer(answer) => {
@@ -136,21 +138,23 @@
                     let is_final = !(answer.status.is_server_error() && may_repeat)
                         || self.runs >= self.target.request.route.max_servers.max(1);
                     if is_final {
-                        return Err(self.pass_failure(*answer, first).await);
+                        return Err(self.pass_failure(*answer, first.addr).await);
                     }
                     self.avoided.push(first);
                 }
                 Opened::NotRun { at_fault } => {
                     self.arrived += 1;
-                    let named = at_fault.map_or_else(String::new, |addr| format!(": {addr}"));
+                    let named =
+                        at_fault.map_or_else(String::new, |server| format!(": {}", server.addr));
                     self.note_failed(&keeper.describe(), &format!("not run{named}"));
                     let refusing = at_fault.unwrap_or(first);
-                    self.target
-                        .relay
-                        .engine_refused(refusing, &self.target.model);
-                    if refusing != first {
-                        // It may be gone; the first engine only sees no answer.
-                        probe::check_soon(&self.target.relay, refusing);
+                    let relay = &self.target.relay;
+                    let has_room = relay.engine_refused(refusing, &self.target.model);
+                    // It may be gone, or have started again without its layers:
+                    // its entry tells of that seconds later, or, with the store
+                    // away, not at all.
+                    if has_room || refusing != first {
+                        probe::check_soon(relay, refusing);
                     }
                     self.avoided.push(refusing);
                 }
@@ -198,7 +202,7 @@
 
     /// Whether another run could begin at another engine; takes it out of the
     /// budget.
-    fn can_start_elsewhere(&self, first: SocketAddr) -> bool {
+    fn can_start_elsewhere(&self, first: ServerKey) -> bool {
         let may_repeat = self.target.request.route.repeatability.may_repeat();
         let may_run = may_repeat && self.target.request.route.max_servers > 1;
         may_run
@@ -207,16 +211,28 @@
     }
 
     /// The best path over engines that may be used, without avoided ones.
-    fn choose(&self, also_avoided: &[SocketAddr]) -> Option<PipelinePath> {
+    fn choose(&self, also_avoided: &[ServerKey]) -> Option<PipelinePath> {
         let home = &self.target.relay.settings.domain;
         let tokens = self.target.request.tokens();
-        self.with_finder(also_avoided, |finder| finder.find(home, tokens))?
+        let found = self.with_finder(also_avoided, |finder| finder.find(home, tokens))?;
+        found.inspect_err(|no_path| self.note_no_path(no_path)).ok()
+    }
+
+    /// A way that was found and is no path tells of a fault of the search.
+    fn note_no_path(&self, no_path: &NoPath) {
+        let NoPath::Unusable { fault } = no_path else {
+            return;
+        };
+        if let Some(log) = self.target.relay.events.line(Weight::Notable) {
+            warn!(log, "stream: the way found is no path"; "event" => "path_unusable",
+                "request" => &self.target.request.attempt, "cause" => %fault);
+        }
     }
 
     /// Runs a search over engines that may be used, without avoided ones.
     fn with_finder<T>(
         &self,
-        also_avoided: &[SocketAddr],
+        also_avoided: &[ServerKey],
         run: impl FnOnce(&PathFinder<'_>) -> T,
     ) -> Option<T> {
         let view = self.target.relay.view.load();
@@ -227,8 +243,8 @@
                 .pipeline_engines(table, &self.target.service, &self.target.model);
         let usable = engines
             .iter()
-            .filter(|engine| !self.avoided.contains(&engine.addr))
-            .filter(|engine| !also_avoided.contains(&engine.addr));
+            .filter(|engine| !self.avoided.contains(&engine.server))
+            .filter(|engine| !also_avoided.contains(&engine.server));
         Some(run(&PathFinder::new(self.target.model.layers, usable)))
     }
 
@@ -242,11 +258,11 @@
         let resume = after.map(|id| (names.last_event.clone(), HeaderValue::from(id)));
         let extra = std::iter::once(path).chain(resume);
         let outbound = request.to_server(names, &first.engine, extra);
-        let server = relay.view.load().server_at(first.addr).cloned();
+        let server = relay.view.load().server(first.server).cloned();
         let Some(server) = server else {
             return Opened::Failed(UpstreamError::Withdrawn);
         };
-        let upstream = relay.upstream(first.addr, &self.target.service);
+        let upstream = relay.upstream(first.server, &self.target.service);
         let has_run = self.runs > 0;
         let may_repeat = request.route.repeatability.may_repeat();
         let may_send = || {
@@ -267,7 +283,7 @@
                     let message = match watched {
                         Watched::Fine => continue,
                         Watched::FirstLost => "the first engine is lost",
-                        Watched::Hung if self.runs > 0 || !self.can_start_elsewhere(first.addr) => {
+                        Watched::Hung if self.runs > 0 || !self.can_start_elsewhere(first.server) => {
                             continue;
                         }
                         Watched::Hung => {
@@ -282,32 +298,40 @@
                         Watched::Costly => "a stage is lost that nothing near stands in for",
                     };
                     break Err(UpstreamError::Lost {
-                        addr: first.addr,
+                        addr: first.addr(),
                         message: message.to_owned(),
                     });
                 }
             }
         };
         match sent {
-            Ok(answer) => self.opened(answer, &server).await,
+            Ok(answer) => self.opened(answer, &server, keeper.path()).await,
             Err(error) => Opened::Failed(error),
         }
     }
 
-    async fn opened(&self, answer: UpstreamAnswer, server: &BackendServer) -> Opened {
+    async fn opened(
+        &self,
+        answer: UpstreamAnswer,
+        server: &BackendServer,
+        path: &PipelinePath,
+    ) -> Opened {
         let names = self.target.relay.protocol.names();
         if !answer.is_for(names, &self.target.request.attempt) {
-            return Opened::Failed(UpstreamError::Crossed { addr: server.addr });
+            return Opened::Failed(UpstreamError::Crossed {
+                addr: server.addr(),
+            });
         }
         if answer.is_not_run(names) {
-            let at_fault = faulty_server(&answer.headers, &names.faulty_server);
+            let at_fault = faulty_server(&answer.headers, &names.faulty_server)
+                .and_then(|addr| self.target.relay.engine_at(addr, path));
             // Read to its end so that the connection can be kept.
-            let _ = tokio::time::timeout(MIN_TIME_LEFT, answer.collect(server.addr)).await;
+            let _ = tokio::time::timeout(MIN_TIME_LEFT, answer.collect(server.addr())).await;
             return Opened::NotRun { at_fault };
         }
         if !is_signed(answer.status, &answer.headers, names) {
             return Opened::Failed(UpstreamError::Lost {
-                addr: server.addr,
+                addr: server.addr(),
                 message: "a success without the engine's signature".to_owned(),
             });
         }
@@ -332,7 +356,11 @@
 
     fn note_failed(&self, path: &str, cause: &str) {
         if let Some(log) = self.target.relay.events.line(Weight::Notable) {
-            let avoided: Vec<String> = self.avoided.iter().map(ToString::to_string).collect();
+            let avoided: Vec<String> = self
+                .avoided
+                .iter()
+                .map(|server| server.addr.to_string())
+                .collect();
             warn!(log, "stream: a try failed"; "event" => "attempt_failed",
                 "request" => &self.target.request.attempt, "path" => path, "avoided" => avoided.join(","),
                 "cause" => cause, "left_ms" => millis(self.target.request.time_left()));
--- a/crates/rookferry_relay/src/opener/room.rs
+++ b/crates/rookferry_relay/src/opener/room.rs
@@ -79,8 +79,12 @@
         let home = &self.target.relay.settings.domain;
         let tokens = self.target.request.tokens();
         let found = self.with_finder(&[], |finder| {
-            let Some(path) = finder.find(home, tokens) else {
-                return Room::None;
+            let path = match finder.find(home, tokens) {
+                Ok(path) => path,
+                Err(no_path) => {
+                    self.note_no_path(&no_path);
+                    return Room::None;
+                }
             };
             match finder.fullest(&path, tokens) {
                 Some(full) if full.overfill > 0.0 => Room::Full(full.engine.clone()),
@@ -142,7 +146,7 @@
             warn!(log, "stream: the engines have no room"; "event" => "no_room",
                 "request" => &request.attempt, "tokens" => request.tokens(),
                 "engine" => full.map(|engine| engine.engine.to_string()),
-                "addr" => full.map(|engine| engine.addr.to_string()),
+                "addr" => full.map(|engine| engine.addr().to_string()),
                 "used_tokens" => full.map(|engine| engine.used_tokens),
                 "room_tokens" => full.map(|engine| engine.cache_tokens),
                 "waiting" => place.waiting(),
--- a/crates/rookferry_relay/src/path_keeper/mod.rs
+++ b/crates/rookferry_relay/src/path_keeper/mod.rs
@@ -6,7 +6,6 @@
 
 mod repair;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,6 +14,7 @@
 use rookferry_core::ModelShape;
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
+use rookferry_core::ServerKey;
 use rookferry_core::ServingService;
 use rookferry_wire::LayerRange;
 use slog::warn;
@@ -66,7 +66,7 @@
     look_at: Instant,
     look_pause: Duration,
     stalled_since: Instant,
-    refused: Vec<SocketAddr>,
+    refused: Vec<ServerKey>,
     repairs: u32,
     /// Whether the path has to be looked through; stays set while a look is
     /// cut off by events that come.
@@ -144,7 +144,14 @@
     pub(crate) fn describe(&self) -> String {
         let stages = self.path.stages().iter();
         let parts: Vec<String> = stages
-            .map(|stage| format!("{}={}-{}", stage.addr, stage.layers.start, stage.layers.end))
+            .map(|stage| {
+                format!(
+                    "{}={}-{}",
+                    stage.addr(),
+                    stage.layers.start,
+                    stage.layers.end
+                )
+            })
             .collect();
         parts.join(",")
     }
@@ -207,15 +214,15 @@
             Progress::Waiting => SILENT_BEFORE_FIRST,
             Progress::Running | Progress::Hung => SILENT_AFTER,
         };
-        let is_asked = |addr: SocketAddr, sign: &Sign| {
-            let is_slow = stalled >= SLOW_AFTER && signs.report_age(addr, now) >= REPORT_AGAIN;
+        let is_asked = |server: ServerKey, sign: &Sign| {
+            let is_slow = stalled >= SLOW_AFTER && signs.report_age(server, now) >= REPORT_AGAIN;
             (is_slow || sign.age(now) >= silent_after)
-                && signs.begin_asking(addr, probe::ASK_AGAIN, now)
+                && signs.begin_asking(server, probe::ASK_AGAIN, now)
         };
         let probes = silent
-            .filter(|(stage, sign)| is_asked(stage.addr, sign))
+            .filter(|(stage, sign)| is_asked(stage.server, sign))
             .map(|(stage, _)| {
-                let upstream = self.relay.upstream(stage.addr, &self.service);
+                let upstream = self.relay.upstream(stage.server, &self.service);
                 probe::check(&self.relay, upstream)
             });
         let found = join_all(probes).await;
@@ -237,7 +244,7 @@
         let Some(table) = &view.servers else {
             return StageState::Usable;
         };
-        if self.refused.contains(&stage.addr) {
+        if self.refused.contains(&stage.server) {
             return StageState::Lost;
         }
         self.relay.stage_state(table, stage)
@@ -269,18 +276,18 @@
     let view = relay.view.load();
     // An engine keeps a token's cache for the layers that it runs only.
     let part = |stage: &PathStage| {
-        let held = view.server_at(stage.addr).and_then(|server| server.held);
+        let held = view.server(stage.server).and_then(|server| server.held);
         let held = held.map_or(stage.layers.len(), LayerRange::len);
         f64::from(stage.layers.len()) / f64::from(held.max(stage.layers.len()).max(1))
     };
     let parts = path
         .stages()
         .iter()
-        .map(|stage| (stage.addr, request.tokens() * part(stage)));
+        .map(|stage| (stage.server, request.tokens() * part(stage)));
     relay.loads.enter(parts.collect())
 }
 
 fn signs(relay: &Relay, path: &PipelinePath) -> Vec<Sign> {
     let stages = path.stages().iter();
-    stages.map(|stage| relay.signs.of(stage.addr)).collect()
+    stages.map(|stage| relay.signs.of(stage.server)).collect()
 }
--- a/crates/rookferry_relay/src/path_keeper/repair.rs
+++ b/crates/rookferry_relay/src/path_keeper/repair.rs
@@ -1,6 +1,5 @@
 //! Replaces stages of a running request's path by an order to its first engine.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +9,7 @@
 use rookferry_core::PathFinder;
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
+use rookferry_core::ServerKey;
 use slog::warn;
 
 use super::PathKeeper;
@@ -32,7 +32,7 @@
 enum Moved {
     Done,
     /// The engine named, if any, has no room or isn't there.
-    Refused(Option<SocketAddr>),
+    Refused(Option<ServerKey>),
     /// The request isn't running there.
     Unknown,
     Failed,
@@ -48,7 +48,7 @@
             if lost.contains(&first) {
                 // One that takes no new connections may still serve this one.
                 let stands_still = self.stalled_since.elapsed() >= STALL_AFTER;
-                let is_out = self.relay.health().is_out(first.addr);
+                let is_out = self.relay.health().is_out(first.server);
                 return if is_out && stands_still {
                     Watched::FirstLost
                 } else {
@@ -71,10 +71,10 @@
                     self.look_at = Instant::now() + STALL_AGAIN;
                     return Watched::Fine;
                 }
-                Moved::Refused(Some(addr)) => {
-                    self.relay.engine_refused(addr, &self.model);
-                    probe::check_soon(&self.relay, addr);
-                    self.refused.push(addr);
+                Moved::Refused(Some(engine)) => {
+                    self.relay.engine_refused(engine, &self.model);
+                    probe::check_soon(&self.relay, engine);
+                    self.refused.push(engine);
                 }
                 Moved::Refused(None) | Moved::Unknown | Moved::Failed => return Watched::Fine,
             }
@@ -121,7 +121,7 @@
             .pipeline_engines(table, &self.service, &self.model);
         let usable = engines
             .iter()
-            .filter(|engine| !self.refused.contains(&engine.addr));
+            .filter(|engine| !self.refused.contains(&engine.server));
         let finder = PathFinder::new(self.model.layers, usable);
         finder.repair(
             &self.path,
@@ -135,8 +135,8 @@
     async fn move_to(&self, path: &PipelinePath) -> Moved {
         let protocol = &self.relay.protocol;
         let call = protocol.repath_call(&self.request.attempt, path);
-        let upstream = self.relay.upstream(path.first().addr, &self.service);
-        let request = call.request(upstream.addr);
+        let upstream = self.relay.upstream(path.first().server, &self.service);
+        let request = call.request(upstream.server.addr);
         let answer = self
             .relay
             .pool
@@ -157,7 +157,8 @@
             }
             status => {
                 self.note_failed(status.as_str());
-                Moved::Refused(protocol.refused_stage(&answer.body))
+                let at_fault = protocol.refused_stage(&answer.body);
+                Moved::Refused(at_fault.and_then(|addr| self.relay.engine_at(addr, path)))
             }
         }
     }
@@ -177,7 +178,7 @@
         let Some(log) = self.relay.events.line(Weight::Notable) else {
             return;
         };
-        let lost: Vec<String> = lost.iter().map(|stage| stage.addr.to_string()).collect();
+        let lost: Vec<String> = lost.iter().map(|stage| stage.addr().to_string()).collect();
         warn!(log, "stream: lost stages are replaced"; "event" => "path_repaired",
             "request" => &self.request.attempt, "lost" => lost.join(","),
             "since_last_event_ms" => millis(stalled), "stages" => path.stages().len());
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -1,6 +1,5 @@
 //! Puts together what this instance tells others.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use rookferry_core::LoadEntry;
 use rookferry_core::PeerTable;
 use rookferry_core::ReportSeen;
+use rookferry_core::ServerKey;
 use rookferry_core::ServerLoad;
 use rookferry_wire::DomainId;
 use rookferry_wire::Incarnation;
@@ -25,10 +25,10 @@
 /// takes itself for the first because it hasn't heard the others, which are
 /// heard within two rounds.
 const SPEAK_AFTER: Duration = Duration::from_millis(400);
-/// Most loads in one heartbeat, at up to 25 bytes; the busiest servers go
+/// Most loads in one heartbeat, at up to 30 bytes; the busiest servers go
 /// first. What remains of a datagram holds the rest.
 const MAX_LOADS: usize = 450;
-/// Most servers told as out, and as closed, in one heartbeat; at 8 and 11
+/// Most servers told as out, and as closed, in one heartbeat; at 13 and 16
 /// bytes.
 const MAX_OUT: usize = 128;
 /// Members in one heartbeat, at 9 bytes; all are told in turn, 300 within
@@ -118,8 +118,8 @@
     /// What the domain has under way, this instance included, as heard here.
     pub(super) fn domain_sums(&self, now: Instant) -> DomainSums {
         let mut loads = lock(&self.relay.peers).near_loads(now);
-        for (addr, own) in self.relay.loads.snapshot() {
-            *loads.entry(addr).or_default() += own;
+        for (server, own) in self.relay.loads.snapshot() {
+            *loads.entry(server).or_default() += own;
         }
         let entries = self.load_entries(loads, now);
         lock(&self.relay.peers).domain_sums(entries, now)
@@ -127,7 +127,7 @@
 
     fn load_entries(
         &self,
-        loads: impl IntoIterator<Item = (SocketAddr, ServerLoad)>,
+        loads: impl IntoIterator<Item = (ServerKey, ServerLoad)>,
         now: Instant,
     ) -> Vec<LoadEntry> {
         let mut loads: Vec<_> = loads.into_iter().collect();
@@ -137,18 +137,18 @@
         }
         let entries = loads.into_iter();
         entries
-            .map(|(addr, load)| self.load_entry(addr, load, now))
+            .map(|(server, load)| self.load_entry(server, load, now))
             .collect()
     }
 
-    fn load_entry(&self, addr: SocketAddr, load: ServerLoad, now: Instant) -> LoadEntry {
+    fn load_entry(&self, server: ServerKey, load: ServerLoad, now: Instant) -> LoadEntry {
         let signs = &self.relay.signs;
-        let report = signs.report(addr, now);
+        let report = signs.report(server, now);
         let seen = LoadEntry {
-            addr,
+            server,
             requests: 0,
             tokens: 0,
-            silent_ms: millis(signs.of(addr).age(now)),
+            silent_ms: millis(signs.of(server).age(now)),
             report: report.map(|(slowdown, age)| ReportSeen {
                 slowdown,
                 age_ms: millis(age),
--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -132,7 +132,7 @@
     };
     PeerAnswer::Servers {
         version,
-        servers: table.all().to_vec(),
+        servers: table.listed().cloned().collect(),
     }
 }
 
--- a/crates/rookferry_relay/src/peers/intake.rs
+++ b/crates/rookferry_relay/src/peers/intake.rs
@@ -9,6 +9,7 @@
 use rookferry_core::ClosedSeen;
 use rookferry_core::Heartbeat;
 use rookferry_core::LoadEntry;
+use rookferry_core::ServerKey;
 use slog::info;
 
 use super::fetch::ListFetch;
@@ -62,20 +63,20 @@
     }
 
     /// Another instance has trouble with servers.
-    fn take_doubts(&self, servers: &[SocketAddr], beat: &Heartbeat, now: Instant) {
+    fn take_doubts(&self, servers: &[ServerKey], beat: &Heartbeat, now: Instant) {
         let rank = self.relay.rank(now);
         let doubted = self.relay.doubted.load();
-        for addr in servers.iter().copied() {
-            let is_asking = self.relay.doubted_use(addr, rank).is_asking();
+        for server in servers.iter().copied() {
+            let is_asking = self.relay.doubted_use(server, rank).is_asking();
             // Told once while several doubt it: a cut has each of a domain doubt
             // all engines beyond it, 6,170 lines in two seconds with 64 instances.
-            let is_news = doubted.since(addr).is_none();
+            let is_news = doubted.since(server).is_none();
             if is_news && let Some(log) = self.relay.events.line(Weight::Routine) {
                 info!(log, "peers: a server doesn't answer another"; "event" => "server_doubted",
-                    "server" => %addr, "source" => &*beat.instance, "asking" => is_asking);
+                    "server" => %server.addr, "source" => &*beat.instance, "asking" => is_asking);
             }
             if is_asking {
-                probe::check_soon(&self.relay, addr);
+                probe::check_soon(&self.relay, server);
             }
         }
     }
@@ -96,14 +97,19 @@
     fn take_signs(&self, loads: &[LoadEntry], now: Instant) {
         let signs = &self.relay.signs;
         let before = |age_ms| now.checked_sub(Duration::from_millis(age_ms));
-        for entry in loads {
+        let view = self.relay.view.load();
+        // A start that isn't known here is told of again with the next round.
+        let known = loads
+            .iter()
+            .filter(|entry| view.server(entry.server).is_some());
+        for entry in known {
             if let Some(at) = before(entry.silent_ms) {
-                signs.of(entry.addr).note(at);
+                signs.of(entry.server).note(at);
             }
             if let Some(report) = entry.report
                 && let Some(at) = before(report.age_ms)
             {
-                signs.note_report(entry.addr, report.slowdown, at);
+                signs.note_report(entry.server, report.slowdown, at);
             }
         }
     }
@@ -112,13 +118,15 @@
     fn take_closed(&self, beat: &Heartbeat, now: Instant) {
         let news: Vec<&ClosedSeen> = {
             let mut closed = lock(&self.relay.closed);
+            let view = self.relay.view.load();
             let told = beat.closed.iter();
-            told.filter(|seen| closed.learn(**seen, now)).collect()
+            let known = told.filter(|seen| view.server(seen.server).is_some());
+            known.filter(|seen| closed.learn(**seen, now)).collect()
         };
         for seen in news {
             if let Some(log) = self.relay.events.line(Weight::Notable) {
                 info!(log, "peers: a server takes no new work"; "event" => "server_closed",
-                    "server" => %seen.addr, "source" => &*beat.instance,
+                    "server" => %seen.server.addr, "source" => &*beat.instance,
                     "age_ms" => seen.age_ms, "refusals" => seen.refusals);
             }
         }
--- a/crates/rookferry_relay/src/placement/census.rs
+++ b/crates/rookferry_relay/src/placement/census.rs
@@ -65,17 +65,17 @@
             .filter(|server| !server.is_leaving)
             .collect();
         let health = self.relay.health();
-        let is_lost = |addr| {
-            let since = health.out_since(addr);
+        let is_lost = |server| {
+            let since = health.out_since(server);
             since.is_some_and(|since| now.saturating_duration_since(since) >= LOST_AFTER)
         };
-        let lost = staying.iter().filter(|server| is_lost(server.addr)).count();
+        let lost = staying.iter().filter(|server| is_lost(server.key)).count();
         let trusts_health = lost as f64 <= staying.len() as f64 * MAX_LOST_PART;
         let layout = staying
             .iter()
-            .filter(|server| !(trusts_health && is_lost(server.addr)))
+            .filter(|server| !(trusts_health && is_lost(server.key)))
             .map(|server| {
-                let ordered = orders.layers(&server.id);
+                let ordered = orders.layers(server.key);
                 LayoutEngine {
                     engine: server.id.clone(),
                     domain: server.domain.clone(),
--- a/crates/rookferry_relay/src/placement/orders.rs
+++ b/crates/rookferry_relay/src/placement/orders.rs
@@ -14,8 +14,8 @@
 use futures_util::stream;
 use http::StatusCode;
 use rookferry_core::NeededPlacement;
+use rookferry_core::ServerKey;
 use rookferry_core::ServingService;
-use rookferry_wire::EngineId;
 use rookferry_wire::LayerRange;
 use slog::info;
 use slog::warn;
@@ -43,10 +43,18 @@
     at: Instant,
 }
 
+/// An order that an engine took, or may have taken.
+#[derive(Clone, Copy, Debug)]
+struct Taken {
+    engine: ServerKey,
+    layers: LayerRange,
+}
+
 /// Orders under way.
 pub(super) struct Orders {
     relay: Arc<Relay>,
-    ordered: BTreeMap<EngineId, Ordered>,
+    /// By the start that each went to: one that starts again knows of none.
+    ordered: BTreeMap<ServerKey, Ordered>,
 }
 
 impl Orders {
@@ -58,8 +66,8 @@
     }
 
     /// The layers that an engine was ordered to hold, and doesn't show yet.
-    pub(super) fn layers(&self, engine: &EngineId) -> Option<LayerRange> {
-        self.ordered.get(engine).map(|ordered| ordered.layers)
+    pub(super) fn layers(&self, engine: ServerKey) -> Option<LayerRange> {
+        self.ordered.get(&engine).map(|ordered| ordered.layers)
     }
 
     /// Forgets all: another instance orders from now on.
@@ -82,13 +90,11 @@
         let orders =
             for_a_round(needed).map(|placement| self.order(service, table, placement, &may_order));
         let calls = stream::iter(orders).buffer_unordered(CALLS_AT_ONCE);
-        let taken: Vec<Option<NeededPlacement>> = calls.collect().await;
+        let taken: Vec<Option<Taken>> = calls.collect().await;
         let has_more = taken.len() < count;
         let at = Instant::now();
-        for placement in taken.into_iter().flatten() {
-            let layers = placement.layers;
-            self.ordered
-                .insert(placement.engine, Ordered { layers, at });
+        for Taken { engine, layers } in taken.into_iter().flatten() {
+            self.ordered.insert(engine, Ordered { layers, at });
         }
         has_more
     }
@@ -96,45 +102,45 @@
     /// Forgets orders that show in the engines' entries, or didn't come about.
     pub(super) async fn settle(&mut self, service: &ServingService, table: &ServerTable) {
         let mut overdue = Vec::new();
-        self.ordered.retain(|id, ordered| {
-            let Some(server) = table.named(id) else {
+        self.ordered.retain(|engine, ordered| {
+            let Some(server) = table.get(*engine) else {
                 return false;
             };
             if server.held == Some(ordered.layers) {
                 return false;
             }
             if ordered.at.elapsed() >= PLACED_AFTER {
-                overdue.push((id.clone(), server.addr));
+                overdue.push(*engine);
             }
             true
         });
-        let asked = for_a_round(overdue).map(async |(id, addr)| {
-            let upstream = self.relay.upstream(addr, service);
-            (id, self.report(upstream).await)
+        let asked = for_a_round(overdue).map(async |engine| {
+            let upstream = self.relay.upstream(engine, service);
+            (engine, self.report(upstream).await)
         });
         let calls = stream::iter(asked).buffer_unordered(CALLS_AT_ONCE);
-        let reports: Vec<(EngineId, Option<EngineReport>)> = calls.collect().await;
-        for (id, report) in reports {
-            self.take_report(&id, report);
+        let reports: Vec<(ServerKey, Option<EngineReport>)> = calls.collect().await;
+        for (engine, report) in reports {
+            self.take_report(engine, report);
         }
     }
 
     /// Goes on waiting for an engine that is at its order, by its own word.
-    fn take_report(&mut self, id: &EngineId, report: Option<EngineReport>) {
-        let Some(ordered) = self.ordered.get_mut(id) else {
+    fn take_report(&mut self, engine: ServerKey, report: Option<EngineReport>) {
+        let Some(ordered) = self.ordered.get_mut(&engine) else {
             return;
         };
         if report.is_some_and(|report| report.is_busy || report.held == Some(ordered.layers)) {
             ordered.at = Instant::now();
         } else {
-            self.ordered.remove(id);
+            self.ordered.remove(&engine);
         }
     }
 
     /// What an engine says of itself, if it answers.
     async fn report(&self, upstream: Upstream) -> Option<EngineReport> {
         let protocol = &self.relay.protocol;
-        let request = protocol.report_call().request(upstream.addr);
+        let request = protocol.report_call().request(upstream.server.addr);
         let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
         protocol.read_report(&answer.ok()?.body).ok()
     }
@@ -146,20 +152,29 @@
         table: &ServerTable,
         placement: NeededPlacement,
         may_order: impl Fn() -> bool,
-    ) -> Option<NeededPlacement> {
+    ) -> Option<Taken> {
         let protocol = &self.relay.protocol;
         let server = table.named(&placement.engine)?;
-        let upstream = self.relay.upstream(server.addr, service);
+        let taken = Taken {
+            engine: server.key,
+            layers: placement.layers,
+        };
+        let upstream = self.relay.upstream(server.key, service);
         let report = self.report(upstream).await?;
+        if !report.is_from(server) {
+            // The plan is for the process before, which held other layers.
+            self.relay.other_start_answered(server.key, &report);
+            return None;
+        }
         if report.is_busy {
-            return Some(placement);
+            return Some(taken);
         }
         // The lease may have run out while the engine was asked.
         if !may_order() {
             return None;
         }
         let call = protocol.place_call(placement.layers, Some(report.sequence));
-        let request = call.request(server.addr);
+        let request = call.request(server.addr());
         let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
         let outcome = match &answer {
             Ok(answer) => answer.status.as_str().to_owned(),
@@ -167,13 +182,13 @@
         };
         if let Some(log) = self.relay.events.line(Weight::Notable) {
             info!(log, "placement: an engine is ordered"; "event" => "order_sent",
-                "engine" => &*placement.engine, "addr" => %server.addr, "order" => "place",
+                "engine" => &*placement.engine, "addr" => %server.addr(), "order" => "place",
                 "layers" => format!("{}-{}", placement.layers.start, placement.layers.end),
                 "missing" => placement.is_missing, "sequence" => report.sequence,
                 "outcome" => &outcome);
         }
         match answer {
-            Ok(answer) if answer.status.is_success() => Some(placement),
+            Ok(answer) if answer.status.is_success() => Some(taken),
             Ok(answer) if answer.status == StatusCode::CONFLICT => None,
             Ok(answer) => {
                 if let Some(log) = self.relay.events.line(Weight::Notable) {
@@ -184,7 +199,7 @@
                 None
             }
             // It may have been taken.
-            Err(error) if !error.is_unsent() => Some(placement),
+            Err(error) if !error.is_unsent() => Some(taken),
             Err(_) => None,
         }
     }
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -1,10 +1,10 @@
 //! Requests to plain services: one server answers each.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use rookferry_core::BackendServer;
+use rookferry_core::ServerKey;
 use rookferry_core::ServingService;
 use slog::warn;
 
@@ -49,7 +49,7 @@
         return Served::Refused(Refusal::NoServer);
     };
     let may_repeat = request.route.repeatability.may_repeat();
-    let mut avoided: Vec<SocketAddr> = Vec::new();
+    let mut avoided: Vec<ServerKey> = Vec::new();
     let mut has_run = 0;
     let mut arrived = 0;
     let mut last_answer = None;
@@ -63,7 +63,7 @@
         let Some(server) = choose(relay, table, service, &avoided) else {
             break;
         };
-        avoided.push(server.addr);
+        avoided.push(server.key);
         match send(relay, &request, service, server).await {
             Tried::Answer(answer) => {
                 has_run += 1;
@@ -73,13 +73,13 @@
                     return answered(relay, &request, server, answer);
                 }
                 note_failed(relay, &request, server, answer.status.as_str());
-                relay.health().failed(server.addr, Instant::now());
+                relay.health().failed(server.key, Instant::now());
                 last_answer = Some((server.clone(), answer));
             }
             Tried::NotRun => {
                 arrived += 1;
                 note_failed(relay, &request, server, "not run");
-                relay.health().failed(server.addr, Instant::now());
+                relay.health().failed(server.key, Instant::now());
             }
             Tried::Failed(UpstreamError::Withdrawn) => {
                 if arrived == 0 {
@@ -92,13 +92,13 @@
             }
             Tried::Failed(error) if error.is_unsent() => {
                 note_failed(relay, &request, server, &error.to_string());
-                relay.server_lost(server.addr, &error.to_string());
+                relay.server_lost(server.key, &error.to_string());
             }
             Tried::Failed(error) => {
                 has_run += 1;
                 arrived += 1;
                 note_failed(relay, &request, server, &error.to_string());
-                relay.health().failed(server.addr, Instant::now());
+                relay.health().failed(server.key, Instant::now());
             }
             Tried::TimeOver => return Served::Refused(Refusal::TimeOver),
         }
@@ -119,18 +119,18 @@
     relay: &Relay,
     table: &'a ServerTable,
     service: &ServingService,
-    avoided: &[SocketAddr],
+    avoided: &[ServerKey],
 ) -> Option<&'a BackendServer> {
     let now = Instant::now();
     let health = relay.health();
     let usable = table.of(&service.name).filter(|server| {
-        !server.is_leaving && !health.is_out(server.addr) && !avoided.contains(&server.addr)
+        !server.is_leaving && !health.is_out(server.key) && !avoided.contains(&server.key)
     });
     let cost = |server: &BackendServer| {
         let is_far = server.domain != relay.settings.domain;
-        f64::from(relay.load_of(server.addr).requests)
+        f64::from(relay.load_of(server.key).requests)
             + if is_far { FAR_COST } else { 0.0 }
-            + health.failing_share(server.addr, now) * FAILING_COST
+            + health.failing_share(server.key, now) * FAILING_COST
     };
     usable.min_by(|left, right| cost(left).total_cmp(&cost(right)))
 }
@@ -142,28 +142,30 @@
     server: &BackendServer,
 ) -> Tried {
     let names = relay.protocol.names();
-    let _load = relay.loads.enter(vec![(server.addr, request.tokens())]);
+    let _load = relay.loads.enter(vec![(server.key, request.tokens())]);
     let outbound = request.to_server(names, &server.id, None);
-    let upstream = relay.upstream(server.addr, service);
+    let upstream = relay.upstream(server.key, service);
     let may_send = || may_send(relay, request, server);
     let exchange = async {
         let answer = relay.pool.send(upstream, outbound, may_send).await?;
         if !answer.is_for(names, &request.attempt) {
-            return Err(UpstreamError::Crossed { addr: server.addr });
+            return Err(UpstreamError::Crossed {
+                addr: server.addr(),
+            });
         }
         if answer.is_not_run(names) {
-            answer.collect(server.addr).await?;
+            answer.collect(server.addr()).await?;
             return Ok(None);
         }
-        answer.collect(server.addr).await.map(Some)
+        answer.collect(server.addr()).await.map(Some)
     };
     match tokio::time::timeout(request.time_left(), exchange).await {
         Ok(Ok(Some(answer))) if is_signed(answer.status, &answer.headers, names) => {
-            relay.server_answered(server.addr);
+            relay.server_answered(server.key);
             Tried::Answer(answer)
         }
         Ok(Ok(Some(_))) => Tried::Failed(UpstreamError::Lost {
-            addr: server.addr,
+            addr: server.addr(),
             message: "a success without the server's signature".to_owned(),
         }),
         Ok(Ok(None)) => Tried::NotRun,
@@ -188,8 +190,8 @@
 }
 
 fn stays(view: &SiteView, server: &BackendServer) -> bool {
-    let known = view.server_at(server.addr);
-    known.is_some_and(|known| known.id == server.id && !known.is_leaving)
+    let known = view.server(server.key);
+    known.is_some_and(|known| !known.is_leaving)
 }
 
 fn answered(
@@ -205,7 +207,7 @@
 fn note_failed(relay: &Relay, request: &CallerRequest, server: &BackendServer, cause: &str) {
     if let Some(log) = relay.events.line(Weight::Notable) {
         warn!(log, "request: a try failed"; "event" => "attempt_failed",
-            "request" => &request.attempt, "server" => &*server.id, "addr" => %server.addr,
+            "request" => &request.attempt, "server" => &*server.id, "addr" => %server.addr(),
             "cause" => cause, "left_ms" => crate::event_log::millis(request.time_left()));
     }
 }
--- a/crates/rookferry_relay/src/pool.rs
+++ b/crates/rookferry_relay/src/pool.rs
@@ -21,6 +21,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use rookferry_core::ServerKey;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 
@@ -60,10 +61,11 @@
     open: Arc<AtomicUsize>,
 }
 
-/// The connections of an instance, by server.
+/// The connections of an instance, by server and start: what is open to a
+/// former process is no way to its successor.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
-    servers: ArcSwap<HashMap<SocketAddr, Arc<ServerPool>>>,
+    servers: ArcSwap<HashMap<ServerKey, Arc<ServerPool>>>,
 }
 
 /// A connection in use by one request.
@@ -94,10 +96,11 @@
     /// A kept connection, or a new one if fewer than `limit` are open.
     pub(crate) async fn checkout(
         &self,
-        addr: SocketAddr,
+        server: ServerKey,
         limit: usize,
     ) -> Result<Connection, ConnectError> {
-        let pool = self.server(addr);
+        let addr = server.addr;
+        let pool = self.server(server);
         while let Some(mut idle) = pool.take_idle() {
             if idle.sender.ready().await.is_ok() {
                 return Ok(Connection {
@@ -124,32 +127,32 @@
 
     /// Drops what is kept for servers that `is_known` doesn't know, and
     /// connections whose time is over.
-    pub(crate) fn tidy(&self, now: Instant, is_known: impl Fn(SocketAddr) -> bool) {
+    pub(crate) fn tidy(&self, now: Instant, is_known: impl Fn(ServerKey) -> bool) {
         let servers = self.servers.load();
         for pool in servers.values() {
             lock(&pool.idle).retain(|idle| idle.use_until > now);
         }
-        if servers.keys().all(|addr| is_known(*addr)) {
+        if servers.keys().all(|server| is_known(*server)) {
             return;
         }
         self.servers.rcu(|servers| {
-            let kept = servers.iter().filter(|(addr, _)| is_known(**addr));
-            kept.map(|(addr, pool)| (*addr, pool.clone()))
+            let kept = servers.iter().filter(|(server, _)| is_known(**server));
+            kept.map(|(server, pool)| (*server, pool.clone()))
                 .collect::<HashMap<_, _>>()
         });
     }
 
-    fn server(&self, addr: SocketAddr) -> Arc<ServerPool> {
-        if let Some(pool) = self.servers.load().get(&addr) {
+    fn server(&self, server: ServerKey) -> Arc<ServerPool> {
+        if let Some(pool) = self.servers.load().get(&server) {
             return pool.clone();
         }
         let fresh = Arc::new(ServerPool::default());
         self.servers.rcu(|servers| {
             let mut servers = HashMap::clone(servers);
-            servers.entry(addr).or_insert_with(|| fresh.clone());
+            servers.entry(server).or_insert_with(|| fresh.clone());
             servers
         });
-        self.servers.load().get(&addr).cloned().unwrap_or(fresh)
+        self.servers.load().get(&server).cloned().unwrap_or(fresh)
     }
 }
 
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -9,6 +9,7 @@
 use http::Request;
 use http::Uri;
 use http_body_util::Full;
+use rookferry_core::ServerKey;
 use slog::warn;
 
 use crate::event_log::Weight;
@@ -43,34 +44,32 @@
 
 /// Whether an engine gives a sign within the bound; marks it lost if not.
 pub(crate) async fn check(relay: &Relay, upstream: Upstream) -> bool {
-    if relay.health().is_out(upstream.addr) {
+    if relay.health().is_out(upstream.server) {
         return false;
     }
-    let request = relay.protocol.report_call().request(upstream.addr);
+    let request = relay.protocol.report_call().request(upstream.server.addr);
     let due = Instant::now() + PROBE_TIMEOUT;
     let asked = relay.pool.call(upstream, request, CALL_TIMEOUT);
     tokio::pin!(asked);
     let answer = tokio::select! {
         answer = &mut asked => answer,
-        () = tokio::time::sleep_until(due.into()) => late(upstream.addr, asked, due).await,
+        () = tokio::time::sleep_until(due.into()) => late(upstream.server.addr, asked, due).await,
     };
     match answer {
         Ok(answer) => {
             let now = Instant::now();
-            relay.signs.of(upstream.addr).note(now);
-            let Some(report) = read_report(relay, upstream.addr, &answer) else {
+            relay.signs.of(upstream.server).note(now);
+            let Some(report) = read_report(relay, upstream.server, &answer) else {
                 return true;
             };
-            relay.signs.note_report(upstream.addr, report.slowdown, now);
-            let holds_layers = holds_listed_layers(relay, upstream.addr, &report);
-            if !holds_layers {
-                relay.server_lost(upstream.addr, "it doesn't hold its layers any more");
-            }
-            holds_layers
+            relay
+                .signs
+                .note_report(upstream.server, report.slowdown, now);
+            is_as_listed(relay, upstream.server, &report)
         }
         Err(error) if error.is_own_limit() => true,
         Err(error) => {
-            relay.server_lost(upstream.addr, &error.to_string());
+            relay.server_lost(upstream.server, &error.to_string());
             false
         }
     }
@@ -78,30 +77,41 @@
 
 /// Asks an engine for a sign because another engine, or another instance, had
 /// trouble with it.
-pub(crate) fn check_soon(relay: &Arc<Relay>, addr: SocketAddr) {
+pub(crate) fn check_soon(relay: &Arc<Relay>, server: ServerKey) {
     let view = relay.view.load();
     let Some(service) = view
-        .service_at(addr)
+        .service_of(server)
         .filter(|service| service.model.is_some())
     else {
         return;
     };
-    if relay.health().is_out(addr) || !relay.signs.begin_asking(addr, ASK_AGAIN, Instant::now()) {
+    if relay.health().is_out(server) || !relay.signs.begin_asking(server, ASK_AGAIN, Instant::now())
+    {
         return;
     }
-    let upstream = relay.upstream(addr, service);
+    let upstream = relay.upstream(server, service);
     let relay = relay.clone();
     tokio::spawn(async move { check(&relay, upstream).await });
 }
 
-/// Whether an engine has the layers that its entry tells of. One that crashed
-/// and came back at its address has none, and its old entry stays for a while.
-fn holds_listed_layers(relay: &Relay, addr: SocketAddr, report: &EngineReport) -> bool {
+/// Whether an engine is the start that its entry tells of, with its layers; it
+/// is out if not. One that crashed and came back at its address has none, and
+/// its old entry stays for a while.
+fn is_as_listed(relay: &Relay, server: ServerKey, report: &EngineReport) -> bool {
     let view = relay.view.load();
-    let Some(listed) = view.server_at(addr).and_then(|server| server.held) else {
+    let Some(entry) = view.server(server) else {
         return true;
     };
-    report.held.is_some_and(|held| held.covers(listed))
+    if !report.is_from(entry) {
+        relay.other_start_answered(server, report);
+        return false;
+    }
+    let is_held = |listed| report.held.is_some_and(|held| held.covers(listed));
+    if !entry.held.is_none_or(is_held) {
+        relay.server_lost(server, "it doesn't hold its layers any more");
+        return false;
+    }
+    true
 }
 
 /// A last look for an answer that was due, but has arrived while this process
@@ -122,62 +132,64 @@
 
 /// Probes servers that are out until they answer again.
 pub(crate) async fn watch_lost(relay: Arc<Relay>) {
-    let mut due: HashMap<SocketAddr, (Instant, Duration)> = HashMap::new();
+    let mut due: HashMap<ServerKey, (Instant, Duration)> = HashMap::new();
     loop {
         tokio::time::sleep(ROUND).await;
         let out = relay.health().out();
-        due.retain(|addr, _| out.contains(addr));
+        due.retain(|server, _| out.contains(server));
         let now = Instant::now();
-        for addr in out {
-            let (at, pause) = due.entry(addr).or_insert((now + FIRST_PAUSE, FIRST_PAUSE));
+        for server in out {
+            let (at, pause) = due
+                .entry(server)
+                .or_insert((now + FIRST_PAUSE, FIRST_PAUSE));
             if *at > now {
                 continue;
             }
             *pause = (*pause * 2).min(LONGEST_PAUSE);
             *at = now + *pause;
-            tokio::spawn(probe_lost(relay.clone(), addr));
+            tokio::spawn(probe_lost(relay.clone(), server));
         }
     }
 }
 
-async fn probe_lost(relay: Arc<Relay>, addr: SocketAddr) {
+async fn probe_lost(relay: Arc<Relay>, server: ServerKey) {
     let view = relay.view.load_full();
-    let Some(service) = view.service_at(addr) else {
+    let Some(service) = view.service_of(server) else {
         return;
     };
     let is_engine = service.model.is_some();
     let request = if is_engine {
-        relay.protocol.report_call().request(addr)
+        relay.protocol.report_call().request(server.addr)
     } else {
-        let Some(request) = health_request(addr, &service.health_path) else {
+        let Some(request) = health_request(server.addr, &service.health_path) else {
             return;
         };
         request
     };
-    let upstream = relay.upstream(addr, service);
+    let upstream = relay.upstream(server, service);
     // Any answer shows that it is there; one that is full answers too.
     match relay.pool.call(upstream, request, PROBE_TIMEOUT * 3).await {
-        Ok(answer) if is_engine && lacks_listed_layers(&relay, addr, &answer) => {}
-        Ok(_) | Err(UpstreamError::Crossed { .. }) => relay.server_answered(addr),
+        Ok(answer) if is_engine && is_other(&relay, server, &answer) => {}
+        Ok(_) | Err(UpstreamError::Crossed { .. }) => relay.server_answered(server),
         // It stays out, and is probed again.
         Err(_) => {}
     }
 }
 
-/// Whether an engine's answer says that it lacks layers that it is listed with.
-fn lacks_listed_layers(relay: &Relay, addr: SocketAddr, answer: &WholeAnswer) -> bool {
-    let report = read_report(relay, addr, answer);
-    report.is_some_and(|report| !holds_listed_layers(relay, addr, &report))
+/// Whether an engine's answer says that it isn't as it is listed.
+fn is_other(relay: &Relay, server: ServerKey, answer: &WholeAnswer) -> bool {
+    let report = read_report(relay, server, answer);
+    report.is_some_and(|report| !is_as_listed(relay, server, &report))
 }
 
 /// An engine's report; one that doesn't read still shows that it is there.
-fn read_report(relay: &Relay, addr: SocketAddr, answer: &WholeAnswer) -> Option<EngineReport> {
+fn read_report(relay: &Relay, server: ServerKey, answer: &WholeAnswer) -> Option<EngineReport> {
     match relay.protocol.read_report(&answer.body) {
         Ok(report) => Some(report),
         Err(error) => {
             if let Some(log) = relay.events.line(Weight::Notable) {
                 warn!(log, "probe: a report doesn't read"; "event" => "report_unreadable",
-                    "server" => %addr, "status" => answer.status.as_u16(), "cause" => %error);
+                    "server" => %server.addr, "status" => answer.status.as_u16(), "cause" => %error);
             }
             None
         }
--- a/crates/rookferry_relay/src/protocol.rs
+++ b/crates/rookferry_relay/src/protocol.rs
@@ -15,7 +15,9 @@
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http_body_util::Full;
+use rookferry_core::BackendServer;
 use rookferry_core::PipelinePath;
+use rookferry_wire::Incarnation;
 use rookferry_wire::LayerRange;
 use snafu::Snafu;
 
@@ -76,6 +78,8 @@
 /// An engine's report on itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineReport {
+    /// When it started, in Unix milliseconds, if it tells.
+    pub incarnation: Option<Incarnation>,
     /// Whether an order is under way.
     pub is_busy: bool,
     /// Orders taken since its start.
@@ -86,6 +90,15 @@
     pub slowdown: f64,
 }
 
+impl EngineReport {
+    /// Whether it is of the start that an entry is of, as far as both tell.
+    #[must_use]
+    pub fn is_from(&self, entry: &BackendServer) -> bool {
+        let starts = self.incarnation.zip(entry.incarnation);
+        starts.is_none_or(|(reported, listed)| reported == listed)
+    }
+}
+
 /// A call to an engine's own interface.
 #[derive(Clone, Debug)]
 pub struct EngineCall {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -24,6 +23,7 @@
 use rookferry_core::PeerTable;
 use rookferry_core::RetryWindow;
 use rookferry_core::ServerHealth;
+use rookferry_core::ServerKey;
 use rookferry_core::ServerLoad;
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
@@ -40,7 +40,9 @@
 use crate::load::LoadTable;
 use crate::mutex::lock;
 use crate::pool::UpstreamPool;
+use crate::protocol::EngineReport;
 use crate::protocol::ServerProtocol;
+use crate::restarts::Restarts;
 use crate::settings::RelaySettings;
 use crate::signs::Signs;
 use crate::store::AsOf;
@@ -71,13 +73,15 @@
     pub(crate) near_instances: AtomicUsize,
     pub(crate) peers: Mutex<PeerTable>,
     /// What other instances have under way at each server.
-    pub(crate) peer_loads: ArcSwap<BTreeMap<SocketAddr, ServerLoad>>,
+    pub(crate) peer_loads: ArcSwap<BTreeMap<ServerKey, ServerLoad>>,
     /// Servers that others of the failure domain have trouble with.
     pub(crate) doubted: ArcSwap<DoubtedServers>,
     /// The store's version that the servers are from.
     pub(crate) servers_version: AtomicU64,
     /// The newest list of servers that a peer gave.
     pub(crate) peer_servers: watch::Sender<Option<AsOf<Vec<BackendServer>>>>,
+    /// Engines that started again before their entries tell of it.
+    pub(crate) restarts: Restarts,
     /// What this instance may send over the link between failure domains.
     pub(crate) link_pace: Mutex<LinkPace>,
     /// Who gets the configuration, and the servers, from this instance.
@@ -125,6 +129,7 @@
             doubted: ArcSwap::default(),
             servers_version: AtomicU64::new(0),
             peer_servers: watch::Sender::new(None),
+            restarts: Restarts::default(),
             link_pace: Mutex::new(LinkPace::new(rand::random())),
             config_source: Mutex::default(),
             servers_source: Mutex::default(),
@@ -216,8 +221,7 @@
 
     /// The version in force.
     pub(crate) fn config_version(&self) -> Option<u64> {
-        let view = self.view.load();
-        view.index.as_ref().map(|index| index.config().version)
+        self.view.load().config_version()
     }
 
     /// Replaces the table of backend servers.
@@ -229,7 +233,7 @@
             index: view.index.clone(),
             servers: Some(servers.clone()),
         });
-        let is_known = |addr| servers.at(addr).is_some();
+        let is_known = |server| servers.get(server).is_some();
         lock(&self.health).retain(is_known);
         self.signs.retain(is_known);
         lock(&self.closed).retain(is_known);
@@ -243,8 +247,9 @@
         let view = self.view.load();
         let mut closed = lock(&self.closed);
         for server in servers.all() {
-            if view.server_at(server.addr) != Some(server) {
-                closed.changed(server.addr);
+            let known = view.server(server.key);
+            if !known.is_some_and(|known| known.says_the_same(server)) {
+                closed.changed(server.key);
             }
         }
     }
@@ -263,29 +268,57 @@
     }
 
     /// A server didn't answer at all: it is out until a probe finds it.
-    pub(crate) fn server_lost(&self, addr: SocketAddr, cause: &str) {
-        if !self.health().lost(addr, Instant::now()) {
+    pub(crate) fn server_lost(&self, server: ServerKey, cause: &str) {
+        if !self.health().lost(server, Instant::now()) {
             return;
         }
         if let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "health: a server doesn't answer"; "event" => "server_lost",
-                "server" => %addr, "cause" => cause);
+                "server" => %server.addr, "cause" => cause);
         }
         self.note_fleet_change();
     }
 
+    /// Another process answers than the one that is listed: what was sent to
+    /// that one is lost. A later start is taken in before its entry shows it.
+    pub(crate) fn other_start_answered(&self, server: ServerKey, report: &EngineReport) {
+        self.server_lost(server, "another start of it answers");
+        let view = self.view.load();
+        let Some(entry) = view.server(server) else {
+            return;
+        };
+        if report.incarnation <= entry.incarnation {
+            return;
+        }
+        let restarted = BackendServer {
+            key: ServerKey::new(server.addr, &entry.id, report.incarnation),
+            incarnation: report.incarnation,
+            writes: 0,
+            is_leaving: false,
+            held: report.held,
+            ..entry.clone()
+        };
+        if self.restarts.push(restarted)
+            && let Some(log) = self.events.line(Weight::Notable)
+        {
+            info!(log, "health: a server has started again"; "event" => "server_restarted",
+                "server" => &*entry.id, "addr" => %server.addr, "source" => "report",
+                "incarnation" => report.incarnation, "before" => entry.incarnation);
+        }
+    }
+
     /// A server answered.
-    pub(crate) fn server_answered(&self, addr: SocketAddr) {
+    pub(crate) fn server_answered(&self, server: ServerKey) {
         let mut health = self.health();
-        let out_since = health.out_since(addr);
-        health.succeeded(addr, Instant::now());
+        let out_since = health.out_since(server);
+        health.succeeded(server, Instant::now());
         drop(health);
         let Some(since) = out_since else {
             return;
         };
         if let Some(log) = self.events.line(Weight::Notable) {
             info!(log, "health: a server answers again"; "event" => "server_regained",
-                "server" => %addr, "away_ms" => millis(since.elapsed()));
+                "server" => %server.addr, "away_ms" => millis(since.elapsed()));
         }
         self.note_fleet_change();
     }
--- a/crates/rookferry_relay/src/signs.rs
+++ b/crates/rookferry_relay/src/signs.rs
@@ -6,7 +6,6 @@
 //! so that one of them asks and not each.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -14,6 +13,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rookferry_core::ServerKey;
+
 use crate::mutex::lock;
 
 /// The last sign of one server, shared by all that see it.
@@ -46,25 +47,25 @@
 #[derive(Debug)]
 pub(crate) struct Signs {
     epoch: Instant,
-    by_addr: Mutex<HashMap<SocketAddr, Seen>>,
+    by_server: Mutex<HashMap<ServerKey, Seen>>,
 }
 
 impl Signs {
     pub(crate) fn new() -> Self {
         Self {
             epoch: Instant::now(),
-            by_addr: Mutex::default(),
+            by_server: Mutex::default(),
         }
     }
 
     /// The sign of a server.
-    pub(crate) fn of(&self, addr: SocketAddr) -> Sign {
-        self.with(addr, |seen| seen.sign.clone())
+    pub(crate) fn of(&self, server: ServerKey) -> Sign {
+        self.with(server, |seen| seen.sign.clone())
     }
 
     /// An engine reported how slow it is, to this instance or another.
-    pub(crate) fn note_report(&self, addr: SocketAddr, slowdown: f64, at: Instant) {
-        self.with(addr, |seen| {
+    pub(crate) fn note_report(&self, server: ServerKey, slowdown: f64, at: Instant) {
+        self.with(server, |seen| {
             if seen.report.is_none_or(|known| known.at < at) {
                 seen.report = Some(Report { slowdown, at });
             }
@@ -72,28 +73,28 @@
     }
 
     /// What an engine last reported, and how long ago, while it counts.
-    pub(crate) fn report(&self, addr: SocketAddr, now: Instant) -> Option<(f64, Duration)> {
-        let known = lock(&self.by_addr).get(&addr)?.report?;
+    pub(crate) fn report(&self, server: ServerKey, now: Instant) -> Option<(f64, Duration)> {
+        let known = lock(&self.by_server).get(&server)?.report?;
         let age = now.saturating_duration_since(known.at);
         (age < REPORT_KEPT).then_some((known.slowdown, age))
     }
 
     /// How many times as long as published an engine's steps take.
-    pub(crate) fn slowdown(&self, addr: SocketAddr, now: Instant) -> f64 {
-        let report = self.report(addr, now);
+    pub(crate) fn slowdown(&self, server: ServerKey, now: Instant) -> f64 {
+        let report = self.report(server, now);
         report.map_or(1.0, |(slowdown, _)| slowdown.max(1.0))
     }
 
     /// How long ago an engine last reported.
-    pub(crate) fn report_age(&self, addr: SocketAddr, now: Instant) -> Duration {
-        let report = self.report(addr, now);
+    pub(crate) fn report_age(&self, server: ServerKey, now: Instant) -> Duration {
+        let report = self.report(server, now);
         report.map_or(Duration::MAX, |(_, age)| age)
     }
 
     /// Whether a server should be asked now: not while an answer to another
     /// stream's question, at most `pause` ago, may still come.
-    pub(crate) fn begin_asking(&self, addr: SocketAddr, pause: Duration, now: Instant) -> bool {
-        self.with(addr, |seen| {
+    pub(crate) fn begin_asking(&self, server: ServerKey, pause: Duration, now: Instant) -> bool {
+        self.with(server, |seen| {
             let is_asked = seen
                 .asked_at
                 .is_some_and(|at| now.saturating_duration_since(at) < pause);
@@ -105,13 +106,13 @@
     }
 
     /// Forgets servers that `is_known` doesn't know.
-    pub(crate) fn retain(&self, is_known: impl Fn(SocketAddr) -> bool) {
-        lock(&self.by_addr).retain(|addr, _| is_known(*addr));
+    pub(crate) fn retain(&self, is_known: impl Fn(ServerKey) -> bool) {
+        lock(&self.by_server).retain(|server, _| is_known(*server));
     }
 
-    fn with<T>(&self, addr: SocketAddr, run: impl FnOnce(&mut Seen) -> T) -> T {
-        let mut by_addr = lock(&self.by_addr);
-        let seen = by_addr.entry(addr).or_insert_with(|| Seen {
+    fn with<T>(&self, server: ServerKey, run: impl FnOnce(&mut Seen) -> T) -> T {
+        let mut by_server = lock(&self.by_server);
+        let seen = by_server.entry(server).or_insert_with(|| Seen {
             sign: Sign {
                 epoch: self.epoch,
                 at_ms: Arc::default(),
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -7,7 +7,6 @@
 //! was delivered, if the route allows it.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +21,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use metrics::counter;
 use metrics::histogram;
+use rookferry_core::ServerKey;
 use slog::info;
 use slog::warn;
 
@@ -45,7 +45,7 @@
     keeper: PathKeeper,
     answer: Box<UpstreamAnswer>,
     splitter: EventSplitter,
-    avoided: Vec<SocketAddr>,
+    avoided: Vec<ServerKey>,
     runs: u32,
     first_event_at: Option<Instant>,
     last_event_at: Instant,
@@ -189,7 +189,7 @@
                     self.resume("the first engine is lost").await;
                 }
                 Step::Broken(cause) => {
-                    let first = self.keeper.path().first().addr;
+                    let first = self.keeper.path().first().server;
                     self.target.relay.health().failed(first, Instant::now());
                     self.avoided.push(first);
                     if !self.resume(&cause).await {
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -138,6 +138,8 @@
     let mut outage = Outage::none("store: servers");
     let mut directory = Directory::new();
     let mut lapses_until: Option<Instant> = None;
+    // The configuration that says which entries are the site's.
+    let mut judged_by: Option<u64> = None;
     let mut from_peers = relay.peer_servers.subscribe();
     loop {
         let wait = if directory.has_missing() {
@@ -149,16 +151,18 @@
             // A store that refuses at once must not keep peers' lists out.
             biased;
             read = next_list(&relay, &mut from_peers) => Ok(read),
+            servers = relay.restarts.next() => Ok(Read::Restarted(servers)),
+            () = other_config(&relay, judged_by), if after.is_some() => Ok(Read::OtherConfig),
             read = read_servers(&relay, after, wait, &mut outage) => read,
         };
         let now = Instant::now();
         let is_changed = match read {
             Ok(read) => {
-                if !read.is_from_peer() && outage.ended(&relay) {
+                if read.is_from_store() && outage.ended(&relay) {
                     lapses_until = Some(now + LAPSES_AFTER);
                 }
                 let may_have_lapsed = lapses_until.is_some_and(|until| now < until);
-                after = Some(read.version().max(after.unwrap_or(0)));
+                after = read.version().max(after);
                 take_in(&relay, &mut directory, read, may_have_lapsed, now)
             }
             Err(StoreError::Forgotten) => {
@@ -176,8 +180,12 @@
         }
         let is_news = is_changed || !expired.is_empty();
         if is_news {
-            let servers = ServerTable::new(directory.servers().cloned());
-            relay.adopt_servers(servers, after.unwrap_or(0));
+            let view = relay.view.load_full();
+            let is_usable = |server: &BackendServer| view.is_usable(server);
+            let unusable = directory.unusable(is_usable).cloned().collect();
+            let table = ServerTable::new(directory.in_use(is_usable), unusable);
+            judged_by = view.config_version();
+            relay.adopt_servers(table, after.unwrap_or(0));
         }
         if is_news {
             // Entries change in bursts; one call brings those that follow.
@@ -205,6 +213,17 @@
     }
 }
 
+/// Waits until another configuration is in force than that of a version.
+async fn other_config(relay: &Relay, version: Option<u64>) {
+    let mut versions = relay.versions.subscribe();
+    while relay.config_version() == version {
+        if versions.changed().await.is_err() {
+            // The sender lives as long as the process.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 async fn read_servers(
     relay: &Relay,
     after: Option<ObjectVersion>,
@@ -235,18 +254,24 @@
     Changes(AsOf<Vec<DirectoryChange>>),
     /// A peer's list.
     Peer(AsOf<Vec<BackendServer>>),
+    /// Nothing new, but another configuration to judge entries by.
+    OtherConfig,
+    /// Servers whose new processes told of themselves.
+    Restarted(Vec<BackendServer>),
 }
 
 impl Read {
-    const fn version(&self) -> ObjectVersion {
+    /// The version of the store that it is from, if it is from there.
+    const fn version(&self) -> Option<ObjectVersion> {
         match self {
-            Self::List(list) | Self::Peer(list) => list.version,
-            Self::Changes(changes) => changes.version,
+            Self::List(list) | Self::Peer(list) => Some(list.version),
+            Self::Changes(changes) => Some(changes.version),
+            Self::Restarted(_) | Self::OtherConfig => None,
         }
     }
 
-    const fn is_from_peer(&self) -> bool {
-        matches!(self, Self::Peer(_))
+    const fn is_from_store(&self) -> bool {
+        matches!(self, Self::List(_) | Self::Changes(_))
     }
 }
 
@@ -267,6 +292,13 @@
             directory.replace(list.value, false, now);
             true
         }
+        Read::OtherConfig => true,
+        Read::Restarted(servers) => {
+            for server in servers {
+                directory.apply(DirectoryChange::Updated(server), now);
+            }
+            true
+        }
         Read::Changes(changes) => {
             let is_changed = !changes.value.is_empty();
             for change in changes.value {
@@ -288,19 +320,24 @@
         DirectoryChange::Removed(id) if may_have_lapsed => directory.lapse(&id, now),
         DirectoryChange::Removed(id) => {
             note_removed(relay, &id, "its entry is gone");
-            directory.apply(DirectoryChange::Removed(id));
+            directory.apply(DirectoryChange::Removed(id), now);
+        }
+        DirectoryChange::Unusable(id) => {
+            note_removed(relay, &id, "its entry doesn't describe a server any more");
+            directory.apply(DirectoryChange::Unusable(id), now);
         }
         DirectoryChange::Updated(server) => {
-            let before = directory.get(&server.id);
-            if before != Some(&server)
+            let before = directory.get(&server.id).cloned();
+            let is_news = directory.apply(DirectoryChange::Updated(server.clone()), now);
+            if before.as_ref() != Some(&server)
                 && let Some(log) = relay.events.line(Weight::Notable)
             {
                 info!(log, "directory: a server's entry changed"; "event" => "server_changed",
-                    "server" => &*server.id, "addr" => %server.addr,
+                    "server" => &*server.id, "addr" => %server.addr(), "incarnation" => server.incarnation,
+                    "in_use" => is_news,
                     "leaving" => server.is_leaving,
                     "layers" => server.held.map(|held| format!("{}-{}", held.start, held.end)));
             }
-            directory.apply(DirectoryChange::Updated(server));
         }
     }
 }
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -14,6 +14,7 @@
 use http_body_util::Limited;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
+use rookferry_core::ServerKey;
 use snafu::Snafu;
 
 use crate::pool::ConnectError;
@@ -83,7 +84,7 @@
 /// Where to send, and how many connections to it may be open.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Upstream {
-    pub(crate) addr: SocketAddr,
+    pub(crate) server: ServerKey,
     pub(crate) max_connections: usize,
 }
 
@@ -98,11 +99,11 @@
         mut request: Request<Full<Bytes>>,
         may_send: impl Fn() -> bool,
     ) -> Result<UpstreamAnswer, UpstreamError> {
-        let addr = upstream.addr;
+        let addr = upstream.server.addr;
         let mut stale = 0;
         loop {
             let mut connection = self
-                .checkout(addr, upstream.max_connections)
+                .checkout(upstream.server, upstream.max_connections)
                 .await
                 .map_err(|source| UpstreamError::NotConnected { source })?;
             if !may_send() {
@@ -147,7 +148,7 @@
         request: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<WholeAnswer, UpstreamError> {
-        let addr = upstream.addr;
+        let addr = upstream.server.addr;
         let whole = async {
             let answer = self.send(upstream, request, || true).await?;
             answer.collect(addr).await
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -7,6 +7,7 @@
 use rookferry_core::BackendServer;
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
+use rookferry_core::ServerKey;
 use rookferry_core::ServingIndex;
 use rookferry_core::ServingService;
 use rookferry_wire::EngineId;
@@ -22,15 +23,39 @@
 }
 
 impl SiteView {
-    /// The server at an address.
-    pub(crate) fn server_at(&self, addr: SocketAddr) -> Option<&BackendServer> {
-        self.servers.as_ref()?.at(addr)
+    /// The version of the configuration in force.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        self.index.as_ref().map(|index| index.config().version)
+    }
+
+    /// A server, if that start of it is in use.
+    pub(crate) fn server(&self, server: ServerKey) -> Option<&BackendServer> {
+        self.servers.as_ref()?.get(server)
     }
 
-    /// The service of the server at an address.
-    pub(crate) fn service_at(&self, addr: SocketAddr) -> Option<&ServingService> {
-        let server = self.server_at(addr)?;
-        self.index.as_ref()?.service(&server.service)
+    /// The start in use at an address.
+    pub(crate) fn server_at(&self, addr: SocketAddr) -> Option<ServerKey> {
+        Some(self.servers.as_ref()?.at(addr)?.key)
+    }
+
+    /// Whether a server is one of the site's: of a service that is configured,
+    /// and with no layers but the model's. All are until there is a
+    /// configuration.
+    pub(crate) fn is_usable(&self, server: &BackendServer) -> bool {
+        let Some(index) = &self.index else {
+            return true;
+        };
+        let Some(service) = index.service(&server.service) else {
+            return false;
+        };
+        let model = service.model.as_ref().zip(server.held);
+        model.is_none_or(|(model, held)| held.end <= model.layers)
+    }
+
+    /// The service of a server.
+    pub(crate) fn service_of(&self, server: ServerKey) -> Option<&ServingService> {
+        let entry = self.server(server)?;
+        self.index.as_ref()?.service(&entry.service)
     }
 }
 
@@ -38,15 +63,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServerTable {
     servers: Vec<BackendServer>,
+    /// Entries that this instance has no use for, to tell others.
+    unusable: Vec<BackendServer>,
     by_service: HashMap<ServiceId, Vec<usize>>,
     by_addr: HashMap<SocketAddr, usize>,
     by_id: HashMap<EngineId, usize>,
 }
 
 impl ServerTable {
-    /// A table of servers.
-    pub(crate) fn new(servers: impl IntoIterator<Item = BackendServer>) -> Self {
-        let servers: Vec<BackendServer> = servers.into_iter().collect();
+    /// A table of servers, one an address, and of entries without use.
+    pub(crate) fn new(servers: Vec<BackendServer>, unusable: Vec<BackendServer>) -> Self {
         let mut by_service: HashMap<ServiceId, Vec<usize>> = HashMap::new();
         let mut by_addr = HashMap::new();
         let mut by_id = HashMap::with_capacity(servers.len());
@@ -56,14 +82,11 @@
                 .or_default()
                 .push(index);
             by_id.insert(server.id.clone(), index);
-            // Of two starts at one address the one that stays is meant.
-            let is_taken = by_addr.contains_key(&server.addr);
-            if !is_taken || !server.is_leaving {
-                by_addr.insert(server.addr, index);
-            }
+            by_addr.insert(server.addr(), index);
         }
         Self {
             servers,
+            unusable,
             by_service,
             by_addr,
             by_id,
@@ -75,6 +98,11 @@
         &self.servers
     }
 
+    /// All servers, and the entries without use here.
+    pub(crate) fn listed(&self) -> impl Iterator<Item = &BackendServer> {
+        self.servers.iter().chain(&self.unusable)
+    }
+
     /// The servers of a service.
     pub(crate) fn of(&self, service: &ServiceId) -> impl Iterator<Item = &BackendServer> {
         let indexes = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
@@ -88,13 +116,18 @@
 
     /// How often a path goes from one failure domain to another.
     pub(crate) fn crossings(&self, path: &PipelinePath) -> usize {
-        let domain = |stage: &PathStage| self.at(stage.addr).map(|server| &server.domain);
+        let domain = |stage: &PathStage| self.get(stage.server).map(|server| &server.domain);
         let pairs = path.stages().windows(2);
         pairs
             .filter(|pair| domain(&pair[0]) != domain(&pair[1]))
             .count()
     }
 
+    /// A server, if that start of it is in use.
+    pub(crate) fn get(&self, server: ServerKey) -> Option<&BackendServer> {
+        self.at(server.addr).filter(|entry| entry.key == server)
+    }
+
     /// The server at an address.
     pub(crate) fn at(&self, addr: SocketAddr) -> Option<&BackendServer> {
         Some(&self.servers[*self.by_addr.get(&addr)?])
