--- a/crates/rookferry_relay/src/path_keeper/mod.rs
+++ b/crates/rookferry_relay/src/path_keeper/mod.rs
@@ -55,6 +55,13 @@
 /// Least age of a report that is asked for again.
 const REPORT_AGAIN: Duration = Duration::from_millis(500);
 
+/// How long a stream whose repair found no room waits until the next; doubles.
+///
+/// Load pattern: a seventh of the engines is lost and the others are full, while
+/// the fleet changes many times a second. With a try at each change, streams
+/// were refused up to 25 times each: 3,008 orders on a day of 41 engines.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
+
 /// The path of a running request.
 pub(crate) struct PathKeeper {
     relay: Arc<Relay>,
@@ -67,6 +74,9 @@
     look_pause: Duration,
     stalled_since: Instant,
     refused: Vec<ServerKey>,
+    /// When the path may be repaired again after a refusal for want of room.
+    repair_at: Instant,
+    repair_pause: Duration,
     repairs: u32,
     /// Whether the path has to be looked through; stays set while a look is
     /// cut off by events that come.
@@ -125,6 +135,8 @@
             look_pause: STALL_AGAIN,
             stalled_since: now,
             refused: Vec::new(),
+            repair_at: now,
+            repair_pause: NO_ROOM_PAUSE,
             repairs: 0,
             must_check: false,
             may_cross: false,
--- a/crates/rookferry_relay/src/path_keeper/repair.rs
+++ b/crates/rookferry_relay/src/path_keeper/repair.rs
@@ -1,5 +1,6 @@
 //! Replaces stages of a running request's path by an order to its first engine.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use rookferry_core::ServerKey;
 use slog::warn;
 
+use super::NO_ROOM_PAUSE;
 use super::PathKeeper;
 use super::STALL_AFTER;
 use super::STALL_AGAIN;
@@ -55,6 +57,9 @@
                     Watched::Fine
                 };
             }
+            if Instant::now() < self.repair_at {
+                return Watched::Fine;
+            }
             let Some((replaced, path)) = self.replacement(&lost, &leaving) else {
                 return Watched::Fine;
             };
@@ -68,6 +73,7 @@
                     self.signs = signs(&self.relay, &path);
                     self.path = path;
                     self.refused.clear();
+                    self.repair_pause = NO_ROOM_PAUSE;
                     self.look_at = Instant::now() + STALL_AGAIN;
                     return Watched::Fine;
                 }
@@ -76,7 +82,12 @@
                     probe::check_soon(&self.relay, engine);
                     self.refused.push(engine);
                 }
-                Moved::Refused(None) | Moved::Unknown | Moved::Failed => return Watched::Fine,
+                Moved::Refused(None) => {
+                    self.repair_at = Instant::now() + self.repair_pause;
+                    self.repair_pause *= 2;
+                    return Watched::Fine;
+                }
+                Moved::Unknown | Moved::Failed => return Watched::Fine,
             }
         }
         Watched::Fine
@@ -145,28 +156,29 @@
         let answer = match answer {
             Ok(answer) => answer,
             Err(error) => {
-                self.note_failed(&error.to_string());
+                self.note_failed(&error.to_string(), None);
                 return Moved::Failed;
             }
         };
         match answer.status {
             status if status.is_success() => Moved::Done,
             StatusCode::NOT_FOUND => {
-                self.note_failed("not running there");
+                self.note_failed("not running there", None);
                 Moved::Unknown
             }
             status => {
-                self.note_failed(status.as_str());
                 let at_fault = protocol.refused_stage(&answer.body);
+                self.note_failed(status.as_str(), at_fault);
                 Moved::Refused(at_fault.and_then(|addr| self.relay.engine_at(addr, path)))
             }
         }
     }
 
-    fn note_failed(&self, cause: &str) {
+    fn note_failed(&self, cause: &str, at_fault: Option<SocketAddr>) {
         if let Some(log) = self.relay.events.line(Weight::Notable) {
             warn!(log, "stream: its path could not be changed"; "event" => "order_failed",
-                "request" => &self.request.attempt, "order" => "repath", "cause" => cause);
+                "request" => &self.request.attempt, "order" => "repath", "cause" => cause,
+                "at_fault" => at_fault.map(|addr| addr.to_string()));
         }
     }
 
