feat(layout): the border to a neighbour moves where next to no room is left

Now its neighbour takes some of the layers as well, and then the wide one gives them up; all are held all the while.

--- a/crates/rookferry_core/src/pipeline/layout/mod.rs
+++ b/crates/rookferry_core/src/pipeline/layout/mod.rs
@@ -16,6 +16,7 @@
 //! is paid for.
 
 mod arrivals;
+mod balance;
 mod census;
 mod draft;
 mod engine;
--- a/crates/rookferry_core/src/pipeline/layout/planner.rs
+++ b/crates/rookferry_core/src/pipeline/layout/planner.rs
@@ -10,6 +10,7 @@
 use super::super::ModelShape;
 use super::LayoutEngine;
 use super::NeededPlacement;
+use super::balance;
 use super::draft::Draft;
 use super::draft::MoveLoss;
 use super::holdings::Holdings;
@@ -274,10 +275,26 @@
     /// Moves one copy to where a lost engine's neighbours were widened until
     /// they had next to no room: a domain that held all layers with room for
     /// ten requests turned away most of its callers.
+    /// Where none can be spared, the border to a neighbour is moved.
     fn relieve(&self, draft: &mut Draft<'_>, holdings: &Holdings<'_>, group: &Group) {
         let Some(tight) = self.tight_layer(holdings, group) else {
             return;
         };
+        if let Some((index, layers)) = self.moved_copy(draft, holdings, group, tight) {
+            draft.order(index, layers, false);
+        } else if let Some((index, layers)) = balance::shift(draft, &group.engines, tight) {
+            draft.order(index, layers, false);
+        }
+    }
+
+    /// A copy that can be spared elsewhere, and its range around a layer.
+    fn moved_copy(
+        &self,
+        draft: &Draft<'_>,
+        holdings: &Holdings<'_>,
+        group: &Group,
+        tight: u16,
+    ) -> Option<(usize, LayerRange)> {
         let before_tokens = holdings.room_tokens(tight);
         let copies = group.engines.iter().copied().filter(|index| {
             let holds_tight = draft.held(*index).is_some_and(|own| own.contains(tight));
@@ -299,14 +316,9 @@
             let [left_ms, right_ms] = [left, right].map(|index| draft.layer_step_ms(*index));
             left_ms.total_cmp(&right_ms).then(left.cmp(right))
         });
-        let Some(index) = best else {
-            return;
-        };
+        let index = best?;
         let share = self.share(draft, index, group.requests);
-        if share > 0 {
-            let layers = self.relieving(holdings, tight, share);
-            draft.order(index, layers, false);
-        }
+        (share > 0).then(|| (index, self.relieving(holdings, tight, share)))
     }
 
     /// The range of a length that an empty engine should hold: where it saves
--- a/crates/rookferry_core/tests/layout.rs
+++ b/crates/rookferry_core/tests/layout.rs
@@ -372,6 +372,69 @@
     assert!(covers(&engines, "a"));
 }
 
+/// The least room of a domain's layers, in tokens, by the holders of each.
+fn least_room(model: &ModelShape, engines: &[LayoutEngine]) -> f64 {
+    let room = |layer: u16| -> f64 {
+        let holders = engines.iter().filter_map(|engine| {
+            let held = engine.held.filter(|held| held.contains(layer))?;
+            let kind = model.kind(&engine.kind)?;
+            Some(model.cache_tokens(kind, held.len()))
+        });
+        holders.sum()
+    };
+    (0..80).map(room).fold(f64::INFINITY, f64::min)
+}
+
+/// Replays what a loss leaves: an engine that was widened to its last room, and
+/// neighbours that came back beside it with plenty.
+#[test]
+fn a_widened_engine_gives_layers_to_its_neighbour() {
+    let model = model();
+    let held = |start, end| Some(LayerRange { start, end });
+    let mut engines = fleet(&[("a", 6, 0, 0)]);
+    let ranges = [
+        held(0, 20),
+        held(20, 32),
+        held(32, 44),
+        held(44, 56),
+        held(56, 68),
+        held(68, 80),
+    ];
+    for (engine, range) in engines.iter_mut().zip(ranges) {
+        engine.held = range;
+    }
+    let before = least_room(&model, &engines);
+    for step in 0..8 {
+        let orders = LayoutPlanner::new(&model).plan(&engines);
+        if orders.is_empty() {
+            break;
+        }
+        // Until an engine has loaded, what it held before is all that counts.
+        let mut loading = engines.clone();
+        for order in &orders {
+            let engine = loading
+                .iter_mut()
+                .find(|engine| engine.engine == order.engine);
+            let engine = engine.expect("a known engine");
+            let kept = engine.held.map(|held| LayerRange {
+                start: held.start.max(order.layers.start),
+                end: held.end.min(order.layers.end),
+            });
+            engine.held = kept;
+            engine.is_busy = true;
+        }
+        assert!(covers(&loading, "a"), "step {step}: {orders:?}");
+        let meanwhile = LayoutPlanner::new(&model).plan(&loading);
+        assert!(meanwhile.is_empty(), "step {step}: {meanwhile:?}");
+        carry_out(&mut engines, &orders);
+        assert_fits(&model, &engines);
+    }
+    let after = least_room(&model, &engines);
+    assert!(after > before * 3.0, "{before} tokens, then {after}");
+    let orders = LayoutPlanner::new(&model).plan(&engines);
+    assert!(orders.is_empty(), "it comes to rest: {orders:?}");
+}
+
 #[test]
 fn a_domain_whose_engines_come_back_one_by_one_is_waited_for() {
     let window = Duration::from_millis(700);
