--- a/crates/rookferry_core/src/serving/directory.rs
+++ b/crates/rookferry_core/src/serving/directory.rs
@@ -69,12 +69,27 @@
     /// was written.
     #[must_use]
     pub fn says_the_same(&self, other: &Self) -> bool {
-        let Self { writes, .. } = other;
-        let writes = *writes;
-        Self {
-            writes,
-            ..self.clone()
-        } == *other
+        let Self {
+            id,
+            service,
+            key,
+            incarnation,
+            writes: _,
+            domain,
+            slots,
+            is_leaving,
+            accelerator,
+            held,
+        } = self;
+        *key == other.key
+            && *held == other.held
+            && *is_leaving == other.is_leaving
+            && *incarnation == other.incarnation
+            && *slots == other.slots
+            && *id == other.id
+            && *service == other.service
+            && *domain == other.domain
+            && *accelerator == other.accelerator
     }
 }
 
--- a/crates/rookferry_relay/src/placement/orders.rs
+++ b/crates/rookferry_relay/src/placement/orders.rs
@@ -176,6 +176,10 @@
         let call = protocol.place_call(placement.layers, Some(report.sequence));
         let request = call.request(server.addr());
         let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
+        // An engine is seldom ordered again, and a kept connection takes some
+        // 25 KB: the one that orders 3,000 engines held 2,820 of them, 79.5 MB,
+        // and others of its kind 6.4 (median at 300 instances).
+        self.relay.pool.close_last(server.key);
         let outcome = match &answer {
             Ok(answer) => answer.status.as_str().to_owned(),
             Err(error) => error.to_string(),
--- a/crates/rookferry_relay/src/pool.rs
+++ b/crates/rookferry_relay/src/pool.rs
@@ -125,6 +125,14 @@
         })
     }
 
+    /// Closes the connection to a server that was last kept, if one is.
+    pub(crate) fn close_last(&self, server: ServerKey) {
+        if let Some(pool) = self.servers.load().get(&server) {
+            // It ends when its sender is dropped.
+            drop(lock(&pool.idle).pop());
+        }
+    }
+
     /// Drops what is kept for servers that `is_known` doesn't know, and
     /// connections whose time is over.
     pub(crate) fn tidy(&self, now: Instant, is_known: impl Fn(ServerKey) -> bool) {
