--- /dev/null
+++ b/crates/rookferry_relay/src/beliefs.rs
@@ -0,0 +1,97 @@
+//! What this instance believes of the servers beside their entries.
+//!
+//! All of it is kept by [`ServerKey`], so a process that starts again begins
+//! with nothing against it. Where sources differ, the later word counts: a sign
+//! of life after a doubt, accepted work after a refusal, a report by its age. An
+//! entry that says something new ends a refusal's effect, and one that goes
+//! takes all that was believed of its server along, so that memory is bounded
+//! by the servers in use.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use arc_swap::ArcSwap;
+use rookferry_core::ClosedServers;
+use rookferry_core::DoubtedServers;
+use rookferry_core::ServerHealth;
+use rookferry_core::ServerKey;
+use rookferry_core::ServerLoad;
+
+use crate::load::LoadTable;
+use crate::mutex::lock;
+use crate::signs::Signs;
+use crate::view::ServerTable;
+
+/// What is believed of servers.
+#[derive(Debug)]
+pub(crate) struct ServerBeliefs {
+    /// What requests met at each.
+    health: Mutex<ServerHealth>,
+    /// Those that take no new work.
+    closed: Mutex<ClosedServers>,
+    /// Those that others of the failure domain have trouble with.
+    doubted: ArcSwap<DoubtedServers>,
+    /// When each last gave a sign, and what it reported.
+    pub(crate) signs: Signs,
+    /// What this instance has under way at each.
+    pub(crate) loads: LoadTable,
+    /// What the others have.
+    peer_loads: ArcSwap<BTreeMap<ServerKey, ServerLoad>>,
+}
+
+impl ServerBeliefs {
+    /// Nothing is believed. `chance`, from 0 to 1, is the instance's own.
+    pub(crate) fn new(chance: f64) -> Self {
+        Self {
+            health: Mutex::new(ServerHealth::new()),
+            closed: Mutex::new(ClosedServers::new(chance)),
+            doubted: ArcSwap::default(),
+            signs: Signs::new(),
+            loads: LoadTable::default(),
+            peer_loads: ArcSwap::default(),
+        }
+    }
+
+    pub(crate) fn health(&self) -> MutexGuard<'_, ServerHealth> {
+        lock(&self.health)
+    }
+
+    pub(crate) fn closed(&self) -> MutexGuard<'_, ClosedServers> {
+        lock(&self.closed)
+    }
+
+    pub(crate) fn doubted(&self) -> Arc<DoubtedServers> {
+        self.doubted.load_full()
+    }
+
+    /// What other instances have under way at a server.
+    pub(crate) fn peer_load(&self, server: ServerKey) -> ServerLoad {
+        let loads = self.peer_loads.load();
+        loads.get(&server).copied().unwrap_or_default()
+    }
+
+    /// Takes the others' word in, as last summed.
+    pub(crate) fn hear(&self, loads: BTreeMap<ServerKey, ServerLoad>, doubted: DoubtedServers) {
+        self.peer_loads.store(Arc::new(loads));
+        self.doubted.store(Arc::new(doubted));
+    }
+
+    /// The list of servers changed: forgets refusals of those whose entries say
+    /// something new, and all of those that aren't in it.
+    pub(crate) fn adopt(&self, before: Option<&ServerTable>, servers: &ServerTable) {
+        let mut closed = self.closed();
+        for server in servers.all() {
+            let known = before.and_then(|before| before.get(server.key));
+            if !known.is_some_and(|known| known.says_the_same(server)) {
+                closed.changed(server.key);
+            }
+        }
+        let is_known = |server| servers.get(server).is_some();
+        closed.retain(is_known);
+        drop(closed);
+        self.health().retain(is_known);
+        self.signs.retain(is_known);
+    }
+}
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -21,7 +21,6 @@
 use slog::warn;
 
 use crate::event_log::Weight;
-use crate::mutex::lock;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 use crate::view::ServerTable;
@@ -57,7 +56,7 @@
         let entry = view.server(server);
         let room_tokens = entry.map_or(0.0, |entry| published_tokens(entry, model));
         let (was_closed, is_closed) = {
-            let mut closed = lock(&self.closed);
+            let mut closed = self.beliefs.closed();
             let was_closed = closed.is_closed(server, now);
             (
                 was_closed,
@@ -65,7 +64,7 @@
             )
         };
         if !is_closed {
-            self.health().had_no_room(server, used_tokens, now);
+            self.beliefs.health().had_no_room(server, used_tokens, now);
         } else if !was_closed && let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "health: a server takes no new work"; "event" => "server_closed",
                 "server" => %server.addr, "source" => "own", "used_tokens" => used_tokens,
@@ -86,7 +85,7 @@
 
     /// Engines began a request's work.
     pub(crate) fn engines_accepted(&self, stages: &[PathStage], now: Instant) {
-        let mut closed = lock(&self.closed);
+        let mut closed = self.beliefs.closed();
         for stage in stages {
             closed.accepted(stage.server, now);
         }
@@ -100,9 +99,9 @@
         model: &ModelShape,
     ) -> Vec<PipelineEngine> {
         let now = Instant::now();
-        let health = self.health();
-        let closed = lock(&self.closed);
-        let doubted = self.doubted.load();
+        let health = self.beliefs.health();
+        let closed = self.beliefs.closed();
+        let doubted = self.beliefs.doubted();
         let usable = table
             .of(&service.name)
             .filter(|server| !server.is_leaving && !health.is_out(server.key));
@@ -124,7 +123,7 @@
         if doubted.since(server).is_none() {
             return false;
         }
-        let sign_at = now.checked_sub(self.signs.of(server).age(now));
+        let sign_at = now.checked_sub(self.beliefs.signs.of(server).age(now));
         doubted.is_left_alone(server, sign_at)
     }
 
@@ -132,7 +131,7 @@
     /// others doubt.
     pub(crate) fn doubted_use(&self, server: ServerKey, rank: usize) -> DoubtedUse {
         DoubtedUse {
-            has_work: self.loads.of(server).requests > 0,
+            has_work: self.beliefs.loads.of(server).requests > 0,
             plans_layers: self.holds_lease.load(Ordering::Relaxed),
             rank,
         }
@@ -155,7 +154,7 @@
             server: server.key,
             domain: server.domain.clone(),
             held,
-            layer_step_ms: model.layer_step_ms(kind) * self.signs.slowdown(server.key, now),
+            layer_step_ms: model.layer_step_ms(kind) * self.beliefs.signs.slowdown(server.key, now),
             cache_tokens: health.room_tokens(server.key, published_tokens(server, model), now),
             used_tokens: self.load_of(server.key).tokens,
             is_closed: false,
@@ -169,10 +168,9 @@
     /// 224 requests let in where 150 fit. Meanwhile the others count as if each
     /// had as much under way as this one.
     pub(crate) fn load_of(&self, server: ServerKey) -> ServerLoad {
-        let own = self.loads.of(server);
-        let others = self.peer_loads.load();
+        let own = self.beliefs.loads.of(server);
         let mut load = own;
-        load += others.get(&server).copied().unwrap_or_default();
+        load += self.beliefs.peer_load(server);
         if self.age() >= HEARD_AFTER {
             return load;
         }
@@ -202,7 +200,7 @@
 
     /// What is known of a stage of a path in use.
     pub(crate) fn stage_state(&self, table: &ServerTable, stage: &PathStage) -> StageState {
-        if self.health().is_out(stage.server) {
+        if self.beliefs.health().is_out(stage.server) {
             return StageState::Lost;
         }
         // One that has started again has nothing of the request.
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod beliefs;
 mod counted_store;
 mod door;
 mod engines;
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -134,7 +134,11 @@
                         return Ok((answer, keeper));
                     }
                     self.note_failed(&keeper.describe(), answer.status.as_str());
-                    self.target.relay.health().failed(first, Instant::now());
+                    self.target
+                        .relay
+                        .beliefs
+                        .health()
+                        .failed(first, Instant::now());
                     let is_final = !(answer.status.is_server_error() && may_repeat)
                         || self.runs >= self.target.request.route.max_servers.max(1);
                     if is_final {
@@ -168,6 +172,7 @@
                     self.note_failed(&keeper.describe(), &error.to_string());
                     self.target
                         .relay
+                        .beliefs
                         .health()
                         .turned_away(first, Instant::now());
                     self.avoided.push(first);
@@ -181,7 +186,11 @@
                     self.arrived += 1;
                     self.runs += 1;
                     self.note_failed(&keeper.describe(), &error.to_string());
-                    self.target.relay.health().failed(first, Instant::now());
+                    self.target
+                        .relay
+                        .beliefs
+                        .health()
+                        .failed(first, Instant::now());
                     self.avoided.push(first);
                     if !may_repeat || self.runs >= self.target.request.route.max_servers.max(1) {
                         break;
--- a/crates/rookferry_relay/src/path_keeper/mod.rs
+++ b/crates/rookferry_relay/src/path_keeper/mod.rs
@@ -221,7 +221,7 @@
         let stalled = self.stalled_since.elapsed();
         let now = Instant::now();
         let silent = self.path.stages().iter().zip(&self.signs);
-        let signs = &self.relay.signs;
+        let signs = &self.relay.beliefs.signs;
         let silent_after = match self.progress {
             Progress::Waiting => SILENT_BEFORE_FIRST,
             Progress::Running | Progress::Hung => SILENT_AFTER,
@@ -296,10 +296,12 @@
         .stages()
         .iter()
         .map(|stage| (stage.server, request.tokens() * part(stage)));
-    relay.loads.enter(parts.collect())
+    relay.beliefs.loads.enter(parts.collect())
 }
 
 fn signs(relay: &Relay, path: &PipelinePath) -> Vec<Sign> {
     let stages = path.stages().iter();
-    stages.map(|stage| relay.signs.of(stage.server)).collect()
+    stages
+        .map(|stage| relay.beliefs.signs.of(stage.server))
+        .collect()
 }
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -75,9 +75,9 @@
             let age_ms = self.relay.config_age_ms(version, now)?;
             Some(ConfigState { version, age_ms })
         });
-        let mut out = self.relay.health().out();
+        let mut out = self.relay.beliefs.health().out();
         out.truncate(MAX_OUT);
-        let mut closed = lock(&self.relay.closed).seen(now);
+        let mut closed = self.relay.beliefs.closed().seen(now);
         closed.truncate(MAX_OUT);
         let (members, instances, is_joining) = {
             let table = lock(&self.relay.peers);
@@ -93,7 +93,7 @@
             config,
             servers_version: self.relay.servers_version.load(Ordering::Relaxed),
             holder: self.holder(now),
-            loads: self.load_entries(self.relay.loads.snapshot(), now),
+            loads: self.load_entries(self.relay.beliefs.loads.snapshot(), now),
             domain_loads: None,
             out,
             closed,
@@ -118,7 +118,7 @@
     /// What the domain has under way, this instance included, as heard here.
     pub(super) fn domain_sums(&self, now: Instant) -> DomainSums {
         let mut loads = lock(&self.relay.peers).near_loads(now);
-        for (server, own) in self.relay.loads.snapshot() {
+        for (server, own) in self.relay.beliefs.loads.snapshot() {
             *loads.entry(server).or_default() += own;
         }
         let entries = self.load_entries(loads, now);
@@ -142,7 +142,7 @@
     }
 
     fn load_entry(&self, server: ServerKey, load: ServerLoad, now: Instant) -> LoadEntry {
-        let signs = &self.relay.signs;
+        let signs = &self.relay.beliefs.signs;
         let report = signs.report(server, now);
         let seen = LoadEntry {
             server,
--- a/crates/rookferry_relay/src/peers/intake.rs
+++ b/crates/rookferry_relay/src/peers/intake.rs
@@ -65,7 +65,7 @@
     /// Another instance has trouble with servers.
     fn take_doubts(&self, servers: &[ServerKey], beat: &Heartbeat, now: Instant) {
         let rank = self.relay.rank(now);
-        let doubted = self.relay.doubted.load();
+        let doubted = self.relay.beliefs.doubted();
         for server in servers.iter().copied() {
             let is_asking = self.relay.doubted_use(server, rank).is_asking();
             // Told once while several doubt it: a cut has each of a domain doubt
@@ -88,14 +88,13 @@
             let peers = lock(&self.relay.peers);
             (peers.loads(now), peers.doubted(now))
         };
-        self.relay.peer_loads.store(Arc::new(loads));
-        self.relay.doubted.store(Arc::new(doubted));
+        self.relay.beliefs.hear(loads, doubted);
         self.relay.door.note_change();
     }
 
     /// Takes in what a peer saw of the servers that it uses.
     fn take_signs(&self, loads: &[LoadEntry], now: Instant) {
-        let signs = &self.relay.signs;
+        let signs = &self.relay.beliefs.signs;
         let before = |age_ms| now.checked_sub(Duration::from_millis(age_ms));
         let view = self.relay.view.load();
         // A start that isn't known here is told of again with the next round.
@@ -117,7 +116,7 @@
     /// Takes in which servers refused work that they had room for.
     fn take_closed(&self, beat: &Heartbeat, now: Instant) {
         let news: Vec<&ClosedSeen> = {
-            let mut closed = lock(&self.relay.closed);
+            let mut closed = self.relay.beliefs.closed();
             let view = self.relay.view.load();
             let told = beat.closed.iter();
             let known = told.filter(|seen| view.server(seen.server).is_some());
--- a/crates/rookferry_relay/src/placement/census.rs
+++ b/crates/rookferry_relay/src/placement/census.rs
@@ -64,7 +64,7 @@
             .of(&service.name)
             .filter(|server| !server.is_leaving)
             .collect();
-        let health = self.relay.health();
+        let health = self.relay.beliefs.health();
         let is_lost = |server| {
             let since = health.out_since(server);
             since.is_some_and(|since| now.saturating_duration_since(since) >= LOST_AFTER)
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -73,13 +73,13 @@
                     return answered(relay, &request, server, answer);
                 }
                 note_failed(relay, &request, server, answer.status.as_str());
-                relay.health().failed(server.key, Instant::now());
+                relay.beliefs.health().failed(server.key, Instant::now());
                 last_answer = Some((server.clone(), answer));
             }
             Tried::NotRun => {
                 arrived += 1;
                 note_failed(relay, &request, server, "not run");
-                relay.health().failed(server.key, Instant::now());
+                relay.beliefs.health().failed(server.key, Instant::now());
             }
             Tried::Failed(UpstreamError::Withdrawn) => {
                 if arrived == 0 {
@@ -98,7 +98,7 @@
                 has_run += 1;
                 arrived += 1;
                 note_failed(relay, &request, server, &error.to_string());
-                relay.health().failed(server.key, Instant::now());
+                relay.beliefs.health().failed(server.key, Instant::now());
             }
             Tried::TimeOver => return Served::Refused(Refusal::TimeOver),
         }
@@ -122,7 +122,7 @@
     avoided: &[ServerKey],
 ) -> Option<&'a BackendServer> {
     let now = Instant::now();
-    let health = relay.health();
+    let health = relay.beliefs.health();
     let usable = table.of(&service.name).filter(|server| {
         !server.is_leaving && !health.is_out(server.key) && !avoided.contains(&server.key)
     });
@@ -142,7 +142,10 @@
     server: &BackendServer,
 ) -> Tried {
     let names = relay.protocol.names();
-    let _load = relay.loads.enter(vec![(server.key, request.tokens())]);
+    let _load = relay
+        .beliefs
+        .loads
+        .enter(vec![(server.key, request.tokens())]);
     let outbound = request.to_server(names, &server.id, None);
     let upstream = relay.upstream(server.key, service);
     let may_send = || may_send(relay, request, server);
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -44,7 +44,7 @@
 
 /// Whether an engine gives a sign within the bound; marks it lost if not.
 pub(crate) async fn check(relay: &Relay, upstream: Upstream) -> bool {
-    if relay.health().is_out(upstream.server) {
+    if relay.beliefs.health().is_out(upstream.server) {
         return false;
     }
     let request = relay.protocol.report_call().request(upstream.server.addr);
@@ -58,11 +58,12 @@
     match answer {
         Ok(answer) => {
             let now = Instant::now();
-            relay.signs.of(upstream.server).note(now);
+            relay.beliefs.signs.of(upstream.server).note(now);
             let Some(report) = read_report(relay, upstream.server, &answer) else {
                 return true;
             };
             relay
+                .beliefs
                 .signs
                 .note_report(upstream.server, report.slowdown, now);
             is_as_listed(relay, upstream.server, &report)
@@ -85,7 +86,11 @@
     else {
         return;
     };
-    if relay.health().is_out(server) || !relay.signs.begin_asking(server, ASK_AGAIN, Instant::now())
+    if relay.beliefs.health().is_out(server)
+        || !relay
+            .beliefs
+            .signs
+            .begin_asking(server, ASK_AGAIN, Instant::now())
     {
         return;
     }
@@ -135,7 +140,7 @@
     let mut due: HashMap<ServerKey, (Instant, Duration)> = HashMap::new();
     loop {
         tokio::time::sleep(ROUND).await;
-        let out = relay.health().out();
+        let out = relay.beliefs.health().out();
         due.retain(|server, _| out.contains(server));
         let now = Instant::now();
         for server in out {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -1,10 +1,8 @@
 //! What the parts of an instance share.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -16,15 +14,11 @@
 use arc_swap::ArcSwap;
 use rookferry_core::BackendServer;
 use rookferry_core::BodySource;
-use rookferry_core::ClosedServers;
 use rookferry_core::ConfigAge;
-use rookferry_core::DoubtedServers;
 use rookferry_core::LinkPace;
 use rookferry_core::PeerTable;
 use rookferry_core::RetryWindow;
-use rookferry_core::ServerHealth;
 use rookferry_core::ServerKey;
-use rookferry_core::ServerLoad;
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
 use rookferry_wire::ObjectVersion;
@@ -33,18 +27,17 @@
 use slog::warn;
 use tokio::sync::watch;
 
+use crate::beliefs::ServerBeliefs;
 use crate::door::Door;
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
-use crate::load::LoadTable;
 use crate::mutex::lock;
 use crate::pool::UpstreamPool;
 use crate::protocol::EngineReport;
 use crate::protocol::ServerProtocol;
 use crate::restarts::Restarts;
 use crate::settings::RelaySettings;
-use crate::signs::Signs;
 use crate::store::AsOf;
 use crate::store::SiteStore;
 use crate::view::ServerTable;
@@ -57,10 +50,8 @@
     pub(crate) store: Arc<dyn SiteStore>,
     pub(crate) pool: UpstreamPool,
     pub(crate) view: ArcSwap<SiteView>,
-    pub(crate) loads: LoadTable,
-    pub(crate) signs: Signs,
-    /// Servers that take no new work.
-    pub(crate) closed: Mutex<ClosedServers>,
+    /// What is believed of the servers.
+    pub(crate) beliefs: ServerBeliefs,
     pub(crate) door: Arc<Door>,
     pub(crate) events: EventLog,
     /// Raised whenever paths may have to be looked at again.
@@ -72,10 +63,6 @@
     /// Those of them in the same failure domain.
     pub(crate) near_instances: AtomicUsize,
     pub(crate) peers: Mutex<PeerTable>,
-    /// What other instances have under way at each server.
-    pub(crate) peer_loads: ArcSwap<BTreeMap<ServerKey, ServerLoad>>,
-    /// Servers that others of the failure domain have trouble with.
-    pub(crate) doubted: ArcSwap<DoubtedServers>,
     /// The store's version that the servers are from.
     pub(crate) servers_version: AtomicU64,
     /// The newest list of servers that a peer gave.
@@ -97,7 +84,6 @@
     pub(crate) started_at: Instant,
     leaving_since: OnceLock<Instant>,
     pub(crate) config_age: Mutex<ConfigAge>,
-    health: Mutex<ServerHealth>,
     pub(crate) retries: Mutex<HashMap<ServiceId, RetryWindow>>,
 }
 
@@ -115,9 +101,7 @@
             store,
             pool: UpstreamPool::new(),
             view: ArcSwap::default(),
-            loads: LoadTable::default(),
-            signs: Signs::new(),
-            closed: Mutex::new(ClosedServers::new(rand::random())),
+            beliefs: ServerBeliefs::new(rand::random()),
             door: Arc::new(Door::new()),
             events,
             fleet_changes: watch::Sender::new(0),
@@ -125,8 +109,6 @@
             instances: AtomicUsize::new(1),
             near_instances: AtomicUsize::new(1),
             peers: Mutex::new(peers),
-            peer_loads: ArcSwap::default(),
-            doubted: ArcSwap::default(),
             servers_version: AtomicU64::new(0),
             peer_servers: watch::Sender::new(None),
             restarts: Restarts::default(),
@@ -139,7 +121,6 @@
             started_at: Instant::now(),
             leaving_since: OnceLock::new(),
             config_age: Mutex::new(ConfigAge::new()),
-            health: Mutex::new(ServerHealth::new()),
             retries: Mutex::new(HashMap::new()),
         }
     }
@@ -228,32 +209,18 @@
     pub(crate) fn adopt_servers(&self, servers: ServerTable, version: ObjectVersion) {
         self.servers_version.store(version, Ordering::Relaxed);
         let servers = Arc::new(servers);
-        self.reopen_changed(&servers);
+        self.beliefs
+            .adopt(self.view.load().servers.as_deref(), &servers);
         self.update_view(|view| SiteView {
             index: view.index.clone(),
             servers: Some(servers.clone()),
         });
         let is_known = |server| servers.get(server).is_some();
-        lock(&self.health).retain(is_known);
-        self.signs.retain(is_known);
-        lock(&self.closed).retain(is_known);
         self.pool.tidy(Instant::now(), is_known);
         self.note_fleet_change();
         self.versions.send_modify(|changes| *changes += 1);
     }
 
-    /// Forgets refusals of servers whose entries differ from the ones in force.
-    fn reopen_changed(&self, servers: &ServerTable) {
-        let view = self.view.load();
-        let mut closed = lock(&self.closed);
-        for server in servers.all() {
-            let known = view.server(server.key);
-            if !known.is_some_and(|known| known.says_the_same(server)) {
-                closed.changed(server.key);
-            }
-        }
-    }
-
     fn update_view(&self, update: impl Fn(&SiteView) -> SiteView) {
         self.view.rcu(|view| Arc::new(update(view)));
     }
@@ -263,13 +230,9 @@
         self.fleet_changes.send_modify(|changes| *changes += 1);
     }
 
-    pub(crate) fn health(&self) -> MutexGuard<'_, ServerHealth> {
-        lock(&self.health)
-    }
-
     /// A server didn't answer at all: it is out until a probe finds it.
     pub(crate) fn server_lost(&self, server: ServerKey, cause: &str) {
-        if !self.health().lost(server, Instant::now()) {
+        if !self.beliefs.health().lost(server, Instant::now()) {
             return;
         }
         if let Some(log) = self.events.line(Weight::Notable) {
@@ -309,7 +272,7 @@
 
     /// A server answered.
     pub(crate) fn server_answered(&self, server: ServerKey) {
-        let mut health = self.health();
+        let mut health = self.beliefs.health();
         let out_since = health.out_since(server);
         health.succeeded(server, Instant::now());
         drop(health);
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -190,7 +190,11 @@
                 }
                 Step::Broken(cause) => {
                     let first = self.keeper.path().first().server;
-                    self.target.relay.health().failed(first, Instant::now());
+                    self.target
+                        .relay
+                        .beliefs
+                        .health()
+                        .failed(first, Instant::now());
                     self.avoided.push(first);
                     if !self.resume(&cause).await {
                         return Some(self.cut(&cause));
