fix(peers): what others may have let in is bounded by what they had

After a start of all, heads are late and each request let in counted 99 times, so that idle engines looked full. Others now count for at most half as much again as they were told to have.

--- a/crates/rookferry_core/src/peers/load.rs
+++ b/crates/rookferry_core/src/peers/load.rs
@@ -27,6 +27,28 @@
             tokens: self.tokens * instances as f64,
         }
     }
+
+    /// A part of it; requests are rounded up.
+    #[must_use]
+    pub(super) fn part(self, part: f64) -> Self {
+        Self {
+            requests: whole((f64::from(self.requests) * part).ceil()),
+            tokens: self.tokens * part,
+        }
+    }
+
+    /// This, or another load where that is less.
+    #[must_use]
+    pub(super) const fn at_most(self, most: Self) -> Self {
+        Self {
+            requests: if self.requests < most.requests {
+                self.requests
+            } else {
+                most.requests
+            },
+            tokens: self.tokens.min(most.tokens),
+        }
+    }
 }
 
 impl AddAssign for ServerLoad {
--- a/crates/rookferry_core/src/peers/sums.rs
+++ b/crates/rookferry_core/src/peers/sums.rs
@@ -19,6 +19,10 @@
 /// The age from which a head's sums say nothing of what the others do now: one
 /// of its rounds, and half of one for a late datagram.
 const BLIND_AFTER: Duration = Duration::from_millis(350);
+/// The most that others are taken to have let in since, as a part of what they
+/// had: an engine with little under way is no reason to turn anybody away while
+/// heads are late, as after a start of all.
+const MOST_GROWTH: f64 = 0.5;
 /// How long another domain's loads count after its speaker was last heard;
 /// covers the change from one speaker to the next, and a turn through all of
 /// the members of other domains on a site of hundreds.
@@ -82,7 +86,9 @@
         let instances = usize::try_from(instances).unwrap_or(usize::MAX);
         for (server, own) in &self.own_loads {
             let before = self.own_at_sums.get(server).copied().unwrap_or_default();
-            *loads.entry(*server).or_default() += (*own - before).times(instances);
+            let alike = (*own - before).times(instances);
+            let told = loads.entry(*server).or_default();
+            *told += alike.at_most(told.part(MOST_GROWTH));
         }
     }
 
--- a/crates/rookferry_core/tests/peers.rs
+++ b/crates/rookferry_core/tests/peers.rs
@@ -189,6 +189,27 @@
     assert_eq!(of.is_asking(), is_asking);
 }
 
+/// Replays a start of all instances, whose heads are late: what is told is old,
+/// and an engine that hardly anybody uses stays in use.
+#[test]
+fn an_engine_with_little_under_way_stays_in_use_while_heads_are_late() {
+    let mut site = Site::start(1, 40, 3);
+    site.run_for(4_000);
+    let last = site.instances.len() - 1;
+    let now = site.now();
+    let table = &mut site.instances[last].table;
+    let told = table.loads(now)[&engine_key(0)].requests;
+    // It has let in some of its own since; the heads fall silent.
+    let own = peer_site::entry(0, 1_000);
+    table.tell_own(&[own]);
+    let late = table.loads(now + Duration::from_millis(900));
+    let late = late[&engine_key(0)].requests;
+    assert!(
+        told < late && late <= told + told.div_ceil(2),
+        "{told}, then {late}"
+    );
+}
+
 #[test]
 fn the_sums_go_on_when_both_heads_end() {
     let mut site = Site::start(2, 60, 4);
