test(core): a sound request that many send is held beside one at fault (red)

Cause: that a request ended well is kept only of one under which servers ended already, so three ends with no run that finishes between hold it for ten minutes.

--- a/crates/rookferry_core/tests/quarantine.rs
+++ b/crates/rookferry_core/tests/quarantine.rs
@@ -223,3 +223,47 @@
     let text = serde_json::to_string(&QuarantineObject::default().with(many, unix(0)));
     assert!(text.expect("JSON").len() < 20_000);
 }
+
+/// Many callers sent a sound request in the same words. Three servers ended,
+/// each with runs of it under way and none of them finished between, so it was
+/// held for ten minutes, though it had ended well a moment before the first end:
+/// 908 refusals of a sound request in 20 seconds.
+#[test]
+fn a_request_that_ended_well_lately_is_held_only_after_more_servers() {
+    let mut quarantine = Quarantine::new();
+    let start = Instant::now();
+    quarantine.note_finished(signature(1), start);
+    end_begun(&mut quarantine, signature(1), 4, start + SECOND);
+    assert!(!is_held(&quarantine, signature(1), start + SECOND));
+    // It may have come to end servers since.
+    end_begun(&mut quarantine, signature(1), 5, start + 2 * SECOND);
+    assert!(is_held(&quarantine, signature(1), start + 2 * SECOND));
+}
+
+#[test]
+fn that_a_request_ended_well_long_ago_says_nothing() {
+    let mut quarantine = Quarantine::new();
+    let start = Instant::now();
+    quarantine.note_finished(signature(1), start);
+    end_begun(&mut quarantine, signature(1), 3, start + 11 * MINUTE);
+    assert!(is_held(&quarantine, signature(1), start + 11 * MINUTE));
+}
+
+#[test]
+fn an_instance_that_saw_a_request_end_well_tells_those_that_hold_it() {
+    let (mut one, mut other) = (Quarantine::new(), Quarantine::new());
+    let start = Instant::now();
+    other.note_finished(signature(1), start);
+    let now = start + SECOND;
+    end_begun(&mut one, signature(1), 3, now);
+    assert!(is_held(&one, signature(1), now));
+    for seen in one.next_told(ALL, now) {
+        assert_eq!(other.learn(&seen, now), QuarantineChange::None);
+    }
+    assert!(!is_held(&other, signature(1), now));
+    let told = other.next_told(ALL, now);
+    let changes: Vec<_> = told.iter().map(|seen| one.learn(seen, now)).collect();
+    assert_eq!(changes, [QuarantineChange::Released]);
+    // The ends still count towards more.
+    assert_eq!(one.ends(signature(1)), 3);
+}
