fix(core): a request that ended well lately takes more servers' ends to be held

Cause: that a run had ended well was kept only of requests under which servers had ended before, so a sound request that many callers send was held for ten minutes by three ends with no run that finished between. Ruled out: a longer time between ends, which would let one at fault end more.

--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -16,6 +16,7 @@
 mod closed;
 mod config;
 mod directory;
+mod finished_requests;
 mod health;
 mod link_pace;
 mod overload;
--- a/crates/rookferry_core/src/serving/quarantine.rs
+++ b/crates/rookferry_core/src/serving/quarantine.rs
@@ -21,6 +21,7 @@
 
 use super::RequestSignature;
 use super::ServerKey;
+use super::finished_requests::FinishedRequests;
 use crate::millis::millis;
 
 /// What an end says against a request that had just begun on the server, and
@@ -31,6 +32,10 @@
 /// begun, or five that ended later. One attempt meets two ends and its caller's
 /// retry two more, so that one that was beside others each time is still run.
 const HELD_POINTS: u32 = 5;
+/// The same for a request that ended well within [`HELD_FOR`] before: five
+/// servers that ended as it had begun. One at fault has no run that ends well, so
+/// it is most likely beside one, as those are that many callers send.
+const HELD_POINTS_AFTER_FINISH: u32 = 10;
 /// How long a request is held after the last end under it: an end then costs
 /// one server a restart of seconds each ten minutes, and a mended one is served.
 pub(super) const HELD_FOR: Duration = Duration::from_mins(10);
@@ -140,6 +145,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     records: HashMap<RequestSignature, Record>,
+    /// Those that ended well lately.
+    finished: FinishedRequests,
     /// The held request that was last told without being news.
     last_told: Option<RequestSignature>,
 }
@@ -163,6 +170,12 @@
         self.records.len()
     }
 
+    /// Of how many requests it is kept that they ended well.
+    #[must_use]
+    pub fn finished_len(&self) -> usize {
+        self.finished.len()
+    }
+
     /// A server ended under a request.
     pub fn note_end(
         &mut self,
@@ -179,8 +192,9 @@
         self.update(signature, now, |record| record.add(end))
     }
 
-    /// A run of a request ended well. Nothing is kept of one without ends.
+    /// A run of a request ended well.
     pub fn note_finished(&mut self, signature: RequestSignature, now: Instant) -> QuarantineChange {
+        self.finished.note(signature, now);
         if !self.records.contains_key(&signature) {
             return QuarantineChange::None;
         }
@@ -229,12 +243,11 @@
         record.map_or(0, |record| record.ends.len())
     }
 
-    /// Whether a request is known to have ended well since servers ended under
-    /// it.
+    /// Whether a request is known to have ended well, and isn't held.
     #[must_use]
     pub fn is_cleared(&self, signature: RequestSignature) -> bool {
         let record = self.records.get(&signature);
-        record.is_some_and(Record::is_cleared)
+        record.is_some_and(|record| record.finished_at.is_some() && record.held_at.is_none())
     }
 
     /// The requests that are held.
@@ -300,12 +313,12 @@
         change: impl FnOnce(&mut Record) -> bool,
     ) -> QuarantineChange {
         self.make_room(signature, now);
-        let record = self.records.entry(signature).or_insert(Record::new(now));
+        let finished_at = self.finished.last(signature);
+        let record = self.records.entry(signature);
+        let record = record.or_insert_with(|| Record::new(finished_at, now));
         let was_held = record.held_for(now).is_some();
         let is_news = change(record);
-        if record.held_at.is_none() && record.points() >= HELD_POINTS {
-            record.held_at = record.last_end();
-        }
+        record.decide();
         if is_news {
             record.changed_at = now;
             record.rounds_left = TOLD_ROUNDS;
@@ -359,10 +372,10 @@
 }
 
 impl Record {
-    const fn new(now: Instant) -> Self {
+    const fn new(finished_at: Option<Instant>, now: Instant) -> Self {
         Self {
             ends: Vec::new(),
-            finished_at: None,
+            finished_at,
             held_at: None,
             changed_at: now,
             rounds_left: 0,
@@ -412,11 +425,15 @@
         is_first || was_held || self.ends.len() < before
     }
 
-    /// Another's word that it is held.
+    /// Another's word that it is held; tells whether there is something to tell
+    /// others, be it that it isn't, since it ended well.
     fn hold(&mut self, at: Instant) -> bool {
         if self.finished_at.is_some_and(|finished| at <= finished) {
             return false;
         }
+        if self.points() < self.points_to_hold(at) && self.ended_well_before(at) {
+            return true;
+        }
         let is_known = |known: Instant| at.saturating_duration_since(known) < HELD_FOR / 2;
         if self.held_at.is_some_and(is_known) {
             return false;
@@ -425,6 +442,34 @@
         true
     }
 
+    /// Holds it if enough speaks against it; releases it if it turns out that it
+    /// ended well a while before, which takes more.
+    fn decide(&mut self) {
+        let Some(at) = self.held_at.or(self.last_end()) else {
+            return;
+        };
+        let is_enough = self.points() >= self.points_to_hold(at);
+        if is_enough && self.held_at.is_none() {
+            self.held_at = Some(at);
+        } else if !is_enough && self.ended_well_before(at) {
+            self.held_at = None;
+        }
+    }
+
+    fn points_to_hold(&self, at: Instant) -> u32 {
+        if self.ended_well_before(at) {
+            HELD_POINTS_AFTER_FINISH
+        } else {
+            HELD_POINTS
+        }
+    }
+
+    /// Whether it ended well within a while before a time.
+    fn ended_well_before(&self, at: Instant) -> bool {
+        self.finished_at
+            .is_some_and(|finished| at.saturating_duration_since(finished) < HELD_FOR)
+    }
+
     fn points(&self) -> u32 {
         self.ends.iter().map(|end| end.progress.points()).sum()
     }
--- a/crates/rookferry_core/tests/quarantine.rs
+++ b/crates/rookferry_core/tests/quarantine.rs
@@ -267,3 +267,16 @@
     // The ends still count towards more.
     assert_eq!(one.ends(signature(1)), 3);
 }
+
+#[test]
+fn what_is_kept_of_requests_that_ended_well_is_bounded() {
+    let mut quarantine = Quarantine::new();
+    let start = Instant::now();
+    for number in 0..100_000 {
+        quarantine.note_finished(signature(number), start);
+    }
+    assert!(quarantine.finished_len() <= 4_096);
+    end_begun(&mut quarantine, signature(99_999), 3, start + SECOND);
+    assert!(!is_held(&quarantine, signature(99_999), start + SECOND));
+    assert!(quarantine.len() <= 1);
+}
--- a/crates/rookferry_relay/src/quarantine.rs
+++ b/crates/rookferry_relay/src/quarantine.rs
@@ -41,7 +41,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RequestQuarantine {
     inner: Mutex<Quarantine>,
-    /// Whether anything is: without, no request's signature is made.
+    /// Whether anything speaks against any request.
     has_records: AtomicBool,
     /// This instance found what the store may lack.
     pub(crate) to_store: Notify,
@@ -172,9 +172,6 @@
 
     /// A run of a request ended well.
     pub(crate) fn run_finished(&self, request: &CallerRequest) {
-        if !self.quarantine.has_records() {
-            return;
-        }
         let signature = request.signature();
         let now = clock::now();
         let change = self
