feat(relay): logs and a metric tell what servers' answers say of themselves

Cause: a refusal was reduced to not run, so the logs couldn't tell whether a server had asked for time, nor whether it leaves. Conclusion: nothing goes by it yet; all that reaches a server now passes one place, Relay::send.

--- a/crates/rookferry_net/src/lib.rs
+++ b/crates/rookferry_net/src/lib.rs
@@ -17,6 +17,7 @@
 mod log;
 mod platform;
 mod respond;
+mod retry_after;
 mod server;
 mod until;
 
@@ -44,5 +45,7 @@
 pub use respond::json_response;
 pub use respond::json_response_as;
 pub use respond::text_response;
+pub use retry_after::RetryAfterError;
+pub use retry_after::retry_after;
 pub use server::Server;
 pub use until::until;
--- /dev/null
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -0,0 +1,115 @@
+//! Exchanges with backend servers: all that reaches one goes through here.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use metrics::counter;
+use rookferry_core::ServerKey;
+use rookferry_net::retry_after;
+use slog::info;
+use slog::warn;
+
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::relay::Relay;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamAnswer;
+use crate::upstream::UpstreamError;
+use crate::upstream::WholeAnswer;
+
+/// What an answer says of its server, beside what it answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ServerNotice {
+    /// For how long it wants no request from this instance.
+    backoff: Option<Duration>,
+    /// Whether it takes no new work any more.
+    is_leaving: bool,
+}
+
+impl Relay {
+    /// Sends a request and waits for the answer's head.
+    ///
+    /// `may_send` is asked when a connection is there, right before the first
+    /// byte leaves.
+    pub(crate) async fn send(
+        &self,
+        upstream: Upstream,
+        request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<UpstreamAnswer, UpstreamError> {
+        let answer = self.pool.send(upstream, request, may_send).await?;
+        let notice = self.read_notice(upstream.server, answer.status, &answer.headers);
+        self.take_notice(upstream.server, notice);
+        Ok(answer)
+    }
+
+    /// Sends a call of the relay's own and reads the whole answer.
+    pub(crate) async fn call(
+        &self,
+        upstream: Upstream,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<WholeAnswer, UpstreamError> {
+        let addr = upstream.server.addr;
+        let whole = async {
+            let answer = self.send(upstream, request, || true).await?;
+            answer.collect(addr).await
+        };
+        let Ok(answer) = tokio::time::timeout(wait, whole).await else {
+            let message = format!("nothing within {} ms", wait.as_millis());
+            return Err(UpstreamError::Lost { addr, message });
+        };
+        answer
+    }
+
+    /// What an answer says of its server; what doesn't read says nothing.
+    fn read_notice(
+        &self,
+        server: ServerKey,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> ServerNotice {
+        let mut notice = ServerNotice::default();
+        match self.protocol.says_leaving(headers) {
+            Ok(is_leaving) => notice.is_leaving = is_leaving,
+            Err(error) => self.note_unreadable(server, &error),
+        }
+        // Other answers may have it for whoever sent the request.
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            match retry_after(headers) {
+                Ok(backoff) => notice.backoff = backoff,
+                Err(error) => self.note_unreadable(server, &error),
+            }
+        }
+        notice
+    }
+
+    /// Takes in what an answer says of its server.
+    fn take_notice(&self, server: ServerKey, notice: ServerNotice) {
+        if let Some(backoff) = notice.backoff {
+            counter!("rookferry_server_backoffs_total").increment(1);
+            if let Some(log) = self.events.line(Weight::Notable) {
+                info!(log, "health: a server wants no requests for a time";
+                    "event" => "server_backoff", "server" => %server.addr,
+                    "asked_ms" => millis(backoff));
+            }
+        }
+        if notice.is_leaving
+            && let Some(log) = self.events.line(Weight::Notable)
+        {
+            info!(log, "health: a server says that it leaves"; "event" => "server_leaving",
+                "server" => %server.addr);
+        }
+    }
+
+    fn note_unreadable(&self, server: ServerKey, error: &dyn std::error::Error) {
+        if let Some(log) = self.events.line(Weight::Notable) {
+            warn!(log, "health: what a server says of itself doesn't read";
+                "event" => "notice_unreadable", "server" => %server.addr, "cause" => %error);
+        }
+    }
+}
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod engines;
 mod event_log;
 mod events;
+mod exchange;
 mod front;
 mod load;
 mod mutex;
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -288,7 +288,7 @@
                 may_send(relay, request, &server)
             }
         };
-        let sending = relay.pool.send(upstream, outbound, may_send);
+        let sending = relay.send(upstream, outbound, may_send);
         tokio::pin!(sending);
         let sent = loop {
             tokio::select! {
--- a/crates/rookferry_relay/src/placement/orders.rs
+++ b/crates/rookferry_relay/src/placement/orders.rs
@@ -142,7 +142,7 @@
     async fn report(&self, upstream: Upstream) -> Option<EngineReport> {
         let protocol = &self.relay.protocol;
         let request = protocol.report_call().request(upstream.server.addr);
-        let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
+        let answer = self.relay.call(upstream, request, ORDER_TIMEOUT).await;
         protocol.read_report(&answer.ok()?.body).ok()
     }
 
@@ -176,7 +176,7 @@
         }
         let call = protocol.place_call(placement.layers, Some(report.sequence));
         let request = call.request(server.addr());
-        let answer = self.relay.pool.call(upstream, request, ORDER_TIMEOUT).await;
+        let answer = self.relay.call(upstream, request, ORDER_TIMEOUT).await;
         // An engine is seldom ordered again, and a kept connection takes some
         // 25 KB: the one that orders 3,000 engines held 2,820 of them, 79.5 MB,
         // and others of its kind 6.4 (median at 300 instances).
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -159,7 +159,7 @@
     let upstream = relay.upstream(server.key, service);
     let may_send = || may_send(relay, request, server);
     let exchange = async {
-        let answer = relay.pool.send(upstream, outbound, may_send).await?;
+        let answer = relay.send(upstream, outbound, may_send).await?;
         if !answer.is_for(names, &request.attempt) {
             return Err(UpstreamError::Crossed {
                 addr: server.addr(),
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -53,7 +53,7 @@
     }
     let request = relay.protocol.report_call().request(upstream.server.addr);
     let due = clock::now() + PROBE_TIMEOUT;
-    let asked = relay.pool.call(upstream, request, CALL_TIMEOUT);
+    let asked = relay.call(upstream, request, CALL_TIMEOUT);
     tokio::pin!(asked);
     let answer = tokio::select! {
         answer = &mut asked => answer,
@@ -134,7 +134,7 @@
         let Some(request) = health_request(server.addr, health_path) else {
             return;
         };
-        match relay.pool.call(upstream, request, PROBE_TIMEOUT).await {
+        match relay.call(upstream, request, PROBE_TIMEOUT).await {
             Ok(_) => return relay.beliefs.broken_runs.server_answered(server),
             Err(error) if error.shows_end() => {
                 return relay.server_lost(server, &ServerLoss::Refused);
@@ -218,7 +218,7 @@
     };
     let upstream = relay.upstream(server, service);
     // Any answer shows that it is there; one that is full answers too.
-    match relay.pool.call(upstream, request, PROBE_TIMEOUT * 3).await {
+    match relay.call(upstream, request, PROBE_TIMEOUT * 3).await {
         Ok(answer) if is_engine && is_other(&relay, server, &answer) => {}
         Ok(_) | Err(UpstreamError::Crossed { .. }) => relay.server_answered(server),
         Err(error) if error.shows_end() => relay.server_ended(server),
--- a/crates/rookferry_relay/src/protocol.rs
+++ b/crates/rookferry_relay/src/protocol.rs
@@ -131,9 +131,9 @@
     }
 }
 
-/// A body that doesn't read.
+/// A body or header that doesn't read.
 #[derive(Debug, Snafu)]
-#[snafu(display("the engine's body doesn't read: {message}"))]
+#[snafu(display("what the server says doesn't read: {message}"))]
 pub struct FormatError {
     /// The cause.
     pub message: String,
@@ -147,6 +147,13 @@
     /// Reads a caller's headers.
     fn caller_head(&self, headers: &HeaderMap) -> CallerHead;
 
+    /// Whether an answer says that its server is leaving.
+    ///
+    /// # Errors
+    ///
+    /// If what it says doesn't read.
+    fn says_leaving(&self, headers: &HeaderMap) -> Result<bool, FormatError>;
+
     /// A path as the header that names it.
     fn path_value(&self, path: &PipelinePath) -> HeaderValue;
 
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -1,7 +1,6 @@
 //! One exchange with a backend server, and what is known when it fails.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -159,25 +158,6 @@
             }
         }
     }
-
-    /// Sends a call of the relay's own and reads the whole answer.
-    pub(crate) async fn call(
-        &self,
-        upstream: Upstream,
-        request: Request<Full<Bytes>>,
-        wait: Duration,
-    ) -> Result<WholeAnswer, UpstreamError> {
-        let addr = upstream.server.addr;
-        let whole = async {
-            let answer = self.send(upstream, request, || true).await?;
-            answer.collect(addr).await
-        };
-        let Ok(answer) = tokio::time::timeout(wait, whole).await else {
-            let message = format!("nothing within {} ms", wait.as_millis());
-            return Err(UpstreamError::Lost { addr, message });
-        };
-        answer
-    }
 }
 
 /// Whether an answer may be passed on: a success counts only with its
