fix(relay): what servers ask for and say in their answers holds for all ways to them

Cause: answers were reduced to run or not run where they came in; a time that a server asked for, and its word that it leaves, were read nowhere. The class: a refusal's reason dropped at the border, so that each later decision starts from a guess. Now each exchange passes Relay::send, which reads the answer's notice and, right before the first byte, holds back what a server doesn't want: requests, retries, other runs, reports, health questions, orders, moves. Kept by start, at most a minute; not told to others. Choices leave such servers out; a stream whose first engine takes no order goes on by another run; with all of them asking for time callers are refused at once with the time that is left.

--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -201,6 +201,7 @@
 pub use serving::RunProgress;
 pub use serving::ServerHealth;
 pub use serving::ServerKey;
+pub use serving::ServerNotices;
 pub use serving::ServingAccount;
 pub use serving::ServingConfig;
 pub use serving::ServingIndex;
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -7,9 +7,11 @@
 //! [`RetryWindow`] what may be sent twice, and [`ServerHealth`] whom to avoid.
 //! [`RoomQueue`] says who waits for room and how long, [`Overload`] when those
 //! that are turned away come back, [`LinkPace`] who may cross between domains,
-//! [`ClosedServers`] who takes no new work. [`RequestSignature`] tells which requests
-//! are the same one again, [`Quarantine`] which of them are kept from servers; [`BrokenRuns`] waits for what it
-//! counts. [`pause_in_line`] spares a store that doesn't answer.
+//! [`ClosedServers`] who takes no new work, [`ServerNotices`] which servers said
+//! that they want none. [`RequestSignature`] tells which requests are the same
+//! one again, [`Quarantine`] which of them are kept from servers;
+//! [`BrokenRuns`] waits for what it counts. [`pause_in_line`] spares a store that
+//! doesn't answer.
 
 mod age;
 mod broken_runs;
@@ -19,6 +21,7 @@
 mod finished_requests;
 mod health;
 mod link_pace;
+mod notices;
 mod overload;
 mod quarantine;
 mod quarantine_object;
@@ -47,6 +50,7 @@
 pub use directory::DirectoryChange;
 pub use health::ServerHealth;
 pub use link_pace::LinkPace;
+pub use notices::ServerNotices;
 pub use overload::Overload;
 pub use overload::Overloaded;
 pub use quarantine::EndSeen;
--- /dev/null
+++ b/crates/rookferry_core/src/serving/notices.rs
@@ -0,0 +1,84 @@
+//! What servers said of themselves in answers to this instance: that they want
+//! no requests from it for a time, and that they leave.
+//!
+//! Load pattern: a server that is short of room refuses with a time, and each
+//! request that comes in it costs the server work and the caller a retry. Where
+//! the others of its service fail requests too, it looked the best of them again
+//! after 1.7 s of three. A time is between a server and whoever it told, so it
+//! isn't passed on: others may go on sending. Both go by a server's start, so
+//! that the next one begins with nothing against it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::ServerKey;
+
+/// The longest time that a server is believed at once. Servers ask for seconds;
+/// one that asks for more is asked again each minute, so that a damaged figure
+/// doesn't take it away for its life.
+const LONGEST_BACKOFF: Duration = Duration::from_mins(1);
+/// How long it is kept of a server without an entry that it leaves: entries go,
+/// and come back, with the store's outages of some ten seconds.
+const LEAVING_KEPT: Duration = Duration::from_mins(10);
+
+/// What servers said of themselves.
+#[derive(Clone, Debug, Default)]
+pub struct ServerNotices {
+    /// Until when each wants no requests.
+    backoffs: HashMap<ServerKey, Instant>,
+    /// Since when each is known to leave.
+    leaving: HashMap<ServerKey, Instant>,
+}
+
+impl ServerNotices {
+    /// Nothing was said.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A server wants no requests for a time; tells for how long it gets none.
+    /// One that was asked for before and ends later still holds.
+    pub fn back_off(&mut self, server: ServerKey, asked: Duration, now: Instant) -> Duration {
+        self.backoffs.retain(|_, until| *until > now);
+        let until = now + asked.min(LONGEST_BACKOFF);
+        let known = self.backoffs.entry(server).or_insert(until);
+        *known = until.max(*known);
+        known.saturating_duration_since(now)
+    }
+
+    /// For how much longer a server wants no requests, if it does.
+    #[must_use]
+    pub fn backoff_left(&self, server: ServerKey, now: Instant) -> Option<Duration> {
+        let left = self.backoffs.get(&server)?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// A server leaves. Tells whether that is news.
+    pub fn note_leaving(&mut self, server: ServerKey, now: Instant) -> bool {
+        let is_news = !self.is_leaving(server);
+        self.leaving.entry(server).or_insert(now);
+        is_news
+    }
+
+    /// Whether a server said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, server: ServerKey) -> bool {
+        self.leaving.contains_key(&server)
+    }
+
+    /// Forgets what is over, and servers that `is_known` doesn't know.
+    pub fn retain(&mut self, now: Instant, is_known: impl Fn(ServerKey) -> bool) {
+        self.backoffs.retain(|_, until| *until > now);
+        self.leaving.retain(|server, since| {
+            is_known(*server) || now.saturating_duration_since(*since) < LEAVING_KEPT
+        });
+    }
+
+    /// Whether nothing is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.backoffs.is_empty() && self.leaving.is_empty()
+    }
+}
--- a/crates/rookferry_relay/src/beliefs.rs
+++ b/crates/rookferry_relay/src/beliefs.rs
@@ -11,13 +11,17 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use rookferry_core::BackendServer;
 use rookferry_core::ClosedServers;
 use rookferry_core::DoubtedServers;
 use rookferry_core::ServerHealth;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLoad;
+use rookferry_core::ServerNotices;
+use rookferry_net::clock;
 
 use crate::broken_runs::BrokenRunTable;
 use crate::load::LoadTable;
@@ -34,6 +38,8 @@
     closed: Mutex<ClosedServers>,
     /// Those that others of the failure domain have trouble with.
     doubted: ArcSwap<DoubtedServers>,
+    /// What they said of themselves to this instance.
+    notices: ArcSwap<ServerNotices>,
     /// When each last gave a sign, and what it reported.
     pub(crate) signs: Signs,
     /// Runs that broke, until it is known whether their servers have ended.
@@ -51,6 +57,7 @@
             health: Mutex::new(ServerHealth::new()),
             closed: Mutex::new(ClosedServers::new(chance)),
             doubted: ArcSwap::default(),
+            notices: ArcSwap::default(),
             signs: Signs::new(),
             broken_runs: BrokenRunTable::default(),
             loads: LoadTable::default(),
@@ -70,6 +77,38 @@
         self.doubted.load_full()
     }
 
+    /// A server wants no requests for a time; tells for how long it gets none.
+    pub(crate) fn back_off(&self, server: ServerKey, asked: Duration) -> Duration {
+        self.update_notices(|notices| notices.back_off(server, asked, clock::now()))
+    }
+
+    /// For how much longer a server wants no requests, if it does.
+    pub(crate) fn backoff_left(&self, server: ServerKey) -> Option<Duration> {
+        self.notices.load().backoff_left(server, clock::now())
+    }
+
+    /// A server said that it leaves. Tells whether that is news.
+    pub(crate) fn note_leaving(&self, server: ServerKey) -> bool {
+        // Each of its answers says so.
+        !self.notices.load().is_leaving(server)
+            && self.update_notices(|notices| notices.note_leaving(server, clock::now()))
+    }
+
+    /// Whether a server leaves, by its entry or its own answers.
+    pub(crate) fn is_leaving(&self, server: &BackendServer) -> bool {
+        server.is_leaving || self.notices.load().is_leaving(server.key)
+    }
+
+    fn update_notices<T: Default>(&self, change: impl Fn(&mut ServerNotices) -> T) -> T {
+        let mut outcome = T::default();
+        self.notices.rcu(|notices| {
+            let mut notices = ServerNotices::clone(notices);
+            outcome = change(&mut notices);
+            notices
+        });
+        outcome
+    }
+
     /// What other instances have under way at a server.
     pub(crate) fn peer_load(&self, server: ServerKey) -> ServerLoad {
         let loads = self.peer_loads.load();
@@ -97,5 +136,8 @@
         drop(closed);
         self.health().retain(is_known);
         self.signs.retain(is_known);
+        if !self.notices.load().is_empty() {
+            self.update_notices(|notices| notices.retain(clock::now(), is_known));
+        }
     }
 }
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -98,6 +98,18 @@
         table: &ServerTable,
         service: &ServingService,
         model: &ModelShape,
+    ) -> Vec<PipelineEngine> {
+        self.pipeline_engines_after(Duration::ZERO, table, service, model)
+    }
+
+    /// The engines that may be a stage after a time, in which no more of those
+    /// that want no requests now will want them.
+    pub(crate) fn pipeline_engines_after(
+        &self,
+        wait: Duration,
+        table: &ServerTable,
+        service: &ServingService,
+        model: &ModelShape,
     ) -> Vec<PipelineEngine> {
         let now = clock::now();
         let health = self.beliefs.health();
@@ -105,7 +117,7 @@
         let doubted = self.beliefs.doubted();
         let usable = table
             .of(&service.name)
-            .filter(|server| !server.is_leaving && !health.is_out(server.key));
+            .filter(|server| self.takes_requests(server, &health, wait));
         let engines = usable.filter_map(|server| {
             let mut engine = self.pipeline_engine(server, model, &health, now)?;
             engine.is_closed =
@@ -118,6 +130,29 @@
         engines.collect()
     }
 
+    /// Whether a server may be sent requests after a time.
+    pub(crate) fn takes_requests(
+        &self,
+        server: &BackendServer,
+        health: &ServerHealth,
+        wait: Duration,
+    ) -> bool {
+        let backoff = self.beliefs.backoff_left(server.key);
+        !self.beliefs.is_leaving(server)
+            && !health.is_out(server.key)
+            && backoff.is_none_or(|left| left <= wait)
+    }
+
+    /// In what times the servers of a service that want no requests now want
+    /// them again, the shortest first.
+    pub(crate) fn backoffs(&self, table: &ServerTable, service: &ServingService) -> Vec<Duration> {
+        let servers = table.of(&service.name);
+        let waits = servers.filter_map(|server| self.beliefs.backoff_left(server.key));
+        let mut waits: Vec<Duration> = waits.collect();
+        waits.sort_unstable();
+        waits
+    }
+
     /// Whether others have trouble with a server that has shown nothing since.
     fn is_doubted(&self, doubted: &DoubtedServers, server: ServerKey, now: Instant) -> bool {
         // A sign is looked up under a lock, and few servers are doubted.
@@ -210,7 +245,7 @@
         };
         let holds_layers = server.held.is_some_and(|held| held.covers(stage.layers));
         // Layers that are given up still serve what is passing through.
-        if server.is_leaving || !holds_layers {
+        if self.beliefs.is_leaving(server) || !holds_layers {
             return StageState::Leaving;
         }
         StageState::Usable
--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -34,16 +34,30 @@
     /// Sends a request and waits for the answer's head.
     ///
     /// `may_send` is asked when a connection is there, right before the first
-    /// byte leaves.
+    /// byte leaves. What the server said meanwhile holds for it too.
     pub(crate) async fn send(
         &self,
         upstream: Upstream,
         request: Request<Full<Bytes>>,
         may_send: impl Fn() -> bool,
     ) -> Result<UpstreamAnswer, UpstreamError> {
-        let answer = self.pool.send(upstream, request, may_send).await?;
-        let notice = self.read_notice(upstream.server, answer.status, &answer.headers);
-        self.take_notice(upstream.server, notice);
+        let server = upstream.server;
+        let is_wanted = || match self.beliefs.backoff_left(server) {
+            Some(left) => Err(UpstreamError::BackedOff {
+                addr: server.addr,
+                left,
+            }),
+            None => Ok(()),
+        };
+        let may_send = || {
+            is_wanted()?;
+            may_send().then_some(()).ok_or(UpstreamError::Withdrawn)
+        };
+        is_wanted()?;
+        let mut answer = self.pool.send(upstream, request, may_send).await?;
+        let notice = self.read_notice(server, answer.status, &answer.headers);
+        answer.backoff = notice.backoff;
+        self.take_notice(server, notice);
         Ok(answer)
     }
 
@@ -90,20 +104,35 @@
 
     /// Takes in what an answer says of its server.
     fn take_notice(&self, server: ServerKey, notice: ServerNotice) {
-        if let Some(backoff) = notice.backoff {
-            counter!("rookferry_server_backoffs_total").increment(1);
-            if let Some(log) = self.events.line(Weight::Notable) {
-                info!(log, "health: a server wants no requests for a time";
-                    "event" => "server_backoff", "server" => %server.addr,
-                    "asked_ms" => millis(backoff));
-            }
+        if let Some(asked) = notice.backoff {
+            self.back_off(server, asked);
+        }
+        if notice.is_leaving {
+            self.server_leaves(server);
+        }
+    }
+
+    /// A server wants no requests from this instance for a time.
+    pub(crate) fn back_off(&self, server: ServerKey, asked: Duration) {
+        let kept = self.beliefs.back_off(server, asked);
+        counter!("rookferry_server_backoffs_total").increment(1);
+        if let Some(log) = self.events.line(Weight::Notable) {
+            info!(log, "health: a server wants no requests for a time";
+                "event" => "server_backoff", "server" => %server.addr,
+                "asked_ms" => millis(asked), "kept_ms" => millis(kept));
+        }
+    }
+
+    /// A server said that it leaves. Its entry tells so later, or not at all.
+    fn server_leaves(&self, server: ServerKey) {
+        if !self.beliefs.note_leaving(server) {
+            return;
         }
-        if notice.is_leaving
-            && let Some(log) = self.events.line(Weight::Notable)
-        {
+        if let Some(log) = self.events.line(Weight::Notable) {
             info!(log, "health: a server says that it leaves"; "event" => "server_leaving",
                 "server" => %server.addr);
         }
+        self.note_fleet_change();
     }
 
     fn note_unreadable(&self, server: ServerKey, error: &dyn std::error::Error) {
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -57,6 +57,8 @@
     Answer(Box<UpstreamAnswer>),
     NotRun {
         at_fault: Option<ServerKey>,
+        /// For how long the engine wants no requests.
+        backoff: Option<Duration>,
     },
     Failed(UpstreamError),
     TimeOver,
@@ -151,20 +153,13 @@
                     }
                     self.avoided.push(first);
                 }
-                Opened::NotRun { at_fault } => {
+                Opened::NotRun { at_fault, backoff } => {
                     self.arrived += 1;
                     let named =
                         at_fault.map_or_else(String::new, |server| format!(": {}", server.addr));
                     self.note_failed(&keeper.describe(), &format!("not run{named}"));
                     let refusing = at_fault.unwrap_or(first);
-                    let relay = &self.target.relay;
-                    let has_room = relay.engine_refused(refusing, &self.target.model);
-                    // It may be gone, or have started again without its layers:
-                    // its entry tells of that seconds later, or, with the store
-                    // away, not at all.
-                    if has_room || refusing != first {
-                        probe::check_soon(relay, refusing);
-                    }
+                    self.note_refused(first, refusing, backoff);
                     self.avoided.push(refusing);
                 }
                 Opened::Failed(UpstreamError::Withdrawn) => {
@@ -183,7 +178,53 @@
         }
         let is_time_over = self.target.request.time_left() < MIN_TIME_LEFT;
         let refusal = Refusal::after_tries(self.runs > 0, is_time_over);
-        Err(Served::Refused(refusal))
+        Err(Served::Refused(
+            refusal.or_backed_off(self.wait_for_engines()),
+        ))
+    }
+
+    /// An engine of a path refused; `first` passed it on.
+    fn note_refused(&self, first: ServerKey, refusing: ServerKey, backoff: Option<Duration>) {
+        let relay = &self.target.relay;
+        if let Some(asked) = backoff {
+            // What the first one passes on may be the later one's wish.
+            if refusing != first {
+                relay.back_off(refusing, asked);
+            }
+            return;
+        }
+        let has_room = relay.engine_refused(refusing, &self.target.model);
+        // It may be gone, or have started again without its layers: its entry
+        // tells of that seconds later, or, with the store away, not at all.
+        if has_room || refusing != first {
+            probe::check_soon(relay, refusing);
+        }
+    }
+
+    /// In what time there is a path, if there is none now because engines want no
+    /// requests for a time.
+    fn wait_for_engines(&self) -> Option<Duration> {
+        let StreamTarget {
+            relay,
+            service,
+            model,
+            ..
+        } = self.target;
+        let view = relay.view.load();
+        let table = view.servers.as_ref()?;
+        let home = &relay.settings.domain;
+        let tokens = self.target.request.tokens();
+        let has_path = |wait| {
+            let engines = relay.pipeline_engines_after(wait, table, service, model);
+            PathFinder::new(model.layers, &engines)
+                .find(home, tokens)
+                .is_ok()
+        };
+        if has_path(Duration::ZERO) {
+            return None;
+        }
+        let waits = relay.backoffs(table, service);
+        waits.into_iter().find(|wait| has_path(*wait))
     }
 
     /// A try gave no answer; tells whether another may follow.
@@ -198,6 +239,9 @@
             relay.beliefs.health().turned_away(first, now);
             return true;
         }
+        if error.is_held_here() {
+            return true;
+        }
         if error.is_unsent() {
             relay.server_lost(first, &ServerLoss::from(error));
             return true;
@@ -307,10 +351,10 @@
                         }
                         // One that may run once stays with the run it has.
                         Watched::Costly if self.runs > 0 || !may_repeat => {
-                            keeper.accept_crossings();
+                            keeper.keep_run();
                             continue;
                         }
-                        Watched::Costly => "a stage is lost that nothing near stands in for",
+                        Watched::Costly => "a lost stage can't be replaced soon",
                     };
                     break Err(UpstreamError::GivenUp {
                         addr: first.addr(),
@@ -340,9 +384,10 @@
         if answer.is_not_run(names) {
             let at_fault = faulty_server(&answer.headers, &names.faulty_server)
                 .and_then(|addr| self.target.relay.engine_at(addr, path));
+            let backoff = answer.backoff;
             // Read to its end so that the connection can be kept.
             let _ = tokio::time::timeout(MIN_TIME_LEFT, answer.collect(server.addr())).await;
-            return Opened::NotRun { at_fault };
+            return Opened::NotRun { at_fault, backoff };
         }
         if !is_signed(answer.status, &answer.headers, names) {
             return Opened::Failed(UpstreamError::Lost {
--- a/crates/rookferry_relay/src/path_keeper/mod.rs
+++ b/crates/rookferry_relay/src/path_keeper/mod.rs
@@ -83,7 +83,8 @@
     /// Whether the path has to be looked through; stays set while a look is
     /// cut off by events that come.
     must_check: bool,
-    may_cross: bool,
+    /// Whether no other run takes over, so that a repair may cost what it costs.
+    keeps_run: bool,
     progress: Progress,
     /// Whether an event has come that all engines of the path had a part in.
     is_proven: bool,
@@ -145,7 +146,7 @@
             repair_pause: NO_ROOM_PAUSE,
             repairs: 0,
             must_check: false,
-            may_cross: false,
+            keeps_run: false,
             progress: Progress::Waiting,
             is_proven: false,
             broken_at: Vec::new(),
@@ -297,9 +298,9 @@
             .collect()
     }
 
-    /// Crossings of the link between domains count for nothing from now on.
-    pub(crate) fn accept_crossings(&mut self) {
-        self.may_cross = true;
+    /// No other run takes over: a costly repair is better than none.
+    pub(crate) fn keep_run(&mut self) {
+        self.keeps_run = true;
         self.must_check = true;
     }
 }
--- a/crates/rookferry_relay/src/path_keeper/repair.rs
+++ b/crates/rookferry_relay/src/path_keeper/repair.rs
@@ -68,7 +68,10 @@
             let Some((replaced, path)) = self.replacement(&lost, &leaving) else {
                 return Watched::Fine;
             };
-            if !self.may_cross && self.adds_crossings(&path) {
+            if let Some(left) = self.relay.beliefs.backoff_left(first.server) {
+                return self.put_off(left, !lost.is_empty());
+            }
+            if !self.keeps_run && self.adds_crossings(&path) {
                 return Watched::Costly;
             }
             match self.move_to(&path).await {
@@ -99,6 +102,16 @@
         Watched::Fine
     }
 
+    /// The first engine wants no orders for a time, in which a stream with a lost
+    /// stage would stand still; another run, if one may begin, goes on at once.
+    fn put_off(&mut self, left: Duration, has_lost: bool) -> Watched {
+        if has_lost && !self.keeps_run {
+            return Watched::Costly;
+        }
+        self.repair_at = clock::now() + left;
+        Watched::Fine
+    }
+
     /// The run is broken at lost stages; the first engine's end is the run's
     /// own.
     fn note_broken(&mut self, lost: &[PathStage]) {
--- a/crates/rookferry_relay/src/placement/census.rs
+++ b/crates/rookferry_relay/src/placement/census.rs
@@ -62,7 +62,7 @@
         let now = clock::now();
         let staying: Vec<_> = table
             .of(&service.name)
-            .filter(|server| !server.is_leaving)
+            .filter(|server| !self.relay.beliefs.is_leaving(server))
             .collect();
         let health = self.relay.beliefs.health();
         let is_lost = |server| {
--- a/crates/rookferry_relay/src/placement/orders.rs
+++ b/crates/rookferry_relay/src/placement/orders.rs
@@ -110,7 +110,8 @@
             if server.held == Some(ordered.layers) {
                 return false;
             }
-            if clock::since(ordered.at) >= PLACED_AFTER {
+            let is_askable = self.relay.beliefs.backoff_left(*engine).is_none();
+            if is_askable && clock::since(ordered.at) >= PLACED_AFTER {
                 overdue.push(*engine);
             }
             true
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -85,7 +85,10 @@
             Tried::NotRun => {
                 arrived += 1;
                 note_failed(relay, &request, server, "not run");
-                relay.beliefs.health().failed(server.key, clock::now());
+                // One that asked for time is left alone for just that.
+                if relay.beliefs.backoff_left(server.key).is_none() {
+                    relay.beliefs.health().failed(server.key, clock::now());
+                }
             }
             Tried::Failed(UpstreamError::Withdrawn) => {
                 if arrived == 0 {
@@ -93,7 +96,7 @@
                 }
                 break;
             }
-            Tried::Failed(error) if error.is_own_limit() => {
+            Tried::Failed(error) if error.is_held_here() => {
                 note_failed(relay, &request, server, &error.to_string());
             }
             Tried::Failed(error) if error.is_unsent() => {
@@ -120,7 +123,26 @@
         return answered(relay, &request, &server, answer);
     }
     let is_time_over = request.time_left() < MIN_TIME_LEFT;
-    Served::Refused(Refusal::after_tries(has_run > 0, is_time_over))
+    let refusal = Refusal::after_tries(has_run > 0, is_time_over);
+    Served::Refused(refusal.or_backed_off(wait_for_server(relay, table, service)))
+}
+
+/// In what time a server wants requests again, if none does now.
+fn wait_for_server(
+    relay: &Relay,
+    table: &ServerTable,
+    service: &ServingService,
+) -> Option<Duration> {
+    let health = relay.beliefs.health();
+    let is_there = |wait| {
+        let mut servers = table.of(&service.name);
+        servers.any(|server| relay.takes_requests(server, &health, wait))
+    };
+    if is_there(Duration::ZERO) {
+        return None;
+    }
+    let waits = relay.backoffs(table, service);
+    waits.into_iter().find(|wait| is_there(*wait))
 }
 
 /// The server with the least to do.
@@ -133,7 +155,7 @@
     let now = clock::now();
     let health = relay.beliefs.health();
     let usable = table.of(&service.name).filter(|server| {
-        !server.is_leaving && !health.is_out(server.key) && !avoided.contains(&server.key)
+        relay.takes_requests(server, &health, Duration::ZERO) && !avoided.contains(&server.key)
     });
     let cost = |server: &BackendServer| {
         let is_far = server.domain != relay.settings.domain;
@@ -194,7 +216,7 @@
     };
     relay.is_config_fresh()
         && request.is_allowed_by(index)
-        && stays(&view, server)
+        && stays(relay, &view, server)
         && !relay.is_held(request)
 }
 
@@ -205,12 +227,12 @@
     request: &CallerRequest,
     server: &BackendServer,
 ) -> bool {
-    stays(&relay.view.load(), server) && !relay.is_held(request)
+    stays(relay, &relay.view.load(), server) && !relay.is_held(request)
 }
 
-fn stays(view: &SiteView, server: &BackendServer) -> bool {
+fn stays(relay: &Relay, view: &SiteView, server: &BackendServer) -> bool {
     let known = view.server(server.key);
-    known.is_some_and(|known| !known.is_leaving)
+    known.is_some_and(|known| !relay.beliefs.is_leaving(known))
 }
 
 fn answered(
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -76,7 +76,7 @@
             }
             is_listed
         }
-        Err(error) if error.is_own_limit() => true,
+        Err(error) if error.is_held_here() => true,
         Err(error) => {
             relay.server_lost(upstream.server, &ServerLoss::from(&error));
             false
@@ -95,6 +95,7 @@
         return;
     };
     if relay.beliefs.health().is_out(server)
+        || relay.beliefs.backoff_left(server).is_some()
         || !relay
             .beliefs
             .signs
@@ -139,6 +140,8 @@
             Err(error) if error.shows_end() => {
                 return relay.server_lost(server, &ServerLoss::Refused);
             }
+            // It has asked for time, so that it was there a moment ago.
+            Err(error) if error.is_held_here() => return,
             Err(_) => {}
         }
     }
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -42,6 +42,8 @@
     NoServer,
     /// The engines have no room for it; it comes back after a time.
     Overloaded(Duration),
+    /// All servers want no requests from this instance for a time.
+    BackedOff(Duration),
     /// Servers ended each time that they ran it; it is held for a time.
     Quarantined {
         signature: RequestSignature,
@@ -66,6 +68,15 @@
         }
     }
 
+    /// For a request that no server takes, with the time until one that asked
+    /// for time does, if that is why.
+    pub(crate) const fn or_backed_off(self, wait: Option<Duration>) -> Self {
+        match (self, wait) {
+            (Self::NoServer, Some(wait)) => Self::BackedOff(wait),
+            _ => self,
+        }
+    }
+
     /// The status.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
@@ -80,6 +91,7 @@
             | Self::Leaving
             | Self::NoServer
             | Self::Overloaded(_)
+            | Self::BackedOff(_)
             | Self::Quarantined { .. }
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
@@ -101,6 +113,7 @@
             Self::Leaving => "leaving",
             Self::NoServer => "no_server",
             Self::Overloaded(_) => "overloaded",
+            Self::BackedOff(_) => "servers_backed_off",
             Self::Quarantined { .. } => "quarantined",
             Self::TimeOverNotRun => "time_over_not_run",
             Self::TimeOver => "time_over",
@@ -134,7 +147,7 @@
             Self::Starting | Self::ConfigUnknown | Self::ConfigStale => ReasonCode::NotReady,
             Self::Leaving => ReasonCode::Leaving,
             Self::NoServer => ReasonCode::NoChain,
-            Self::Overloaded(_) => ReasonCode::Overloaded,
+            Self::Overloaded(_) | Self::BackedOff(_) => ReasonCode::Overloaded,
             Self::Quarantined { .. } => ReasonCode::Quarantined,
             Self::TimeOverNotRun | Self::TimeOver => ReasonCode::DeadlinePassed,
             Self::Unknown => ReasonCode::EngineLost,
@@ -152,7 +165,9 @@
             Self::ConfigUnknown | Self::Leaving => Some(Duration::from_millis(20)),
             // About the time of a repair of placement by a standing copy.
             Self::NoServer => Some(Duration::from_millis(300)),
-            Self::Overloaded(wait) | Self::Quarantined { wait, .. } => Some(wait),
+            Self::Overloaded(wait) | Self::BackedOff(wait) | Self::Quarantined { wait, .. } => {
+                Some(wait)
+            }
             Self::TimeOverNotRun | Self::BodyTooSlow => Some(Duration::from_millis(100)),
             _ => None,
         }
@@ -171,6 +186,7 @@
             Self::Leaving => "this instance is stopping; come back, another one answers",
             Self::NoServer => "no server can take the request now; come back",
             Self::Overloaded(_) => "the engines have no room for the request now; come back",
+            Self::BackedOff(_) => "all servers asked for time; come back when it is over",
             Self::Quarantined { .. } => {
                 "servers ended each time that they ran this request; it is held for a time"
             }
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -151,7 +151,7 @@
     Nothing,
     Ended,
     Broken(String),
-    /// A repair would take longer than another run.
+    /// A repair would take longer than another run, or wait for the first engine.
     Costly,
     /// The first engine doesn't answer others, and no event comes.
     FirstLost,
@@ -177,11 +177,8 @@
                 }
                 Step::TimeOver => return Some(self.cut("the time is over")),
                 Step::Costly => {
-                    if !self
-                        .resume("a stage is lost that nothing near stands in for")
-                        .await
-                    {
-                        self.keeper.accept_crossings();
+                    if !self.resume("a lost stage can't be replaced soon").await {
+                        self.keeper.keep_run();
                     }
                 }
                 Step::FirstLost => {
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One exchange with a backend server, and what is known when it fails.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -33,6 +34,10 @@
     /// No byte of the request has left.
     #[snafu(display("not sent: {source}"))]
     NotConnected { source: ConnectError },
+    /// The server wants no requests from this instance for a time; no byte has
+    /// left.
+    #[snafu(display("not sent: {addr} wants no requests for {} ms more", left.as_millis()))]
+    BackedOff { addr: SocketAddr, left: Duration },
     /// The check before sending forbade it; no byte has left.
     #[snafu(display("not sent: what was decided no longer holds"))]
     Withdrawn,
@@ -59,6 +64,12 @@
         )
     }
 
+    /// Whether it wasn't sent for what this instance knows or has in use, which
+    /// is no new word on the server.
+    pub(crate) const fn is_held_here(&self) -> bool {
+        self.is_own_limit() || matches!(self, Self::BackedOff { .. })
+    }
+
     /// Whether the connection broke, or gave something else, under a run.
     pub(crate) const fn is_break(&self) -> bool {
         matches!(self, Self::Lost { .. } | Self::Crossed { .. })
@@ -77,7 +88,10 @@
 
     /// Whether no byte of the request has left.
     pub(crate) const fn is_unsent(&self) -> bool {
-        matches!(self, Self::NotConnected { .. } | Self::Withdrawn)
+        matches!(
+            self,
+            Self::NotConnected { .. } | Self::BackedOff { .. } | Self::Withdrawn
+        )
     }
 }
 
@@ -87,6 +101,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
+    /// For how long the server wants no requests from this instance.
+    pub(crate) backoff: Option<Duration>,
     /// To be kept once the body is read whole.
     connection: Option<Connection>,
 }
@@ -115,7 +131,7 @@
         &self,
         upstream: Upstream,
         mut request: Request<Full<Bytes>>,
-        may_send: impl Fn() -> bool,
+        may_send: impl Fn() -> Result<(), UpstreamError>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let addr = upstream.server.addr;
         let mut stale = 0;
@@ -124,9 +140,7 @@
                 .checkout(upstream.server, upstream.max_connections)
                 .await
                 .map_err(|source| UpstreamError::NotConnected { source })?;
-            if !may_send() {
-                return Err(UpstreamError::Withdrawn);
-            }
+            may_send()?;
             let sent = connection.sender.try_send_request(request).await;
             let mut error = match sent {
                 Ok(response) => {
@@ -135,6 +149,7 @@
                         status: parts.status,
                         headers: parts.headers,
                         body,
+                        backoff: None,
                         connection: Some(connection),
                     });
                 }
@@ -209,6 +224,7 @@
             headers,
             body,
             connection,
+            ..
         } = self;
         let body = Limited::new(body, MAX_ANSWER_BYTES)
             .collect()
