--- a/crates/rookferry_standin/src/admin.rs
+++ b/crates/rookferry_standin/src/admin.rs
@@ -8,9 +8,13 @@
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
+use http::HeaderValue;
 use http::Response;
+use http::StatusCode;
+use http::header::RETRY_AFTER;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
+use rookferry_net::text_response;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -32,6 +36,10 @@
     pub lose_answers: Option<u32>,
     /// Says that it leaves.
     pub leaving: Option<bool>,
+    /// Refuses the next calls with 503 and this `Retry-After`.
+    pub retry_after: Option<String>,
+    /// How many calls it refuses so.
+    pub refusals: Option<u32>,
     /// Ends when it begins to run work with this text in it, and is back after
     /// a while.
     pub ends_under: Option<String>,
@@ -44,6 +52,10 @@
     delay: Duration,
     lose_answers: u32,
     is_leaving: bool,
+    retry_after: Option<String>,
+    refusals: u32,
+    /// Calls that came since it last refused one so.
+    calls_since: Option<u32>,
     ends_under: Option<String>,
 }
 
@@ -64,6 +76,11 @@
             faults.delay = fault.delay_ms.map_or(faults.delay, Duration::from_millis);
             faults.lose_answers = fault.lose_answers.unwrap_or(faults.lose_answers);
             faults.is_leaving = fault.leaving.unwrap_or(faults.is_leaving);
+            faults.refusals = fault.refusals.unwrap_or(faults.refusals);
+            if fault.retry_after.is_some() {
+                faults.retry_after.clone_from(&fault.retry_after);
+                faults.calls_since = None;
+            }
             if fault.ends_under.is_some() {
                 faults.ends_under.clone_from(&fault.ends_under);
             }
@@ -91,6 +108,26 @@
         text.is_some_and(|text| work.windows(text.len()).any(|part| part == text))
     }
 
+    /// Counts a call; gives the refusal that asks for time, if it gets one.
+    pub(crate) fn refusal_for_a_time(&self) -> Option<Response<Body>> {
+        let mut faults = self.lock();
+        let retry_after = faults.retry_after.clone()?;
+        faults.calls_since = faults.calls_since.map(|calls| calls + 1);
+        faults.refusals = faults.refusals.checked_sub(1)?;
+        faults.calls_since = Some(0);
+        drop(faults);
+        let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "later".to_owned());
+        if let Ok(value) = HeaderValue::from_str(&retry_after) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+        Some(response)
+    }
+
+    /// Calls that came since it last asked for time, if it has.
+    pub(crate) fn calls_since_asked(&self) -> Option<u32> {
+        self.lock().calls_since
+    }
+
     /// Takes one of the answers to be lost.
     #[must_use]
     pub fn loses_answer(&self) -> bool {
--- a/crates/rookferry_standin/src/app.rs
+++ b/crates/rookferry_standin/src/app.rs
@@ -130,6 +130,9 @@
         route
             .get("/admin/ledger")
             .to_new_handler(endpoint(app, connections, ledger));
+        route
+            .get("/admin/calls-since-asked")
+            .to_new_handler(endpoint(app, connections, calls_since_asked));
         route
             .request(methods, "/*")
             .to_new_handler(endpoint(app, connections, serve));
@@ -141,6 +144,9 @@
         Ok(body) => body,
         Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
     };
+    if let Some(refusal) = app.faults.refusal_for_a_time() {
+        return refusal;
+    }
     app.faults.pass().await;
     if app.faults.is_dead() {
         return broken_connection();
@@ -179,6 +185,10 @@
     json_response(StatusCode::OK, &())
 }
 
+async fn calls_since_asked(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
+    json_response(StatusCode::OK, &app.faults.calls_since_asked())
+}
+
 async fn ledger(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
     let ledger = app
         .ledger
--- a/crates/rookferry_standin/src/engine/server.rs
+++ b/crates/rookferry_standin/src/engine/server.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use futures_util::future::ready;
 use gotham::helpers::http::Body;
 use gotham::prelude::*;
 use gotham::router::Router;
@@ -144,40 +147,62 @@
     build_simple_router(|route| {
         route
             .get("/v1/info")
-            .to_new_handler(endpoint(app, connections, get_info));
+            .to_new_handler(endpoint(app, connections, paced(get_info)));
         route
             .get("/v1/load")
-            .to_new_handler(endpoint(app, connections, get_load));
-        route
-            .get("/v1/cache-events")
-            .to_new_handler(endpoint(app, connections, cache_events));
+            .to_new_handler(endpoint(app, connections, paced(get_load)));
+        route.get("/v1/cache-events").to_new_handler(endpoint(
+            app,
+            connections,
+            paced(cache_events),
+        ));
         route
             .post("/v1/steps")
-            .to_new_handler(endpoint(app, connections, steps));
+            .to_new_handler(endpoint(app, connections, paced(steps)));
         route
             .post("/v1/attempts")
-            .to_new_handler(endpoint(app, connections, open));
+            .to_new_handler(endpoint(app, connections, paced(open)));
         route
             .post("/v1/cancel")
-            .to_new_handler(endpoint(app, connections, cancel));
+            .to_new_handler(endpoint(app, connections, paced(cancel)));
         route
             .post("/v1/kv/export")
-            .to_new_handler(endpoint(app, connections, export));
+            .to_new_handler(endpoint(app, connections, paced(export)));
         route
             .post("/v1/kv/import")
-            .to_new_handler(endpoint(app, connections, import));
+            .to_new_handler(endpoint(app, connections, paced(import)));
         route
             .post("/v1/orders")
-            .to_new_handler(endpoint(app, connections, order));
+            .to_new_handler(endpoint(app, connections, paced(order)));
         route
             .get("/admin/ledger")
             .to_new_handler(endpoint(app, connections, ledger));
+        route
+            .get("/admin/calls-since-asked")
+            .to_new_handler(endpoint(app, connections, calls_since_asked));
         route
             .post("/admin/fault")
             .to_new_handler(endpoint(app, connections, fault));
     })
 }
 
+/// Puts a refusal that asks for time before a call, where one is ordered.
+fn paced<R>(
+    handler: impl Fn(Arc<App>, Inbound) -> R + Copy,
+) -> impl Fn(Arc<App>, Inbound) -> BoxFuture<'static, Response<Body>> + Copy
+where
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    move |app, inbound| match app.faults.refusal_for_a_time() {
+        Some(refusal) => ready(refusal).boxed(),
+        None => handler(app, inbound).boxed(),
+    }
+}
+
+async fn calls_since_asked(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
+    json_response(StatusCode::OK, &app.faults.calls_since_asked())
+}
+
 async fn get_info(app: Arc<App>, _inbound: Inbound) -> Response<Body> {
     app.answer(|inner| inner.info.clone()).await
 }
