fix(entry): backend servers that ask for time get no call in it, on all ways

Now all calls to engines, of instances and controllers, pass PacedEngines, and calls of plain services the same table; chains and servers are chosen without those that asked, and with all of them asking callers are told at once. Conclusion: by address here, since plain servers of this interface tell no start; a process found to have ended takes its time along, otherwise a minute bounds it.

--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -175,6 +175,7 @@
 pub use selector::Selector;
 pub use selector::SelectorError;
 pub use serving::BackendServer;
+pub use serving::Backoffs;
 pub use serving::BrokenRun;
 pub use serving::BrokenRunNoted;
 pub use serving::BrokenRuns;
--- /dev/null
+++ b/crates/rookferry_core/src/serving/backoffs.rs
@@ -0,0 +1,66 @@
+//! Until when backend servers want no requests, by whatever tells them apart.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The longest time that a server is believed at once. Servers ask for seconds;
+/// one that asks for more is asked again each minute, so that a damaged figure
+/// doesn't take it away for its life.
+const LONGEST_BACKOFF: Duration = Duration::from_mins(1);
+
+/// The servers that want no requests for a time.
+#[derive(Clone, Debug)]
+pub struct Backoffs<K> {
+    until: HashMap<K, Instant>,
+}
+
+impl<K> Default for Backoffs<K> {
+    fn default() -> Self {
+        Self {
+            until: HashMap::new(),
+        }
+    }
+}
+
+impl<K: Copy + Eq + Hash> Backoffs<K> {
+    /// None.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A server wants no requests for a time; tells for how long it gets none.
+    /// One that was asked for before and ends later still holds.
+    pub fn back_off(&mut self, server: K, asked: Duration, now: Instant) -> Duration {
+        self.expire(now);
+        let until = now + asked.min(LONGEST_BACKOFF);
+        let known = self.until.entry(server).or_insert(until);
+        *known = until.max(*known);
+        known.saturating_duration_since(now)
+    }
+
+    /// For how much longer a server wants no requests, if it does.
+    #[must_use]
+    pub fn left(&self, server: K, now: Instant) -> Option<Duration> {
+        let left = self.until.get(&server)?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Another process is there: what the one before asked for is over.
+    pub fn forget(&mut self, server: K) {
+        self.until.remove(&server);
+    }
+
+    /// Forgets times that are over.
+    pub fn expire(&mut self, now: Instant) {
+        self.until.retain(|_, until| *until > now);
+    }
+
+    /// Whether nothing is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.until.is_empty()
+    }
+}
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -14,6 +14,7 @@
 //! doesn't answer.
 
 mod age;
+mod backoffs;
 mod broken_runs;
 mod closed;
 mod config;
@@ -32,6 +33,7 @@
 mod store_pace;
 
 pub use age::ConfigAge;
+pub use backoffs::Backoffs;
 pub use broken_runs::BrokenRun;
 pub use broken_runs::BrokenRunNoted;
 pub use broken_runs::BrokenRuns;
--- a/crates/rookferry_core/src/serving/notices.rs
+++ b/crates/rookferry_core/src/serving/notices.rs
@@ -12,12 +12,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::Backoffs;
 use super::ServerKey;
 
-/// The longest time that a server is believed at once. Servers ask for seconds;
-/// one that asks for more is asked again each minute, so that a damaged figure
-/// doesn't take it away for its life.
-const LONGEST_BACKOFF: Duration = Duration::from_mins(1);
 /// How long it is kept of a server without an entry that it leaves: entries go,
 /// and come back, with the store's outages of some ten seconds.
 const LEAVING_KEPT: Duration = Duration::from_mins(10);
@@ -26,7 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerNotices {
     /// Until when each wants no requests.
-    backoffs: HashMap<ServerKey, Instant>,
+    backoffs: Backoffs<ServerKey>,
     /// Since when each is known to leave.
     leaving: HashMap<ServerKey, Instant>,
 }
@@ -39,20 +36,14 @@
     }
 
     /// A server wants no requests for a time; tells for how long it gets none.
-    /// One that was asked for before and ends later still holds.
     pub fn back_off(&mut self, server: ServerKey, asked: Duration, now: Instant) -> Duration {
-        self.backoffs.retain(|_, until| *until > now);
-        let until = now + asked.min(LONGEST_BACKOFF);
-        let known = self.backoffs.entry(server).or_insert(until);
-        *known = until.max(*known);
-        known.saturating_duration_since(now)
+        self.backoffs.back_off(server, asked, now)
     }
 
     /// For how much longer a server wants no requests, if it does.
     #[must_use]
     pub fn backoff_left(&self, server: ServerKey, now: Instant) -> Option<Duration> {
-        let left = self.backoffs.get(&server)?.saturating_duration_since(now);
-        (!left.is_zero()).then_some(left)
+        self.backoffs.left(server, now)
     }
 
     /// A server leaves. Tells whether that is news.
@@ -70,7 +61,7 @@
 
     /// Forgets what is over, and servers that `is_known` doesn't know.
     pub fn retain(&mut self, now: Instant, is_known: impl Fn(ServerKey) -> bool) {
-        self.backoffs.retain(|_, until| *until > now);
+        self.backoffs.expire(now);
         self.leaving.retain(|server, since| {
             is_known(*server) || now.saturating_duration_since(*since) < LEAVING_KEPT
         });
--- a/crates/rookferry_entry/src/admission.rs
+++ b/crates/rookferry_entry/src/admission.rs
@@ -24,6 +24,7 @@
 use rookferry_core::Fleet;
 use rookferry_core::RequestSignature;
 use rookferry_core::Stage;
+use rookferry_net::BackoffTable;
 use rookferry_net::clock;
 use rookferry_wire::AccountId;
 use rookferry_wire::EngineId;
@@ -103,6 +104,8 @@
 /// The queues of all pools and models.
 pub(crate) struct Admission {
     snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Engines that get no stream for a time.
+    backoffs: Arc<BackoffTable>,
     waiting: AtomicUsize,
     /// Told when someone begins to wait.
     queued: Notify,
@@ -110,9 +113,10 @@
 }
 
 impl Admission {
-    pub(crate) fn new(snapshot: Arc<ArcSwap<Snapshot>>) -> Arc<Self> {
+    pub(crate) fn new(snapshot: Arc<ArcSwap<Snapshot>>, backoffs: Arc<BackoffTable>) -> Arc<Self> {
         Arc::new(Self {
             snapshot,
+            backoffs,
             waiting: AtomicUsize::new(0),
             queued: Notify::new(),
             lanes: Mutex::default(),
@@ -137,7 +141,7 @@
             match self.try_place(&need) {
                 Ok(placement) => return Ok(placement),
                 Err(chosen) if chosen.is_full => {}
-                Err(chosen) => return Err(no_chain(&need, chosen)),
+                Err(chosen) => return Err(self.no_chain(&need, chosen)),
             }
         }
         let waiting = self.enqueue(need)?;
@@ -194,7 +198,7 @@
             let result = match self.try_place(&next.need) {
                 Ok(placement) => Ok(placement),
                 Err(chosen) if chosen.is_full => return,
-                Err(chosen) => Err(no_chain(&next.need, chosen)),
+                Err(chosen) => Err(self.no_chain(&next.need, chosen)),
             };
             if let Some(entry) = lane.queue.pop() {
                 lane.drain.drained(now);
@@ -245,22 +249,60 @@
         Ok(waiting)
     }
 
-    fn try_place(self: &Arc<Self>, need: &StreamNeed) -> Result<Placement, ChosenChain> {
-        let snapshot = self.snapshot.load();
+    /// Engines that want no calls now.
+    pub(crate) fn backed_off(&self, snapshot: &Snapshot) -> Vec<(EngineId, Duration)> {
+        let engines = snapshot.fleet.engines().iter();
+        let engines = engines.map(|engine| (&engine.info.engine, engine.addr));
+        let waiting = self.backoffs.backed_off(engines).into_iter();
+        waiting
+            .map(|(engine, left)| (engine.clone(), left))
+            .collect()
+    }
+
+    /// The best chain without some engines.
+    fn choose(snapshot: &Snapshot, need: &StreamNeed, excluded: &[EngineId]) -> ChosenChain {
         let Some(graph) = snapshot.fleet.graph(&need.pool, &need.model) else {
-            return Err(ChosenChain::default());
+            return ChosenChain::default();
         };
         let request = ChainRequest {
             layers: graph.whole(),
-            excluded: &[],
+            excluded,
             cached: &need.cached,
             seed: need.seed,
             beyond_limit: false,
         };
         let policy = &snapshot.table.config().policy;
-        let chosen = snapshot
-            .chooser
-            .choose(policy, graph, snapshot.fleet.engines(), &request);
+        let engines = snapshot.fleet.engines();
+        snapshot.chooser.choose(policy, graph, engines, &request)
+    }
+
+    /// Why there is no chain, and when to come back: if engines that asked for time
+    /// would make one, when the first of them wants calls again.
+    fn no_chain(&self, need: &StreamNeed, chosen: ChosenChain) -> NoPlace {
+        let snapshot = self.snapshot.load();
+        let waiting = self.backed_off(&snapshot);
+        let names: Vec<EngineId> = waiting.iter().map(|(engine, _)| engine.clone()).collect();
+        let is_chain_after = |later: usize| {
+            let chosen = Self::choose(&snapshot, need, &names[later..]);
+            chosen.is_full || !chosen.stages.is_empty()
+        };
+        let first = (1..=names.len()).find(|later| is_chain_after(*later));
+        match first.map(|later| waiting[later - 1].1) {
+            Some(left) => NoPlace {
+                reason: ReasonCode::Overloaded,
+                detail: "engines asked for time; come back when it is over".to_owned(),
+                retry_after: left,
+                candidates: chosen.candidates,
+            },
+            None => no_chain(need, chosen),
+        }
+    }
+
+    fn try_place(self: &Arc<Self>, need: &StreamNeed) -> Result<Placement, ChosenChain> {
+        let snapshot = self.snapshot.load();
+        let waiting = self.backed_off(&snapshot).into_iter();
+        let excluded: Vec<EngineId> = waiting.map(|(engine, _)| engine).collect();
+        let chosen = Self::choose(&snapshot, need, &excluded);
         if chosen.stages.is_empty() {
             return Err(chosen);
         }
--- a/crates/rookferry_entry/src/entry.rs
+++ b/crates/rookferry_entry/src/entry.rs
@@ -13,11 +13,13 @@
 use rookferry_core::PrefixIndex;
 use rookferry_core::RetryBudget;
 use rookferry_core::TicketBook;
+use rookferry_net::BackoffTable;
 use rookferry_net::ConnectionLimits;
 use rookferry_net::EngineTransport;
 use rookferry_net::HttpClient;
 use rookferry_net::HttpEngines;
 use rookferry_net::HttpPlatform;
+use rookferry_net::PacedEngines;
 use rookferry_net::Platform;
 use rookferry_net::Server;
 use rookferry_net::clock;
@@ -94,6 +96,8 @@
     pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
     pub(crate) admission: Arc<Admission>,
     pub(crate) engines: Arc<dyn EngineTransport>,
+    /// Backend servers that asked this instance for time.
+    pub(crate) backoffs: Arc<BackoffTable>,
     pub(crate) steps: StepSender,
     pub(crate) client: HttpClient,
     pub(crate) platform: Arc<dyn Platform>,
@@ -236,13 +240,16 @@
     // forward; a number that repeats is refused by peers as stale.
     let incarnation = now_ms();
     let client = HttpClient::new();
-    let engines: Arc<dyn EngineTransport> = Arc::new(HttpEngines::new(client.clone()));
+    let backoffs = Arc::new(BackoffTable::new(log.clone()));
+    let http_engines = Arc::new(HttpEngines::new(client.clone()));
+    let engines: Arc<dyn EngineTransport> =
+        Arc::new(PacedEngines::new(http_engines, backoffs.clone()));
     let platform: Arc<dyn Platform> =
         Arc::new(HttpPlatform::new(client.clone(), settings.platform));
     let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::empty()));
     let secret = settings.site_secret.clone();
     EntryState {
-        admission: Admission::new(snapshot.clone()),
+        admission: Admission::new(snapshot.clone(), backoffs.clone()),
         steps: StepSender::new(engines.clone()),
         config: ConfigStore::new(),
         known: Known::default(),
@@ -270,6 +277,7 @@
         log,
         snapshot,
         engines,
+        backoffs,
         client,
         platform,
     }
--- a/crates/rookferry_entry/src/http/service.rs
+++ b/crates/rookferry_entry/src/http/service.rs
@@ -20,6 +20,7 @@
 use http_body_util::Limited;
 use rookferry_core::BrokenRun;
 use rookferry_core::Dispatched;
+use rookferry_core::EngineState;
 use rookferry_core::PoolUse;
 use rookferry_core::RequestSignature;
 use rookferry_core::RunProgress;
@@ -31,6 +32,7 @@
 use rookferry_net::ClientError;
 use rookferry_net::Inbound;
 use rookferry_net::clock;
+use rookferry_net::retry_after;
 use rookferry_wire::InstanceId;
 use rookferry_wire::ReasonCode;
 use rookferry_wire::RequestId;
@@ -48,6 +50,9 @@
 
 /// Largest answer that is passed on.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// When to come back where no server is there: it takes about a second to be
+/// listed.
+const NO_SERVER_PAUSE: Duration = Duration::from_secs(1);
 /// Instances tried for a call that may be repeated.
 const MAX_TRIES: usize = 3;
 
@@ -235,14 +240,20 @@
             let snapshot = entry.snapshot.load_full();
             let instances = snapshot.services.get(&self.service.pool);
             let instances = instances.map(Vec::as_slice).unwrap_or_default();
-            let (chosen, candidates) = choose_service(instances, &entry.failure_domain, &tried);
+            let live = instances
+                .iter()
+                .filter(|known| known.state == EngineState::Live);
+            let servers = live.map(|known| (&known.instance, known.addr));
+            let waiting = entry.backoffs.backed_off(servers);
+            let names = waiting.iter().map(|(name, _)| (*name).clone());
+            let excluded: Vec<InstanceId> = tried.iter().cloned().chain(names).collect();
+            let (chosen, candidates) = choose_service(instances, &entry.failure_domain, &excluded);
             if tried.is_empty() {
                 ended.record.candidates = candidates;
             }
             let Some(instance) = chosen else {
-                let detail = format!("no live instance of pool {:?}", self.service.pool);
-                let refusal = Refusal::new(progress.give_up(ReasonCode::NoChain), detail);
-                return Err(refusal.retry_after(Duration::from_secs(1)));
+                let mut untried = waiting.iter().filter(|(name, _)| !tried.contains(name));
+                return Err(self.no_server(progress, untried.next().map(|(_, left)| *left)));
             };
             tried.push(instance.instance.clone());
             ended.record.chains.push(vec![instance.instance.clone()]);
@@ -276,6 +287,18 @@
         }
     }
 
+    /// The refusal where no server is to be sent to; `left` is the time until the
+    /// first that asked for time wants calls again.
+    fn no_server(&self, progress: Progress, left: Option<Duration>) -> Refusal {
+        if let Some(left) = left {
+            let detail = "its servers asked for time; come back when it is over";
+            return Refusal::new(progress.give_up(ReasonCode::Overloaded), detail)
+                .retry_after(left);
+        }
+        let detail = format!("no live instance of pool {:?}", self.service.pool);
+        Refusal::new(progress.give_up(ReasonCode::NoChain), detail).retry_after(NO_SERVER_PAUSE)
+    }
+
     /// Its run broke at a server.
     fn broke_at(&self, entry: &Arc<EntryState>, instance: &ServiceInstance) {
         let quarantine = &entry.quarantine;
@@ -316,6 +339,9 @@
         wait: Duration,
     ) -> Result<KeptAnswer, ClientError> {
         let addr = instance.addr;
+        if let Some(left) = entry.backoffs.left(addr) {
+            return Err(ClientError::BackedOff { addr, left });
+        }
         let request = Request::builder()
             .method(self.method.clone())
             .uri(format!("http://{addr}{}", self.path))
@@ -329,6 +355,9 @@
         })?;
         let response = entry.client.send(addr, request, wait).await?;
         let (head, body) = response.into_parts();
+        // What doesn't read asks for nothing.
+        let asked = retry_after(&head.headers).ok().flatten();
+        entry.backoffs.note(addr, head.status, asked);
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|error| ClientError::Broken {
             addr,
--- a/crates/rookferry_entry/src/quarantine.rs
+++ b/crates/rookferry_entry/src/quarantine.rs
@@ -204,6 +204,7 @@
         if let Server::Plain { name, ends, .. } = server {
             self.quarantine.plain_ends().insert(name.clone(), ends + 1);
         }
+        self.backoffs.forget(server.key().addr);
         let mut broken = self.quarantine.broken();
         let crashed = broken.server_ended(server.key(), clock::now());
         drop(broken);
--- a/crates/rookferry_entry/src/runner.rs
+++ b/crates/rookferry_entry/src/runner.rs
@@ -202,7 +202,9 @@
                 }
             }
             Err(error) => {
-                if let Some(stats) = stats {
+                if let Some(stats) = stats
+                    && !matches!(error, ClientError::BackedOff { .. })
+                {
                     stats.step_lost();
                 }
                 info!(self.entry.log, "stream: step lost";
@@ -316,7 +318,10 @@
         // The stage that is replaced may go to its own engine again, once that
         // is no longer excluded: it may be the only one to come back.
         let kept = self.kept_stages(layers).map(|stage| stage.engine.clone());
-        let excluded: Vec<EngineId> = self.lost.iter().cloned().chain(kept).collect();
+        let waiting = self.entry.admission.backed_off(&snapshot).into_iter();
+        let waiting = waiting.map(|(engine, _)| engine);
+        let lost = self.lost.iter().cloned();
+        let excluded: Vec<EngineId> = lost.chain(kept).chain(waiting).collect();
         let request = ChainRequest {
             layers,
             excluded: &excluded,
--- a/crates/rookferry_entry/tests/backoff.rs
+++ b/crates/rookferry_entry/tests/backoff.rs
@@ -5,6 +5,8 @@
 
 mod support;
 
+use std::net::SocketAddr;
+
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -13,7 +15,6 @@
 use rookferry_standin::Ending;
 use serde_json::Value;
 use serde_json::json;
-use std::net::SocketAddr;
 use support::KEY;
 use support::SERVICE;
 use support::TestSite;
--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -20,6 +20,8 @@
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
+use crate::retry_after;
+
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 /// How long a connect may take.
@@ -65,6 +67,16 @@
         status: StatusCode,
         /// The body's text.
         body: String,
+        /// For how long it wants no requests, if it says so in a way that reads.
+        retry_after: Option<Duration>,
+    },
+    /// It asked for a time in which it wants no requests; no byte has left.
+    #[snafu(display("{addr} wants no requests for {} ms more", left.as_millis()))]
+    BackedOff {
+        /// The address.
+        addr: SocketAddr,
+        /// How much longer.
+        left: Duration,
     },
     /// The answer isn't what was expected.
     #[snafu(display("could not read the answer of {addr}: {message}"))]
@@ -80,7 +92,7 @@
     /// Whether no byte of the request can have left.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::NotConnected { .. })
+        matches!(self, Self::NotConnected { .. } | Self::BackedOff { .. })
     }
 
     /// Whether nothing listens at the address any more.
@@ -249,6 +261,8 @@
         let whole = async {
             let response = self.send(addr, request, wait).await?;
             let status = response.status();
+            // What doesn't read asks for nothing.
+            let retry_after = retry_after(response.headers()).ok().flatten();
             let body = read_answer(addr, response.into_body()).await?;
             if status.is_success() {
                 return Ok(body);
@@ -257,6 +271,7 @@
                 addr,
                 status,
                 body: String::from_utf8_lossy(&body).into_owned(),
+                retry_after,
             })
         };
         let Ok(answer) = tokio::time::timeout(wait, whole).await else {
--- a/crates/rookferry_net/src/lib.rs
+++ b/crates/rookferry_net/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod backoff_table;
 mod client;
 pub mod clock;
 mod connection;
@@ -15,12 +16,14 @@
 mod files;
 mod inbound;
 mod log;
+mod paced_engines;
 mod platform;
 mod respond;
 mod retry_after;
 mod server;
 mod until;
 
+pub use backoff_table::BackoffTable;
 pub use client::ClientError;
 pub use client::HttpClient;
 pub use connection::ConnectionGuard;
@@ -39,6 +42,7 @@
 pub use log::LogFormat;
 pub use log::LogLevel;
 pub use log::root_logger;
+pub use paced_engines::PacedEngines;
 pub use platform::HttpPlatform;
 pub use platform::Platform;
 pub use platform::PlatformError;
--- /dev/null
+++ b/crates/rookferry_net/src/paced_engines.rs
@@ -0,0 +1,130 @@
+//! Engines that get no call while they want none.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use rookferry_wire::AttemptAnswer;
+use rookferry_wire::AttemptRequest;
+use rookferry_wire::CacheEvents;
+use rookferry_wire::CancelRequest;
+use rookferry_wire::EngineInfo;
+use rookferry_wire::KvPages;
+use rookferry_wire::LoadReport;
+use rookferry_wire::OrderAnswer;
+use rookferry_wire::OrderRequest;
+use rookferry_wire::StepBatch;
+use rookferry_wire::StepBatchAnswer;
+
+use crate::BackoffTable;
+use crate::ClientError;
+use crate::EngineTransport;
+
+/// Calls engines by another transport, but for those that asked for time: every
+/// kind of call is work for them.
+pub struct PacedEngines {
+    inner: Arc<dyn EngineTransport>,
+    backoffs: Arc<BackoffTable>,
+}
+
+impl PacedEngines {
+    /// Calls by `inner`, and keeps in `backoffs` what engines ask for.
+    #[must_use]
+    pub fn new(inner: Arc<dyn EngineTransport>, backoffs: Arc<BackoffTable>) -> Self {
+        Self { inner, backoffs }
+    }
+
+    /// Makes a call, which sends nothing before it is polled.
+    fn paced<'a, T: 'a>(
+        &'a self,
+        addr: SocketAddr,
+        call: BoxFuture<'a, Result<T, ClientError>>,
+    ) -> BoxFuture<'a, Result<T, ClientError>> {
+        async move {
+            if let Some(left) = self.backoffs.left(addr) {
+                return Err(ClientError::BackedOff { addr, left });
+            }
+            let answer = call.await;
+            if let Err(ClientError::Status {
+                status,
+                retry_after,
+                ..
+            }) = &answer
+            {
+                self.backoffs.note(addr, *status, *retry_after);
+            }
+            answer
+        }
+        .boxed()
+    }
+}
+
+impl EngineTransport for PacedEngines {
+    fn info(&self, addr: SocketAddr) -> BoxFuture<'_, Result<EngineInfo, ClientError>> {
+        self.paced(addr, self.inner.info(addr))
+    }
+
+    fn load(&self, addr: SocketAddr) -> BoxFuture<'_, Result<LoadReport, ClientError>> {
+        self.paced(addr, self.inner.load(addr))
+    }
+
+    fn cache_events(
+        &self,
+        addr: SocketAddr,
+        from: u64,
+    ) -> BoxFuture<'_, Result<CacheEvents, ClientError>> {
+        self.paced(addr, self.inner.cache_events(addr, from))
+    }
+
+    fn steps(
+        &self,
+        addr: SocketAddr,
+        batch: StepBatch,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<StepBatchAnswer, ClientError>> {
+        self.paced(addr, self.inner.steps(addr, batch, wait))
+    }
+
+    fn open(
+        &self,
+        addr: SocketAddr,
+        request: AttemptRequest,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<AttemptAnswer, ClientError>> {
+        self.paced(addr, self.inner.open(addr, request, wait))
+    }
+
+    fn cancel(
+        &self,
+        addr: SocketAddr,
+        request: CancelRequest,
+    ) -> BoxFuture<'_, Result<(), ClientError>> {
+        self.paced(addr, self.inner.cancel(addr, request))
+    }
+
+    fn export(
+        &self,
+        addr: SocketAddr,
+        request: AttemptRequest,
+    ) -> BoxFuture<'_, Result<KvPages, ClientError>> {
+        self.paced(addr, self.inner.export(addr, request))
+    }
+
+    fn import(
+        &self,
+        addr: SocketAddr,
+        pages: KvPages,
+    ) -> BoxFuture<'_, Result<AttemptAnswer, ClientError>> {
+        self.paced(addr, self.inner.import(addr, pages))
+    }
+
+    fn order(
+        &self,
+        addr: SocketAddr,
+        request: OrderRequest,
+    ) -> BoxFuture<'_, Result<OrderAnswer, ClientError>> {
+        self.paced(addr, self.inner.order(addr, request))
+    }
+}
