--- a/crates/rookferry_core/src/serving/notices.rs
+++ b/crates/rookferry_core/src/serving/notices.rs
@@ -46,6 +46,12 @@
         self.backoffs.left(server, now)
     }
 
+    /// Whether a server may be sent new requests at a time, by what it said.
+    #[must_use]
+    pub fn allow(&self, server: ServerKey, at: Instant) -> bool {
+        !self.is_leaving(server) && self.backoff_left(server, at).is_none()
+    }
+
     /// A server leaves. Tells whether that is news.
     pub fn note_leaving(&mut self, server: ServerKey, now: Instant) -> bool {
         let is_news = !self.is_leaving(server);
--- a/crates/rookferry_entry/src/admission.rs
+++ b/crates/rookferry_entry/src/admission.rs
@@ -282,19 +282,21 @@
         let snapshot = self.snapshot.load();
         let waiting = self.backed_off(&snapshot);
         let names: Vec<EngineId> = waiting.iter().map(|(engine, _)| engine.clone()).collect();
-        let is_chain_after = |later: usize| {
-            let chosen = Self::choose(&snapshot, need, &names[later..]);
+        let is_chain_without = |later: &[EngineId]| {
+            let chosen = Self::choose(&snapshot, need, later);
             chosen.is_full || !chosen.stages.is_empty()
         };
-        let first = (1..=names.len()).find(|later| is_chain_after(*later));
-        match first.map(|later| waiting[later - 1].1) {
-            Some(left) => NoPlace {
-                reason: ReasonCode::Overloaded,
-                detail: "engines asked for time; come back when it is over".to_owned(),
-                retry_after: left,
-                candidates: chosen.candidates,
-            },
-            None => no_chain(need, chosen),
+        // With the times in order, a chain that is there stays there.
+        let ends: Vec<usize> = (1..=names.len()).collect();
+        let first = ends.partition_point(|end| !is_chain_without(&names[*end..]));
+        let Some((_, left)) = waiting.get(first) else {
+            return no_chain(need, chosen);
+        };
+        NoPlace {
+            reason: ReasonCode::Overloaded,
+            detail: "engines asked for time; come back when it is over".to_owned(),
+            retry_after: *left,
+            candidates: chosen.candidates,
         }
     }
 
--- a/crates/rookferry_relay/src/beliefs.rs
+++ b/crates/rookferry_relay/src/beliefs.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use arc_swap::Guard;
 use rookferry_core::BackendServer;
 use rookferry_core::ClosedServers;
 use rookferry_core::DoubtedServers;
@@ -77,6 +78,11 @@
         self.doubted.load_full()
     }
 
+    /// What servers said of themselves.
+    pub(crate) fn notices(&self) -> Guard<Arc<ServerNotices>> {
+        self.notices.load()
+    }
+
     /// A server wants no requests for a time; tells for how long it gets none.
     pub(crate) fn back_off(&self, server: ServerKey, asked: Duration) -> Duration {
         self.update_notices(|notices| notices.back_off(server, asked, clock::now()))
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -16,6 +16,7 @@
 use rookferry_core::ServerHealth;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLoad;
+use rookferry_core::ServerNotices;
 use rookferry_core::ServingService;
 use rookferry_net::clock;
 use rookferry_wire::LayerRange;
@@ -115,9 +116,10 @@
         let health = self.beliefs.health();
         let closed = self.beliefs.closed();
         let doubted = self.beliefs.doubted();
+        let notices = self.beliefs.notices();
         let usable = table
             .of(&service.name)
-            .filter(|server| self.takes_requests(server, &health, wait));
+            .filter(|server| takes_requests(server, &health, &notices, now + wait));
         let engines = usable.filter_map(|server| {
             let mut engine = self.pipeline_engine(server, model, &health, now)?;
             engine.is_closed =
@@ -130,24 +132,13 @@
         engines.collect()
     }
 
-    /// Whether a server may be sent requests after a time.
-    pub(crate) fn takes_requests(
-        &self,
-        server: &BackendServer,
-        health: &ServerHealth,
-        wait: Duration,
-    ) -> bool {
-        let backoff = self.beliefs.backoff_left(server.key);
-        !self.beliefs.is_leaving(server)
-            && !health.is_out(server.key)
-            && backoff.is_none_or(|left| left <= wait)
-    }
-
     /// In what times the servers of a service that want no requests now want
     /// them again, the shortest first.
     pub(crate) fn backoffs(&self, table: &ServerTable, service: &ServingService) -> Vec<Duration> {
+        let now = clock::now();
+        let notices = self.beliefs.notices();
         let servers = table.of(&service.name);
-        let waits = servers.filter_map(|server| self.beliefs.backoff_left(server.key));
+        let waits = servers.filter_map(|server| notices.backoff_left(server.key, now));
         let mut waits: Vec<Duration> = waits.collect();
         waits.sort_unstable();
         waits
@@ -269,6 +260,17 @@
     }
 }
 
+/// Whether a server may be sent new requests at a time, by its entry, by what
+/// requests met there, and by its own word.
+pub(crate) fn takes_requests(
+    server: &BackendServer,
+    health: &ServerHealth,
+    notices: &ServerNotices,
+    at: Instant,
+) -> bool {
+    !server.is_leaving && !health.is_out(server.key) && notices.allow(server.key, at)
+}
+
 /// Tokens that fit on an engine beside the layers that it holds, as published.
 fn published_tokens(server: &BackendServer, model: &ModelShape) -> f64 {
     let held = server.held.map_or(0, LayerRange::len);
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -1,6 +1,7 @@
 //! Opens runs of one stream: chooses paths, sends along them, and judges what
 //! comes back until an engine answers or nothing is left to try.
 
+mod refused;
 mod room;
 
 use std::net::SocketAddr;
@@ -28,7 +29,6 @@
 use crate::path_keeper::Watched;
 use crate::plain::may_send;
 use crate::plain::may_send_again;
-use crate::probe;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
@@ -179,54 +179,10 @@
         let is_time_over = self.target.request.time_left() < MIN_TIME_LEFT;
         let refusal = Refusal::after_tries(self.runs > 0, is_time_over);
         Err(Served::Refused(
-            refusal.or_backed_off(self.wait_for_engines()),
+            refusal.or_backed_off(|| self.wait_for_engines()),
         ))
     }
 
-    /// An engine of a path refused; `first` passed it on.
-    fn note_refused(&self, first: ServerKey, refusing: ServerKey, backoff: Option<Duration>) {
-        let relay = &self.target.relay;
-        if let Some(asked) = backoff {
-            // What the first one passes on may be the later one's wish.
-            if refusing != first {
-                relay.back_off(refusing, asked);
-            }
-            return;
-        }
-        let has_room = relay.engine_refused(refusing, &self.target.model);
-        // It may be gone, or have started again without its layers: its entry
-        // tells of that seconds later, or, with the store away, not at all.
-        if has_room || refusing != first {
-            probe::check_soon(relay, refusing);
-        }
-    }
-
-    /// In what time there is a path, if there is none now because engines want no
-    /// requests for a time.
-    fn wait_for_engines(&self) -> Option<Duration> {
-        let StreamTarget {
-            relay,
-            service,
-            model,
-            ..
-        } = self.target;
-        let view = relay.view.load();
-        let table = view.servers.as_ref()?;
-        let home = &relay.settings.domain;
-        let tokens = self.target.request.tokens();
-        let has_path = |wait| {
-            let engines = relay.pipeline_engines_after(wait, table, service, model);
-            PathFinder::new(model.layers, &engines)
-                .find(home, tokens)
-                .is_ok()
-        };
-        if has_path(Duration::ZERO) {
-            return None;
-        }
-        let waits = relay.backoffs(table, service);
-        waits.into_iter().find(|wait| has_path(*wait))
-    }
-
     /// A try gave no answer; tells whether another may follow.
     fn goes_on_after(&mut self, error: &UpstreamError, keeper: &PathKeeper) -> bool {
         let relay = &self.target.relay;
--- /dev/null
+++ b/crates/rookferry_relay/src/opener/refused.rs
@@ -0,0 +1,64 @@
+//! What an engine's refusal means for the tries after it, and when a caller
+//! comes back if there is none.
+
+use std::time::Duration;
+
+use rookferry_core::PathFinder;
+use rookferry_core::ServerKey;
+
+use super::Opener;
+use super::StreamTarget;
+use crate::probe;
+
+impl Opener<'_> {
+    /// An engine of a path refused; `first` passed it on.
+    pub(super) fn note_refused(
+        &self,
+        first: ServerKey,
+        refusing: ServerKey,
+        backoff: Option<Duration>,
+    ) {
+        let relay = &self.target.relay;
+        if let Some(asked) = backoff {
+            // What the first one passes on may be the later one's wish.
+            if refusing != first {
+                relay.back_off(refusing, asked);
+            }
+            return;
+        }
+        let has_room = relay.engine_refused(refusing, &self.target.model);
+        // It may be gone, or have started again without its layers: its entry
+        // tells of that seconds later, or, with the store away, not at all.
+        if has_room || refusing != first {
+            probe::check_soon(relay, refusing);
+        }
+    }
+
+    /// In what time there is a path, if there is none now because engines want no
+    /// requests for a time.
+    pub(super) fn wait_for_engines(&self) -> Option<Duration> {
+        let StreamTarget {
+            relay,
+            service,
+            model,
+            ..
+        } = self.target;
+        let view = relay.view.load();
+        let table = view.servers.as_ref()?;
+        let home = &relay.settings.domain;
+        let tokens = self.target.request.tokens();
+        let has_path = |wait| {
+            let engines = relay.pipeline_engines_after(wait, table, service, model);
+            PathFinder::new(model.layers, &engines)
+                .find(home, tokens)
+                .is_ok()
+        };
+        let waits = relay.backoffs(table, service);
+        if waits.is_empty() || has_path(Duration::ZERO) {
+            return None;
+        }
+        // Of hundreds of engines that wait, a few are looked at.
+        let first = waits.partition_point(|wait| !has_path(*wait));
+        waits.get(first).copied()
+    }
+}
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -10,6 +10,7 @@
 use rookferry_net::clock;
 use slog::warn;
 
+use crate::engines::takes_requests;
 use crate::event_log::Weight;
 use crate::front::Served;
 use crate::front::note_served;
@@ -124,7 +125,7 @@
     }
     let is_time_over = request.time_left() < MIN_TIME_LEFT;
     let refusal = Refusal::after_tries(has_run > 0, is_time_over);
-    Served::Refused(refusal.or_backed_off(wait_for_server(relay, table, service)))
+    Served::Refused(refusal.or_backed_off(|| wait_for_server(relay, table, service)))
 }
 
 /// In what time a server wants requests again, if none does now.
@@ -133,10 +134,12 @@
     table: &ServerTable,
     service: &ServingService,
 ) -> Option<Duration> {
+    let now = clock::now();
     let health = relay.beliefs.health();
+    let notices = relay.beliefs.notices();
     let is_there = |wait| {
         let mut servers = table.of(&service.name);
-        servers.any(|server| relay.takes_requests(server, &health, wait))
+        servers.any(|server| takes_requests(server, &health, &notices, now + wait))
     };
     if is_there(Duration::ZERO) {
         return None;
@@ -154,8 +157,9 @@
 ) -> Option<&'a BackendServer> {
     let now = clock::now();
     let health = relay.beliefs.health();
+    let notices = relay.beliefs.notices();
     let usable = table.of(&service.name).filter(|server| {
-        relay.takes_requests(server, &health, Duration::ZERO) && !avoided.contains(&server.key)
+        takes_requests(server, &health, &notices, now) && !avoided.contains(&server.key)
     });
     let cost = |server: &BackendServer| {
         let is_far = server.domain != relay.settings.domain;
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -70,9 +70,9 @@
 
     /// For a request that no server takes, with the time until one that asked
     /// for time does, if that is why.
-    pub(crate) const fn or_backed_off(self, wait: Option<Duration>) -> Self {
-        match (self, wait) {
-            (Self::NoServer, Some(wait)) => Self::BackedOff(wait),
+    pub(crate) fn or_backed_off(self, wait: impl FnOnce() -> Option<Duration>) -> Self {
+        match self {
+            Self::NoServer => wait().map_or(self, Self::BackedOff),
             _ => self,
         }
     }
