--- a/crates/rookferry_relay/src/front.rs
+++ b/crates/rookferry_relay/src/front.rs
@@ -196,6 +196,7 @@
             "cause" => refusal.cause(),
             "signature" => refusal.signature().map(|signature| signature.to_string()),
             "status" => refusal.status().as_u16(),
+            "retry_after_ms" => refusal.retry_after().map(millis),
             "held_ms" => millis(clock::since(received_at)),
             "config_version" => age.version(),
             "config_age_ms" => age.age(clock::now()).map(millis));
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -155,7 +155,7 @@
     }
 
     /// When to come back, for refusals that promise that nothing ran.
-    const fn retry_after(self) -> Option<Duration> {
+    pub(crate) const fn retry_after(self) -> Option<Duration> {
         match self {
             // Instances that start together know the site within about this.
             Self::Starting => Some(Duration::from_millis(400)),
