--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -140,7 +140,7 @@
             Err(error) if error.shows_end() => {
                 return relay.server_lost(server, &ServerLoss::Refused);
             }
-            // It has asked for time, so that it was there a moment ago.
+            // Nothing was asked, and asking again at once comes to the same.
             Err(error) if error.is_held_here() => return,
             Err(_) => {}
         }
