fix(relay): callers are told the right time with one server left that asked for one

Cause: the time that was left was counted from one moment and added to another, so that the server was still left alone by microseconds at the end; with two servers the other's end hid it. Ends are moments now.

--- a/crates/rookferry_core/src/serving/backoffs.rs
+++ b/crates/rookferry_core/src/serving/backoffs.rs
@@ -41,11 +41,18 @@
         known.saturating_duration_since(now)
     }
 
+    /// Until when a server wants no requests, if it wants none now.
+    #[must_use]
+    pub fn until(&self, server: K, now: Instant) -> Option<Instant> {
+        let until = self.until.get(&server).copied();
+        until.filter(|until| *until > now)
+    }
+
     /// For how much longer a server wants no requests, if it does.
     #[must_use]
     pub fn left(&self, server: K, now: Instant) -> Option<Duration> {
-        let left = self.until.get(&server)?.saturating_duration_since(now);
-        (!left.is_zero()).then_some(left)
+        let until = self.until(server, now)?;
+        Some(until.saturating_duration_since(now))
     }
 
     /// Another process is there: what the one before asked for is over.
--- a/crates/rookferry_core/src/serving/notices.rs
+++ b/crates/rookferry_core/src/serving/notices.rs
@@ -46,6 +46,12 @@
         self.backoffs.left(server, now)
     }
 
+    /// Until when a server wants no requests, if it wants none now.
+    #[must_use]
+    pub fn backoff_until(&self, server: ServerKey, now: Instant) -> Option<Instant> {
+        self.backoffs.until(server, now)
+    }
+
     /// Whether a server may be sent new requests at a time, by what it said.
     #[must_use]
     pub fn allow(&self, server: ServerKey, at: Instant) -> bool {
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -100,14 +100,14 @@
         service: &ServingService,
         model: &ModelShape,
     ) -> Vec<PipelineEngine> {
-        self.pipeline_engines_after(Duration::ZERO, table, service, model)
+        self.pipeline_engines_at(clock::now(), table, service, model)
     }
 
-    /// The engines that may be a stage after a time, in which no more of those
-    /// that want no requests now will want them.
-    pub(crate) fn pipeline_engines_after(
+    /// The engines that may be a stage at a time, by when some of those that want no
+    /// requests now will want them.
+    pub(crate) fn pipeline_engines_at(
         &self,
-        wait: Duration,
+        at: Instant,
         table: &ServerTable,
         service: &ServingService,
         model: &ModelShape,
@@ -119,7 +119,7 @@
         let notices = self.beliefs.notices();
         let usable = table
             .of(&service.name)
-            .filter(|server| takes_requests(server, &health, &notices, now + wait));
+            .filter(|server| takes_requests(server, &health, &notices, at));
         let engines = usable.filter_map(|server| {
             let mut engine = self.pipeline_engine(server, model, &health, now)?;
             engine.is_closed =
@@ -132,16 +132,21 @@
         engines.collect()
     }
 
-    /// In what times the servers of a service that want no requests now want
-    /// them again, the shortest first.
-    pub(crate) fn backoffs(&self, table: &ServerTable, service: &ServingService) -> Vec<Duration> {
-        let now = clock::now();
+    /// When the servers of a service that want no requests now want them again, the
+    /// earliest first. Moments, as a wait counted from another moment than the one
+    /// it was taken at ends microseconds early, when the server is still left alone.
+    pub(crate) fn backoff_ends(
+        &self,
+        table: &ServerTable,
+        service: &ServingService,
+        now: Instant,
+    ) -> Vec<Instant> {
         let notices = self.beliefs.notices();
         let servers = table.of(&service.name);
-        let waits = servers.filter_map(|server| notices.backoff_left(server.key, now));
-        let mut waits: Vec<Duration> = waits.collect();
-        waits.sort_unstable();
-        waits
+        let ends = servers.filter_map(|server| notices.backoff_until(server.key, now));
+        let mut ends: Vec<Instant> = ends.collect();
+        ends.sort_unstable();
+        ends
     }
 
     /// Whether others have trouble with a server that has shown nothing since.
--- a/crates/rookferry_relay/src/opener/refused.rs
+++ b/crates/rookferry_relay/src/opener/refused.rs
@@ -5,6 +5,7 @@
 
 use rookferry_core::PathFinder;
 use rookferry_core::ServerKey;
+use rookferry_net::clock;
 
 use super::Opener;
 use super::StreamTarget;
@@ -47,18 +48,19 @@
         let table = view.servers.as_ref()?;
         let home = &relay.settings.domain;
         let tokens = self.target.request.tokens();
-        let has_path = |wait| {
-            let engines = relay.pipeline_engines_after(wait, table, service, model);
+        let now = clock::now();
+        let has_path = |at| {
+            let engines = relay.pipeline_engines_at(at, table, service, model);
             PathFinder::new(model.layers, &engines)
                 .find(home, tokens)
                 .is_ok()
         };
-        let waits = relay.backoffs(table, service);
-        if waits.is_empty() || has_path(Duration::ZERO) {
+        let ends = relay.backoff_ends(table, service, now);
+        if ends.is_empty() || has_path(now) {
             return None;
         }
         // Of hundreds of engines that wait, a few are looked at.
-        let first = waits.partition_point(|wait| !has_path(*wait));
-        waits.get(first).copied()
+        let first = ends.partition_point(|end| !has_path(*end));
+        Some(ends.get(first)?.saturating_duration_since(now))
     }
 }
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -137,15 +137,16 @@
     let now = clock::now();
     let health = relay.beliefs.health();
     let notices = relay.beliefs.notices();
-    let is_there = |wait| {
+    let is_there_at = |at| {
         let mut servers = table.of(&service.name);
-        servers.any(|server| takes_requests(server, &health, &notices, now + wait))
+        servers.any(|server| takes_requests(server, &health, &notices, at))
     };
-    if is_there(Duration::ZERO) {
+    if is_there_at(now) {
         return None;
     }
-    let waits = relay.backoffs(table, service);
-    waits.into_iter().find(|wait| is_there(*wait))
+    let mut ends = relay.backoff_ends(table, service, now).into_iter();
+    let first = ends.find(|end| is_there_at(*end))?;
+    Some(first.saturating_duration_since(now))
 }
 
 /// The server with the least to do.
