--- a/crates/rookferry_entry/src/http/service.rs
+++ b/crates/rookferry_entry/src/http/service.rs
@@ -355,9 +355,8 @@
         })?;
         let response = entry.client.send(addr, request, wait).await?;
         let (head, body) = response.into_parts();
-        // What doesn't read asks for nothing.
-        let asked = retry_after(&head.headers).ok().flatten();
-        entry.backoffs.note(addr, head.status, asked);
+        let asked = retry_after(&head.headers);
+        entry.backoffs.note(addr, head.status, &asked);
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|error| ClientError::Broken {
             addr,
--- a/crates/rookferry_net/src/backoff_table.rs
+++ b/crates/rookferry_net/src/backoff_table.rs
@@ -10,7 +10,9 @@
 use rookferry_core::Backoffs;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 
+use crate::RetryAfterError;
 use crate::clock;
 
 /// Until when servers want no requests, by address; shared by all that send.
@@ -31,15 +33,28 @@
     }
 
     /// Takes in an answer's status and the time that it names; only one that
-    /// refuses for now asks for time.
-    pub fn note(&self, addr: SocketAddr, status: StatusCode, retry_after: Option<Duration>) {
-        if status == StatusCode::SERVICE_UNAVAILABLE
-            && let Some(asked) = retry_after
-        {
-            let kept = self.lock().back_off(addr, asked, clock::now());
-            info!(self.log, "backoff: a server wants no requests for a time";
-                "part" => "backoff", "server" => %addr,
-                "asked_ms" => asked.as_millis(), "kept_ms" => kept.as_millis());
+    /// refuses for now asks for time, and what doesn't read asks for none.
+    pub fn note(
+        &self,
+        addr: SocketAddr,
+        status: StatusCode,
+        retry_after: &Result<Option<Duration>, RetryAfterError>,
+    ) {
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        match retry_after {
+            Ok(None) => {}
+            Ok(Some(asked)) => {
+                let kept = self.lock().back_off(addr, *asked, clock::now());
+                info!(self.log, "backoff: a server wants no requests for a time";
+                    "part" => "backoff", "server" => %addr,
+                    "asked_ms" => asked.as_millis(), "kept_ms" => kept.as_millis());
+            }
+            Err(error) => {
+                warn!(self.log, "backoff: what a server asks for doesn't read";
+                    "part" => "backoff", "server" => %addr, "error" => %error);
+            }
         }
     }
 
--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -20,6 +20,7 @@
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
+use crate::RetryAfterError;
 use crate::retry_after;
 
 /// Largest answer that is read, in bytes.
@@ -67,8 +68,8 @@
         status: StatusCode,
         /// The body's text.
         body: String,
-        /// For how long it wants no requests, if it says so in a way that reads.
-        retry_after: Option<Duration>,
+        /// For how long it wants no requests, if it says so.
+        retry_after: Result<Option<Duration>, RetryAfterError>,
     },
     /// It asked for a time in which it wants no requests; no byte has left.
     #[snafu(display("{addr} wants no requests for {} ms more", left.as_millis()))]
@@ -261,8 +262,7 @@
         let whole = async {
             let response = self.send(addr, request, wait).await?;
             let status = response.status();
-            // What doesn't read asks for nothing.
-            let retry_after = retry_after(response.headers()).ok().flatten();
+            let retry_after = retry_after(response.headers());
             let body = read_answer(addr, response.into_body()).await?;
             if status.is_success() {
                 return Ok(body);
--- a/crates/rookferry_net/src/paced_engines.rs
+++ b/crates/rookferry_net/src/paced_engines.rs
@@ -53,7 +53,7 @@
                 ..
             }) = &answer
             {
-                self.backoffs.note(addr, *status, *retry_after);
+                self.backoffs.note(addr, *status, retry_after);
             }
             answer
         }
