--- a/crates/rookferry_core/src/serving/backoffs.rs
+++ b/crates/rookferry_core/src/serving/backoffs.rs
@@ -1,4 +1,4 @@
-//! Until when backend servers want no requests, by whatever tells them apart.
+//! Backoffs that backend servers asked for, by whatever tells the servers apart.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -10,7 +10,7 @@
 /// doesn't take it away for its life.
 const LONGEST_BACKOFF: Duration = Duration::from_mins(1);
 
-/// The servers that want no requests for a time.
+/// The servers to back off from.
 #[derive(Clone, Debug)]
 pub struct Backoffs<K> {
     until: HashMap<K, Instant>,
@@ -31,7 +31,7 @@
         Self::default()
     }
 
-    /// A server wants no requests for a time; tells for how long it gets none.
+    /// A server asked for a backoff; tells how long it is.
     /// One that was asked for before and ends later still holds.
     pub fn back_off(&mut self, server: K, asked: Duration, now: Instant) -> Duration {
         self.expire(now);
@@ -41,14 +41,14 @@
         known.saturating_duration_since(now)
     }
 
-    /// Until when a server wants no requests, if it wants none now.
+    /// When the backoff from a server ends, if there is one now.
     #[must_use]
     pub fn until(&self, server: K, now: Instant) -> Option<Instant> {
         let until = self.until.get(&server).copied();
         until.filter(|until| *until > now)
     }
 
-    /// For how much longer a server wants no requests, if it does.
+    /// How much longer to back off from a server, if at all.
     #[must_use]
     pub fn left(&self, server: K, now: Instant) -> Option<Duration> {
         let until = self.until(server, now)?;
--- a/crates/rookferry_core/src/serving/notices.rs
+++ b/crates/rookferry_core/src/serving/notices.rs
@@ -1,5 +1,5 @@
-//! What servers said of themselves in answers to this instance: that they want
-//! no requests from it for a time, and that they leave.
+//! What servers said of themselves in answers to this instance: that it is to back
+//! off from them for a time, and that they leave.
 //!
 //! Load pattern: a server that is short of room refuses with a time, and each
 //! request that comes in it costs the server work and the caller a retry. Where
@@ -22,7 +22,7 @@
 /// What servers said of themselves.
 #[derive(Clone, Debug, Default)]
 pub struct ServerNotices {
-    /// Until when each wants no requests.
+    /// When the backoff from each ends.
     backoffs: Backoffs<ServerKey>,
     /// Since when each is known to leave.
     leaving: HashMap<ServerKey, Instant>,
@@ -35,18 +35,18 @@
         Self::default()
     }
 
-    /// A server wants no requests for a time; tells for how long it gets none.
+    /// A server asked for a backoff; tells how long it is.
     pub fn back_off(&mut self, server: ServerKey, asked: Duration, now: Instant) -> Duration {
         self.backoffs.back_off(server, asked, now)
     }
 
-    /// For how much longer a server wants no requests, if it does.
+    /// How much longer to back off from a server, if at all.
     #[must_use]
     pub fn backoff_left(&self, server: ServerKey, now: Instant) -> Option<Duration> {
         self.backoffs.left(server, now)
     }
 
-    /// Until when a server wants no requests, if it wants none now.
+    /// When the backoff from a server ends, if there is one now.
     #[must_use]
     pub fn backoff_until(&self, server: ServerKey, now: Instant) -> Option<Instant> {
         self.backoffs.until(server, now)
--- a/crates/rookferry_entry/src/admission.rs
+++ b/crates/rookferry_entry/src/admission.rs
@@ -104,7 +104,7 @@
 /// The queues of all pools and models.
 pub(crate) struct Admission {
     snapshot: Arc<ArcSwap<Snapshot>>,
-    /// Engines that get no stream for a time.
+    /// Backoffs that engines asked for.
     backoffs: Arc<BackoffTable>,
     waiting: AtomicUsize,
     /// Told when someone begins to wait.
@@ -249,7 +249,7 @@
         Ok(waiting)
     }
 
-    /// Engines that want no calls now.
+    /// Engines to back off from now.
     pub(crate) fn backed_off(&self, snapshot: &Snapshot) -> Vec<(EngineId, Duration)> {
         let engines = snapshot.fleet.engines().iter();
         let engines = engines.map(|engine| (&engine.info.engine, engine.addr));
@@ -276,8 +276,8 @@
         snapshot.chooser.choose(policy, graph, engines, &request)
     }
 
-    /// Why there is no chain, and when to come back: if engines that asked for time
-    /// would make one, when the first of them wants calls again.
+    /// Why there is no chain, and when to come back: if engines that are backed
+    /// off from would make one, when the first such backoff ends.
     fn no_chain(&self, need: &StreamNeed, chosen: ChosenChain) -> NoPlace {
         let snapshot = self.snapshot.load();
         let waiting = self.backed_off(&snapshot);
@@ -294,7 +294,7 @@
         };
         NoPlace {
             reason: ReasonCode::Overloaded,
-            detail: "engines asked for time; come back when it is over".to_owned(),
+            detail: "engines asked for a backoff; come back when it ends".to_owned(),
             retry_after: *left,
             candidates: chosen.candidates,
         }
--- a/crates/rookferry_entry/src/entry.rs
+++ b/crates/rookferry_entry/src/entry.rs
@@ -96,7 +96,7 @@
     pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
     pub(crate) admission: Arc<Admission>,
     pub(crate) engines: Arc<dyn EngineTransport>,
-    /// Backend servers that asked this instance for time.
+    /// Backoffs that backend servers asked this instance for.
     pub(crate) backoffs: Arc<BackoffTable>,
     pub(crate) steps: StepSender,
     pub(crate) client: HttpClient,
--- a/crates/rookferry_entry/src/http/service.rs
+++ b/crates/rookferry_entry/src/http/service.rs
@@ -288,10 +288,10 @@
     }
 
     /// The refusal where no server is to be sent to; `left` is the time until the
-    /// first that asked for time wants calls again.
+    /// first backoff ends.
     fn no_server(&self, progress: Progress, left: Option<Duration>) -> Refusal {
         if let Some(left) = left {
-            let detail = "its servers asked for time; come back when it is over";
+            let detail = "its servers asked for a backoff; come back when it ends";
             return Refusal::new(progress.give_up(ReasonCode::Overloaded), detail)
                 .retry_after(left);
         }
--- a/crates/rookferry_entry/tests/backoff.rs
+++ b/crates/rookferry_entry/tests/backoff.rs
@@ -29,7 +29,7 @@
 const ALL: u32 = 100_000;
 
 /// Has a backend server refuse calls and ask for time.
-async fn ask_for_time(site: &TestSite, addr: SocketAddr, refusals: u32) {
+async fn ask_for_backoff(site: &TestSite, addr: SocketAddr, refusals: u32) {
     let fault = json!({"retry_after": LONG_S.to_string(), "refusals": refusals});
     site.fault(addr, fault).await;
 }
@@ -61,11 +61,11 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn an_engine_that_asks_for_time_gets_no_call_in_it() {
+async fn an_engine_that_asks_for_backoff_gets_no_call_in_it() {
     let site = TestSite::start(1).await;
     site.settled().await;
     let engine = site.site.addrs.engines["s0-1"];
-    ask_for_time(&site, engine, 1).await;
+    ask_for_backoff(&site, engine, 1).await;
     eventually("it asks for time", async || {
         calls_since(&site, engine).await.is_some()
     })
@@ -84,12 +84,12 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_plain_server_that_asks_for_time_gets_no_call_in_it() {
+async fn a_plain_server_that_asks_for_backoff_gets_no_call_in_it() {
     let site = TestSite::start(1).await;
     site.settled().await;
     let apps: Vec<SocketAddr> = site.site.addrs.apps.values().copied().collect();
     for app in &apps {
-        ask_for_time(&site, *app, 1).await;
+        ask_for_backoff(&site, *app, 1).await;
     }
     let mut asking = None;
     eventually("one asks for time", async || {
@@ -104,7 +104,7 @@
     .await;
     let asking = asking.expect("one asks");
     for app in apps.iter().filter(|app| **app != asking) {
-        ask_for_time(&site, *app, 0).await;
+        ask_for_backoff(&site, *app, 0).await;
     }
     for _ in 0..CALLS {
         let (status, _) = call_service(&site).await;
@@ -122,11 +122,11 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_caller_is_told_when_plain_servers_want_calls_again() {
+async fn a_caller_is_told_when_plain_servers_take_calls_again() {
     let site = TestSite::start(1).await;
     site.settled().await;
     for app in site.site.addrs.apps.values() {
-        ask_for_time(&site, *app, ALL).await;
+        ask_for_backoff(&site, *app, ALL).await;
     }
     eventually("a caller is told", async || {
         names_the_time(&call_service(&site).await.1)
@@ -135,11 +135,11 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_caller_is_told_when_engines_want_calls_again() {
+async fn a_caller_is_told_when_engines_take_calls_again() {
     let site = TestSite::start(1).await;
     site.settled().await;
     for engine in site.site.addrs.engines.values() {
-        ask_for_time(&site, *engine, ALL).await;
+        ask_for_backoff(&site, *engine, ALL).await;
     }
     for (engine, addr) in &site.site.addrs.engines {
         eventually(&format!("{engine} asks for time"), async || {
--- a/crates/rookferry_net/src/backoff_table.rs
+++ b/crates/rookferry_net/src/backoff_table.rs
@@ -1,4 +1,4 @@
-//! The backend servers that asked this process for time.
+//! The backoffs that backend servers asked this process for.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -15,7 +15,7 @@
 use crate::RetryAfterError;
 use crate::clock;
 
-/// Until when servers want no requests, by address; shared by all that send.
+/// Backoffs by the servers' addresses; shared by all that send.
 #[derive(Debug)]
 pub struct BackoffTable {
     log: Logger,
@@ -23,7 +23,7 @@
 }
 
 impl BackoffTable {
-    /// None has asked for time.
+    /// No backoffs.
     #[must_use]
     pub fn new(log: Logger) -> Self {
         Self {
@@ -33,7 +33,7 @@
     }
 
     /// Takes in an answer's status and the time that it names; only one that
-    /// refuses for now asks for time, and what doesn't read asks for none.
+    /// refuses for now asks for a backoff, and what doesn't read asks for none.
     pub fn note(
         &self,
         addr: SocketAddr,
@@ -47,7 +47,7 @@
             Ok(None) => {}
             Ok(Some(asked)) => {
                 let kept = self.lock().back_off(addr, *asked, clock::now());
-                info!(self.log, "backoff: a server wants no requests for a time";
+                info!(self.log, "backoff: a server asked for a backoff";
                     "part" => "backoff", "server" => %addr,
                     "asked_ms" => asked.as_millis(), "kept_ms" => kept.as_millis());
             }
@@ -58,13 +58,13 @@
         }
     }
 
-    /// For how much longer a server wants no requests, if it does.
+    /// How much longer to back off from a server, if at all.
     pub fn left(&self, addr: SocketAddr) -> Option<Duration> {
         self.lock().left(addr, clock::now())
     }
 
-    /// Those of some servers that want no requests now, each with for how much
-    /// longer, the shortest time first.
+    /// Those of some servers to back off from, each with how much longer, the
+    /// shortest first.
     pub fn backed_off<T>(
         &self,
         servers: impl IntoIterator<Item = (T, SocketAddr)>,
--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -68,11 +68,11 @@
         status: StatusCode,
         /// The body's text.
         body: String,
-        /// For how long it wants no requests, if it says so.
+        /// The backoff that it asks for, if any.
         retry_after: Result<Option<Duration>, RetryAfterError>,
     },
-    /// It asked for a time in which it wants no requests; no byte has left.
-    #[snafu(display("{addr} wants no requests for {} ms more", left.as_millis()))]
+    /// It asked for a backoff, which isn't over; no byte has left.
+    #[snafu(display("backing off from {addr} for {} ms more", left.as_millis()))]
     BackedOff {
         /// The address.
         addr: SocketAddr,
--- a/crates/rookferry_net/src/paced_engines.rs
+++ b/crates/rookferry_net/src/paced_engines.rs
@@ -1,4 +1,4 @@
-//! Engines that get no call while they want none.
+//! Engines that get no call during a backoff that they asked for.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,8 +22,8 @@
 use crate::ClientError;
 use crate::EngineTransport;
 
-/// Calls engines by another transport, but for those that asked for time: every
-/// kind of call is work for them.
+/// Calls engines by another transport, but for those that asked for a backoff:
+/// every kind of call is work for them.
 pub struct PacedEngines {
     inner: Arc<dyn EngineTransport>,
     backoffs: Arc<BackoffTable>,
--- a/crates/rookferry_net/src/retry_after.rs
+++ b/crates/rookferry_net/src/retry_after.rs
@@ -1,5 +1,4 @@
-//! The time after which a server wants the next request, as its answer's
-//! `Retry-After` header tells: in seconds, here also with a fraction, or as a
+//! The backoff that a server asks for by its answer's `Retry-After` header: in seconds, here also with a fraction, or as a
 //! date.
 //!
 //! A date is taken from the answer's own `Date`, so that the clocks of the two
@@ -26,7 +25,7 @@
     pub value: String,
 }
 
-/// After what time the next request is wanted, if the answer says so.
+/// The backoff that an answer asks for, if any.
 ///
 /// # Errors
 ///
--- a/crates/rookferry_net/tests/paced_engines.rs
+++ b/crates/rookferry_net/tests/paced_engines.rs
@@ -94,7 +94,7 @@
 }
 
 #[tokio::test]
-async fn an_engine_that_asked_for_time_gets_no_call_of_any_kind() {
+async fn an_engine_that_asked_for_backoff_gets_no_call_of_any_kind() {
     let (addr, calls) = refusing("Retry-After: 50\r\n").await;
     let backoffs = backoffs();
     let engines = HttpEngines::new(HttpClient::new());
--- a/crates/rookferry_relay/src/beliefs.rs
+++ b/crates/rookferry_relay/src/beliefs.rs
@@ -83,12 +83,12 @@
         self.notices.load()
     }
 
-    /// A server wants no requests for a time; tells for how long it gets none.
+    /// A server asked for a backoff; tells how long it is.
     pub(crate) fn back_off(&self, server: ServerKey, asked: Duration) -> Duration {
         self.update_notices(|notices| notices.back_off(server, asked, clock::now()))
     }
 
-    /// For how much longer a server wants no requests, if it does.
+    /// How much longer to back off from a server, if at all.
     pub(crate) fn backoff_left(&self, server: ServerKey) -> Option<Duration> {
         self.notices.load().backoff_left(server, clock::now())
     }
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -103,8 +103,7 @@
         self.pipeline_engines_at(clock::now(), table, service, model)
     }
 
-    /// The engines that may be a stage at a time, by when some of those that want no
-    /// requests now will want them.
+    /// The engines that may be a stage at a time, by when some backoffs will be over.
     pub(crate) fn pipeline_engines_at(
         &self,
         at: Instant,
@@ -132,8 +131,7 @@
         engines.collect()
     }
 
-    /// When the servers of a service that want no requests now want them again, the
-    /// earliest first. Moments, as a wait counted from another moment than the one
+    /// When the backoffs from servers of a service end, the earliest first. Moments, as a wait counted from another moment than the one
     /// it was taken at ends microseconds early, when the server is still left alone.
     pub(crate) fn backoff_ends(
         &self,
--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -24,7 +24,7 @@
 /// What an answer says of its server, beside what it answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct ServerNotice {
-    /// For how long it wants no request from this instance.
+    /// The backoff that it asks this instance for.
     backoff: Option<Duration>,
     /// Whether it takes no new work any more.
     is_leaving: bool,
@@ -112,12 +112,12 @@
         }
     }
 
-    /// A server wants no requests from this instance for a time.
+    /// A server asked this instance for a backoff.
     pub(crate) fn back_off(&self, server: ServerKey, asked: Duration) {
         let kept = self.beliefs.back_off(server, asked);
         counter!("rookferry_server_backoffs_total").increment(1);
         if let Some(log) = self.events.line(Weight::Notable) {
-            info!(log, "health: a server wants no requests for a time";
+            info!(log, "health: a server asked for a backoff";
                 "event" => "server_backoff", "server" => %server.addr,
                 "asked_ms" => millis(asked), "kept_ms" => millis(kept));
         }
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -57,7 +57,7 @@
     Answer(Box<UpstreamAnswer>),
     NotRun {
         at_fault: Option<ServerKey>,
-        /// For how long the engine wants no requests.
+        /// The backoff that the engine asked for.
         backoff: Option<Duration>,
     },
     Failed(UpstreamError),
--- a/crates/rookferry_relay/src/opener/refused.rs
+++ b/crates/rookferry_relay/src/opener/refused.rs
@@ -35,8 +35,8 @@
         }
     }
 
-    /// In what time there is a path, if there is none now because engines want no
-    /// requests for a time.
+    /// In what time there is a path, if there is none now because of backoffs from
+    /// engines.
     pub(super) fn wait_for_engines(&self) -> Option<Duration> {
         let StreamTarget {
             relay,
--- a/crates/rookferry_relay/src/path_keeper/repair.rs
+++ b/crates/rookferry_relay/src/path_keeper/repair.rs
@@ -102,8 +102,8 @@
         Watched::Fine
     }
 
-    /// The first engine wants no orders for a time, in which a stream with a lost
-    /// stage would stand still; another run, if one may begin, goes on at once.
+    /// Orders to the first engine are backed off from, and a stream with a lost stage
+    /// would stand still meanwhile; another run, if one may begin, goes on at once.
     fn put_off(&mut self, left: Duration, has_lost: bool) -> Watched {
         if has_lost && !self.keeps_run {
             return Watched::Costly;
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -86,7 +86,7 @@
             Tried::NotRun => {
                 arrived += 1;
                 note_failed(relay, &request, server, "not run");
-                // One that asked for time is left alone for just that.
+                // One that asked for a backoff is left alone for just that.
                 if relay.beliefs.backoff_left(server.key).is_none() {
                     relay.beliefs.health().failed(server.key, clock::now());
                 }
@@ -128,7 +128,7 @@
     Served::Refused(refusal.or_backed_off(|| wait_for_server(relay, table, service)))
 }
 
-/// In what time a server wants requests again, if none does now.
+/// In what time the first backoff ends, if no server may be sent to now.
 fn wait_for_server(
     relay: &Relay,
     table: &ServerTable,
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -42,7 +42,7 @@
     NoServer,
     /// The engines have no room for it; it comes back after a time.
     Overloaded(Duration),
-    /// All servers want no requests from this instance for a time.
+    /// All servers asked this instance for a backoff.
     BackedOff(Duration),
     /// Servers ended each time that they ran it; it is held for a time.
     Quarantined {
@@ -186,7 +186,7 @@
             Self::Leaving => "this instance is stopping; come back, another one answers",
             Self::NoServer => "no server can take the request now; come back",
             Self::Overloaded(_) => "the engines have no room for the request now; come back",
-            Self::BackedOff(_) => "all servers asked for time; come back when it is over",
+            Self::BackedOff(_) => "all servers asked for a backoff; come back when it ends",
             Self::Quarantined { .. } => {
                 "servers ended each time that they ran this request; it is held for a time"
             }
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -34,9 +34,8 @@
     /// No byte of the request has left.
     #[snafu(display("not sent: {source}"))]
     NotConnected { source: ConnectError },
-    /// The server wants no requests from this instance for a time; no byte has
-    /// left.
-    #[snafu(display("not sent: {addr} wants no requests for {} ms more", left.as_millis()))]
+    /// The server asked this instance for a backoff; no byte has left.
+    #[snafu(display("not sent: backing off from {addr} for {} ms more", left.as_millis()))]
     BackedOff { addr: SocketAddr, left: Duration },
     /// The check before sending forbade it; no byte has left.
     #[snafu(display("not sent: what was decided no longer holds"))]
@@ -101,7 +100,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
-    /// For how long the server wants no requests from this instance.
+    /// The backoff that the server asked this instance for.
     pub(crate) backoff: Option<Duration>,
     /// To be kept once the body is read whole.
     connection: Option<Connection>,
--- a/crates/rookferry_standin/src/admin.rs
+++ b/crates/rookferry_standin/src/admin.rs
@@ -108,8 +108,8 @@
         text.is_some_and(|text| work.windows(text.len()).any(|part| part == text))
     }
 
-    /// Counts a call; gives the refusal that asks for time, if it gets one.
-    pub(crate) fn refusal_for_a_time(&self) -> Option<Response<Body>> {
+    /// Counts a call; gives the refusal with a backoff, if it gets one.
+    pub(crate) fn refusal_with_backoff(&self) -> Option<Response<Body>> {
         let mut faults = self.lock();
         let retry_after = faults.retry_after.clone()?;
         faults.calls_since = faults.calls_since.map(|calls| calls + 1);
@@ -123,7 +123,7 @@
         Some(response)
     }
 
-    /// Calls that came since it last asked for time, if it has.
+    /// Calls that came since it last asked for a backoff, if it has.
     pub(crate) fn calls_since_asked(&self) -> Option<u32> {
         self.lock().calls_since
     }
--- a/crates/rookferry_standin/src/app.rs
+++ b/crates/rookferry_standin/src/app.rs
@@ -144,7 +144,7 @@
         Ok(body) => body,
         Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
     };
-    if let Some(refusal) = app.faults.refusal_for_a_time() {
+    if let Some(refusal) = app.faults.refusal_with_backoff() {
         return refusal;
     }
     app.faults.pass().await;
--- a/crates/rookferry_standin/src/engine/server.rs
+++ b/crates/rookferry_standin/src/engine/server.rs
@@ -186,14 +186,14 @@
     })
 }
 
-/// Puts a refusal that asks for time before a call, where one is ordered.
+/// Puts a refusal with a backoff before a call, where one is ordered.
 fn paced<R>(
     handler: impl Fn(Arc<App>, Inbound) -> R + Copy,
 ) -> impl Fn(Arc<App>, Inbound) -> BoxFuture<'static, Response<Body>> + Copy
 where
     R: Future<Output = Response<Body>> + Send + 'static,
 {
-    move |app, inbound| match app.faults.refusal_for_a_time() {
+    move |app, inbound| match app.faults.refusal_with_backoff() {
         Some(refusal) => ready(refusal).boxed(),
         None => handler(app, inbound).boxed(),
     }
