--- a/crates/rookferry_core/src/serving/backoffs.rs
+++ b/crates/rookferry_core/src/serving/backoffs.rs
@@ -31,8 +31,8 @@
         Self::default()
     }
 
-    /// A server asked for a backoff; tells how long it is.
-    /// One that was asked for before and ends later still holds.
+    /// A server asked for a backoff; tells how long it is. One that was asked for
+    /// before and ends later still holds.
     pub fn back_off(&mut self, server: K, asked: Duration, now: Instant) -> Duration {
         self.expire(now);
         let until = now + asked.min(LONGEST_BACKOFF);
--- a/crates/rookferry_net/src/retry_after.rs
+++ b/crates/rookferry_net/src/retry_after.rs
@@ -1,5 +1,5 @@
-//! The backoff that a server asks for by its answer's `Retry-After` header: in seconds, here also with a fraction, or as a
-//! date.
+//! The backoff that a server asks for by its answer's `Retry-After` header: in
+//! seconds, here also with a fraction, or as a date.
 //!
 //! A date is taken from the answer's own `Date`, so that the clocks of the two
 //! machines needn't agree; without one it is taken from this machine's.
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -131,8 +131,10 @@
         engines.collect()
     }
 
-    /// When the backoffs from servers of a service end, the earliest first. Moments, as a wait counted from another moment than the one
-    /// it was taken at ends microseconds early, when the server is still left alone.
+    /// When the backoffs from servers of a service end, the earliest first.
+    ///
+    /// Moments, as a wait counted from another moment than the one it was taken at
+    /// ends microseconds early, when the server is still backed off from.
     pub(crate) fn backoff_ends(
         &self,
         table: &ServerTable,
