fix(peers): an instance that has ended is forgotten by the others

Callers saw nothing of it; found while limits were looked into, of the same class: hearsay that is too old. How long ago a member was heard was told in whole seconds, rounded down, so that a word that is passed on within a second looked fresh each time. In a simulated site an instance that had ended was still known to all of 9, 60 and 300 after 80 s (test seen red); it was written to and kept its part of all budgets for good.

--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -79,8 +79,9 @@
 pub struct MemberSeen {
     /// Where it listens for other instances.
     pub addr: SocketAddr,
-    /// Whole seconds since it was heard.
-    pub age_s: u8,
+    /// Tenths of a second since it was heard, rounded up: rounded down, a word that
+    /// is passed on within a tenth would never age.
+    pub age_tenths_s: u16,
 }
 
 /// A holder of the lease for orders to engines.
--- a/crates/rookferry_core/src/peers/peer.rs
+++ b/crates/rookferry_core/src/peers/peer.rs
@@ -54,7 +54,7 @@
         let age = now.saturating_duration_since(self.seen_at);
         MemberSeen {
             addr,
-            age_s: u8::try_from(age.as_secs()).unwrap_or(u8::MAX),
+            age_tenths_s: u16::try_from(age.as_millis().div_ceil(100)).unwrap_or(u16::MAX),
         }
     }
 
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -27,9 +27,13 @@
 /// How long a silent holder of the lease counts as one; two heartbeats to
 /// other failure domains fit in.
 const HOLDER_KEPT: Duration = Duration::from_millis(1_400);
-/// How long a member that nobody hears counts as there. Heads tell whom they
-/// heard, in turn and by the second, so that a word is up to 3 s old.
+/// How long a member that nobody hears counts as there, and how much longer for
+/// each member: they are told of in turn, so that the word on each is the older the
+/// more there are.
 const MEMBER_KEPT: Duration = Duration::from_secs(5);
+const MEMBER_KEPT_EACH: Duration = Duration::from_millis(50);
+/// The longest that it does.
+const MEMBER_KEPT_LONGEST: Duration = Duration::from_secs(25);
 /// How long an address that nobody heard is written to, and counts as one of
 /// those that share budgets.
 const ADDRESS_KEPT: Duration = Duration::from_secs(30);
@@ -84,7 +88,7 @@
             .iter()
             .flat_map(|of| of.members.iter().map(move |member| (&of.domain, member)))
         {
-            let age = Duration::from_secs(u64::from(member.age_s));
+            let age = Duration::from_millis(u64::from(member.age_tenths_s) * 100);
             let Some(seen_at) = now.checked_sub(age).filter(|_| age < ADDRESS_KEPT) else {
                 continue;
             };
@@ -168,13 +172,20 @@
     /// have fallen silent to all since the last call.
     pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
         let is_seen = |peer: &Peer, within| is_within(Some(peer.seen_at), now, within);
+        let kept = self.member_kept();
         let peers = self.peers.values_mut();
-        let silent = peers.filter(|peer| !is_seen(peer, MEMBER_KEPT));
+        let silent = peers.filter(|peer| !is_seen(peer, kept));
         let silent = silent.filter_map(|peer| peer.instance.take()).collect();
         self.peers.retain(|_, peer| is_seen(peer, ADDRESS_KEPT));
         silent
     }
 
+    fn member_kept(&self) -> Duration {
+        let members = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        let kept = MEMBER_KEPT + MEMBER_KEPT_EACH.saturating_mul(members);
+        kept.min(MEMBER_KEPT_LONGEST)
+    }
+
     /// Addresses in the own domain, in order.
     pub fn near(&self) -> impl Iterator<Item = SocketAddr> {
         self.addresses(|domain| domain == Some(&self.home))
--- a/crates/rookferry_core/tests/peers.rs
+++ b/crates/rookferry_core/tests/peers.rs
@@ -283,6 +283,25 @@
     assert!(wrong.count() <= 3);
 }
 
+/// Told in whole seconds, rounded down, the word on a member looked fresh again each
+/// time that it was passed on: one that had ended was known to all for good, was
+/// written to, and had its part of all budgets. After 80 s all 9, 60 and 300 were
+/// still counted.
+#[rstest]
+#[case::nine(3, 3)]
+#[case::sixty(3, 20)]
+#[case::hundreds(3, 100)]
+fn a_member_that_ended_is_forgotten_by_all(#[case] domains: usize, #[case] per_domain: usize) {
+    let mut site = Site::start(domains, per_domain, 12);
+    site.run_for(6_000);
+    // Not one of the seeds, which are learnt anew.
+    site.instances[3].is_up = false;
+    site.run_for(45_000);
+    let count = domains * per_domain;
+    let known: Vec<_> = site.up().map(|one| one.table.instances()).collect();
+    assert!(known.iter().all(|known| *known == count - 1), "{known:?}");
+}
+
 #[test]
 fn damaged_figures_change_nothing_but_the_senders_entry() {
     let mut site = Site::start(1, 3, 8);
