feat(relay): the limits that servers name are read and logged

Sight for the incident, no change of what is sent: an answer's word on the requests a second that its server takes of all instances together is read at the border, kept by the server's start, and logged when it changes (server_limit).

--- a/crates/rookferry_relay/src/beliefs.rs
+++ b/crates/rookferry_relay/src/beliefs.rs
@@ -20,6 +20,7 @@
 use rookferry_core::DoubtedServers;
 use rookferry_core::ServerHealth;
 use rookferry_core::ServerKey;
+use rookferry_core::ServerLimits;
 use rookferry_core::ServerLoad;
 use rookferry_core::ServerNotices;
 use rookferry_net::clock;
@@ -41,6 +42,8 @@
     doubted: ArcSwap<DoubtedServers>,
     /// What they said of themselves to this instance.
     notices: ArcSwap<ServerNotices>,
+    /// The requests a second that they take of all instances together.
+    limits: ArcSwap<ServerLimits>,
     /// When each last gave a sign, and what it reported.
     pub(crate) signs: Signs,
     /// Runs that broke, until it is known whether their servers have ended.
@@ -59,6 +62,7 @@
             closed: Mutex::new(ClosedServers::new(chance)),
             doubted: ArcSwap::default(),
             notices: ArcSwap::default(),
+            limits: ArcSwap::default(),
             signs: Signs::new(),
             broken_runs: BrokenRunTable::default(),
             loads: LoadTable::default(),
@@ -105,6 +109,22 @@
         server.is_leaving || self.notices.load().is_leaving(server.key)
     }
 
+    /// The limits that servers named.
+    pub(crate) fn limits(&self) -> Guard<Arc<ServerLimits>> {
+        self.limits.load()
+    }
+
+    /// Takes a word on a server's limit in.
+    pub(crate) fn update_limits<T: Default>(&self, take: impl Fn(&mut ServerLimits) -> T) -> T {
+        let mut outcome = T::default();
+        self.limits.rcu(|limits| {
+            let mut limits = ServerLimits::clone(limits);
+            outcome = take(&mut limits);
+            limits
+        });
+        outcome
+    }
+
     fn update_notices<T: Default>(&self, change: impl Fn(&mut ServerNotices) -> T) -> T {
         let mut outcome = T::default();
         self.notices.rcu(|notices| {
@@ -145,5 +165,8 @@
         if !self.notices.load().is_empty() {
             self.update_notices(|notices| notices.retain(clock::now(), is_known));
         }
+        if !self.limits.load().is_unknown() {
+            self.update_limits(|limits| limits.retain(clock::now(), is_known));
+        }
     }
 }
--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -59,6 +59,7 @@
     "server_closed",
     "server_doubted",
     "server_leaving",
+    "server_limit",
     "server_lost",
     "server_regained",
     "server_removed",
--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Exchanges with backend servers: all that reaches one goes through here.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -8,7 +9,10 @@
 use http::StatusCode;
 use http_body_util::Full;
 use metrics::counter;
+use rookferry_core::LimitChange;
+use rookferry_core::RequestRate;
 use rookferry_core::ServerKey;
+use rookferry_net::clock;
 use rookferry_net::retry_after;
 use slog::info;
 use slog::warn;
@@ -22,12 +26,26 @@
 use crate::upstream::WholeAnswer;
 
 /// What an answer says of its server, beside what it answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct ServerNotice {
     /// The backoff that it asks this instance for.
     backoff: Option<Duration>,
     /// Whether it takes no new work any more.
     is_leaving: bool,
+    /// What it says of the requests that it takes.
+    limit: LimitNotice,
+}
+
+/// What an answer says of the requests a second that its server takes of all
+/// instances together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum LimitNotice {
+    /// Nothing that reads.
+    #[default]
+    Unclear,
+    /// It names none.
+    None,
+    Named(RequestRate),
 }
 
 impl Relay {
@@ -54,10 +72,12 @@
             may_send().then_some(()).ok_or(UpstreamError::Withdrawn)
         };
         is_wanted()?;
+        let sent_at = clock::now();
         let mut answer = self.pool.send(upstream, request, may_send).await?;
         let notice = self.read_notice(server, answer.status, &answer.headers);
         answer.backoff = notice.backoff;
         self.take_notice(server, notice);
+        self.take_limit(server, notice.limit, sent_at);
         Ok(answer)
     }
 
@@ -92,6 +112,13 @@
             Ok(is_leaving) => notice.is_leaving = is_leaving,
             Err(error) => self.note_unreadable(server, &error),
         }
+        match self.protocol.named_limit(headers) {
+            Ok(named) => {
+                let rate = named.and_then(RequestRate::bounded);
+                notice.limit = rate.map_or(LimitNotice::None, LimitNotice::Named);
+            }
+            Err(error) => self.note_unreadable(server, &error),
+        }
         // Other answers may have it for whoever sent the request.
         if status == StatusCode::SERVICE_UNAVAILABLE {
             match retry_after(headers) {
@@ -112,6 +139,32 @@
         }
     }
 
+    /// Notes what an answer says of its server's limit.
+    fn take_limit(&self, server: ServerKey, limit: LimitNotice, sent_at: Instant) {
+        let now = clock::now();
+        let change = match limit {
+            LimitNotice::Named(rate) => self
+                .beliefs
+                .update_limits(|limits| limits.named(server, rate, now)),
+            LimitNotice::None if self.beliefs.limits().of(server).is_some() => self
+                .beliefs
+                .update_limits(|limits| limits.not_named(server, sent_at, now)),
+            _ => None,
+        };
+        let Some(change) = change else {
+            return;
+        };
+        let rate = match change {
+            LimitChange::Named(rate) => Some(rate.per_s()),
+            LimitChange::Lifted => None,
+        };
+        if let Some(log) = self.events.line(Weight::Notable) {
+            info!(log, "health: a server's limit for all instances has changed";
+                "event" => "server_limit", "server" => %server.addr,
+                "limit_per_s" => rate, "source" => "own");
+        }
+    }
+
     /// A server asked this instance for a backoff.
     pub(crate) fn back_off(&self, server: ServerKey, asked: Duration) {
         let kept = self.beliefs.back_off(server, asked);
--- a/crates/rookferry_relay/src/protocol.rs
+++ b/crates/rookferry_relay/src/protocol.rs
@@ -154,6 +154,14 @@
     /// If what it says doesn't read.
     fn says_leaving(&self, headers: &HeaderMap) -> Result<bool, FormatError>;
 
+    /// The requests a second that a server takes of all instances together, if an
+    /// answer names them.
+    ///
+    /// # Errors
+    ///
+    /// If what it names doesn't read.
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, FormatError>;
+
     /// A path as the header that names it.
     fn path_value(&self, path: &PipelinePath) -> HeaderValue;
 
