fix(quarantine): servers that end together count as one against a request

What callers saw: a sound request refused as quarantined for ten minutes at all instances, because engines of its path had gone at the same moment, as a rack does. Cause: ends that have one cause were counted as if each spoke by itself; a single run over three of five engines that went together was enough. Why this holds: a request at fault ends servers in turn, as it comes to each while it is there. An end counts beside an earlier one only if the run came to its server after that, and the server is known to have been there then: it took the request, or gave a sign, or a second had gone by, by which it would be known. Of all ends those in turn that say the most are counted, and a bound on what is kept drops those that say the least.

The core's file is three: quarantine, record, ends.

--- a/crates/rookferry_core/examples/quarantine_size.rs
+++ b/crates/rookferry_core/examples/quarantine_size.rs
@@ -8,6 +8,7 @@
 
 use rookferry_core::Quarantine;
 use rookferry_core::RequestSignature;
+use rookferry_core::RunEnd;
 use rookferry_core::RunProgress;
 use rookferry_core::ServerKey;
 
@@ -45,12 +46,14 @@
     let mut quarantine = Quarantine::new();
     for request in 0..REQUESTS {
         for end in 0..ENDS {
-            quarantine.note_end(
-                signature(request, b""),
-                server(end),
-                RunProgress::Answering,
-                start,
-            );
+            let end = RunEnd {
+                server: server(end),
+                progress: RunProgress::Answering,
+                joined_at: start,
+                alive_at: start,
+                at: start,
+            };
+            quarantine.note_end(signature(request, b""), end, start);
         }
     }
     let noted_us = start.elapsed().as_secs_f64() * 1e6 / f64::from(REQUESTS * u32::from(ENDS));
--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -211,6 +211,7 @@
 pub use serving::RoomQueue;
 pub use serving::RoomTicket;
 pub use serving::RouteTarget;
+pub use serving::RunEnd;
 pub use serving::RunProgress;
 pub use serving::ServerHealth;
 pub use serving::ServerKey;
--- a/crates/rookferry_core/src/serving/broken_runs.rs
+++ b/crates/rookferry_core/src/serving/broken_runs.rs
@@ -10,7 +10,7 @@
 use std::time::Instant;
 
 use super::RequestSignature;
-use super::RunProgress;
+use super::RunEnd;
 use super::ServerKey;
 
 /// How long a broken run waits for word of its server: a probe takes up to
@@ -29,10 +29,8 @@
     pub signature: RequestSignature,
     /// Its id, for logs.
     pub request: String,
-    /// Where it ran.
-    pub server: ServerKey,
-    /// How far it had come.
-    pub progress: RunProgress,
+    /// The end that it met, if the server has ended.
+    pub end: RunEnd,
 }
 
 /// What is known when a run breaks.
@@ -64,11 +62,11 @@
     /// A run broke.
     pub fn note(&mut self, run: BrokenRun, now: Instant) -> BrokenRunNoted {
         self.expire(now);
-        if self.ended.contains_key(&run.server) {
+        if self.ended.contains_key(&run.end.server) {
             return BrokenRunNoted::Ended(run);
         }
         let mut undecided = self.undecided.iter();
-        let is_asked = undecided.any(|(known, _)| known.server == run.server);
+        let is_asked = undecided.any(|(known, _)| known.end.server == run.end.server);
         if self.undecided.len() < MAX_UNDECIDED {
             self.undecided.push((run, now));
         }
@@ -109,7 +107,7 @@
     fn take(&mut self, server: ServerKey) -> Vec<BrokenRun> {
         let taken = self
             .undecided
-            .extract_if(.., |(run, _)| run.server == server);
+            .extract_if(.., |(run, _)| run.end.server == server);
         taken.map(|(run, _)| run).collect()
     }
 }
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -58,6 +58,7 @@
 pub use quarantine::EndSeen;
 pub use quarantine::Quarantine;
 pub use quarantine::QuarantineChange;
+pub use quarantine::RunEnd;
 pub use quarantine::RunProgress;
 pub use quarantine::SuspectSeen;
 pub use quarantine::Suspicion;
--- a/crates/rookferry_core/src/serving/quarantine.rs
+++ b/crates/rookferry_core/src/serving/quarantine/mod.rs
@@ -9,8 +9,12 @@
 //!
 //! An end says little by itself, as every request that the server had is under
 //! it. What tells the one at fault from those beside it: it never ends well, so
-//! a run that does clears a request; and its server ends when it has begun, so
-//! an end after part of the answer had come counts for half.
+//! a run that does clears a request; its server ends when it has begun, so an end
+//! after part of the answer had come counts for half; and it ends servers in turn,
+//! so that ends of servers that may have gone together count as one.
+
+mod ends;
+mod record;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -20,25 +24,16 @@
 use serde::Serialize;
 
 use super::RequestSignature;
-use super::ServerKey;
 use super::finished_requests::FinishedRequests;
-use crate::millis::millis;
+use record::Record;
+
+pub use ends::EndSeen;
+pub use ends::RunEnd;
+pub use ends::RunProgress;
 
-/// What an end says against a request that had just begun on the server, and
-/// against one whose answer had begun to come.
-const BEGUN_POINTS: u32 = 2;
-const ANSWERING_POINTS: u32 = 1;
-/// Points from which on a request is held: three servers that ended as it had
-/// begun, or five that ended later. One attempt meets two ends and its caller's
-/// retry two more, so that one that was beside others each time is still run.
-const HELD_POINTS: u32 = 5;
-/// The same for a request that ended well within [`HELD_FOR`] before: five
-/// servers that ended as it had begun. One at fault has no run that ends well, so
-/// it is most likely beside one, as those are that many callers send.
-const HELD_POINTS_AFTER_FINISH: u32 = 10;
 /// How long a request is held after the last end under it: an end then costs
 /// one server a restart of seconds each ten minutes, and a mended one is served.
-pub(super) const HELD_FOR: Duration = Duration::from_mins(10);
+pub(in crate::serving) const HELD_FOR: Duration = Duration::from_mins(10);
 /// How long an end counts; one after a time of being held holds it again.
 const KEPT: Duration = Duration::from_hours(1);
 /// How long it is kept that a request was cleared, for those that are yet to
@@ -55,24 +50,6 @@
 /// heartbeats to its own as make a lost one no matter.
 const TOLD_ROUNDS: u8 = 8;
 
-/// How far a run had come when its server ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum RunProgress {
-    /// Part of the answer had come.
-    Answering,
-    /// Nothing of the answer had come since the server got the request.
-    Begun,
-}
-
-impl RunProgress {
-    const fn points(self) -> u32 {
-        match self {
-            Self::Answering => ANSWERING_POINTS,
-            Self::Begun => BEGUN_POINTS,
-        }
-    }
-}
-
 /// What is known of a request, as instances tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectSeen {
@@ -86,17 +63,6 @@
     pub held_ms: Option<u64>,
 }
 
-/// A server's end under a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndSeen {
-    /// The server.
-    pub server: ServerKey,
-    /// How far the run had come.
-    pub progress: RunProgress,
-    /// How long ago it ended, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// What is to be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Suspicion {
@@ -125,22 +91,6 @@
     Released,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct End {
-    server: ServerKey,
-    progress: RunProgress,
-    at: Instant,
-}
-
-#[derive(Clone, Debug)]
-struct Record {
-    ends: Vec<End>,
-    finished_at: Option<Instant>,
-    held_at: Option<Instant>,
-    changed_at: Instant,
-    rounds_left: u8,
-}
-
 /// The requests under which servers ended.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -180,15 +130,9 @@
     pub fn note_end(
         &mut self,
         signature: RequestSignature,
-        server: ServerKey,
-        progress: RunProgress,
+        end: RunEnd,
         now: Instant,
     ) -> QuarantineChange {
-        let end = End {
-            server,
-            progress,
-            at: now,
-        };
         self.update(signature, now, |record| record.add(end))
     }
 
@@ -204,13 +148,8 @@
     /// Takes another instance's word in.
     pub fn learn(&mut self, seen: &SuspectSeen, now: Instant) -> QuarantineChange {
         let before = |age_ms: u64| now.checked_sub(Duration::from_millis(age_ms));
-        let ends = seen.ends.iter().take(MAX_ENDS).filter_map(|end| {
-            Some(End {
-                server: end.server,
-                progress: end.progress,
-                at: before(end.age_ms)?,
-            })
-        });
+        let ends = seen.ends.iter().take(MAX_ENDS);
+        let ends = ends.filter_map(|end| end.end(now));
         let finished_at = seen.finished_ms.and_then(before);
         let held_at = seen.held_ms.and_then(before);
         self.update(seen.signature, now, |record| {
@@ -243,6 +182,13 @@
         record.map_or(0, |record| record.ends.len())
     }
 
+    /// How many of them count: those that ended in turn.
+    #[must_use]
+    pub fn ends_in_turn(&self, signature: RequestSignature) -> usize {
+        let record = self.records.get(&signature);
+        record.map_or(0, Record::in_turn)
+    }
+
     /// Whether a request is known to have ended well, and isn't held.
     #[must_use]
     pub fn is_cleared(&self, signature: RequestSignature) -> bool {
@@ -370,142 +316,3 @@
         });
     }
 }
-
-impl Record {
-    const fn new(finished_at: Option<Instant>, now: Instant) -> Self {
-        Self {
-            ends: Vec::new(),
-            finished_at,
-            held_at: None,
-            changed_at: now,
-            rounds_left: 0,
-        }
-    }
-
-    /// A server's end; tells whether it is news.
-    fn add(&mut self, end: End) -> bool {
-        if self.finished_at.is_some_and(|at| end.at <= at) {
-            return false;
-        }
-        if let Some(known) = self
-            .ends
-            .iter_mut()
-            .find(|known| known.server == end.server)
-        {
-            let is_news = known.progress < end.progress;
-            known.progress = known.progress.max(end.progress);
-            return is_news;
-        }
-        if self.ends.len() >= MAX_ENDS {
-            // Of a request that is held again the last end is the one that counts.
-            self.ends.remove(0);
-        }
-        self.ends.push(end);
-        if self.held_at.is_some() {
-            self.held_at = self.last_end().max(self.held_at);
-        }
-        true
-    }
-
-    /// It ended well; what was before says nothing against it.
-    fn finish(&mut self, at: Instant) -> bool {
-        if self.finished_at >= Some(at) {
-            return false;
-        }
-        // A word that went round only comes back a little later; as news it would
-        // go round for ever.
-        let is_first = self.finished_at.is_none();
-        self.finished_at = Some(at);
-        let before = self.ends.len();
-        self.ends.retain(|end| end.at > at);
-        let was_held = self.held_at.is_some_and(|held_at| held_at <= at);
-        if was_held {
-            self.held_at = None;
-        }
-        is_first || was_held || self.ends.len() < before
-    }
-
-    /// Another's word that it is held; tells whether there is something to tell
-    /// others, be it that it isn't, since it ended well.
-    fn hold(&mut self, at: Instant) -> bool {
-        if self.finished_at.is_some_and(|finished| at <= finished) {
-            return false;
-        }
-        if self.points() < self.points_to_hold(at) && self.ended_well_before(at) {
-            return true;
-        }
-        let is_known = |known: Instant| at.saturating_duration_since(known) < HELD_FOR / 2;
-        if self.held_at.is_some_and(is_known) {
-            return false;
-        }
-        self.held_at = Some(at);
-        true
-    }
-
-    /// Holds it if enough speaks against it; releases it if it turns out that it
-    /// ended well a while before, which takes more.
-    fn decide(&mut self) {
-        let Some(at) = self.held_at.or(self.last_end()) else {
-            return;
-        };
-        let is_enough = self.points() >= self.points_to_hold(at);
-        if is_enough && self.held_at.is_none() {
-            self.held_at = Some(at);
-        } else if !is_enough && self.ended_well_before(at) {
-            self.held_at = None;
-        }
-    }
-
-    fn points_to_hold(&self, at: Instant) -> u32 {
-        if self.ended_well_before(at) {
-            HELD_POINTS_AFTER_FINISH
-        } else {
-            HELD_POINTS
-        }
-    }
-
-    /// Whether it ended well within a while before a time.
-    fn ended_well_before(&self, at: Instant) -> bool {
-        self.finished_at
-            .is_some_and(|finished| at.saturating_duration_since(finished) < HELD_FOR)
-    }
-
-    fn points(&self) -> u32 {
-        self.ends.iter().map(|end| end.progress.points()).sum()
-    }
-
-    fn last_end(&self) -> Option<Instant> {
-        self.ends.iter().map(|end| end.at).max()
-    }
-
-    /// How much longer it is held, if it is.
-    fn held_for(&self, now: Instant) -> Option<Duration> {
-        let held = now.saturating_duration_since(self.held_at?);
-        HELD_FOR.checked_sub(held).filter(|left| !left.is_zero())
-    }
-
-    /// Whether nothing speaks against it.
-    fn is_cleared(&self) -> bool {
-        self.ends.is_empty() && self.held_at.is_none()
-    }
-
-    /// Whether it says nothing, not even that it was cleared.
-    fn is_blank(&self) -> bool {
-        self.is_cleared() && self.finished_at.is_none()
-    }
-
-    fn seen(&self, signature: RequestSignature, now: Instant) -> SuspectSeen {
-        let age_ms = |at: Instant| millis(now.saturating_duration_since(at));
-        let ends = self.ends.iter().map(|end| EndSeen {
-            server: end.server,
-            progress: end.progress,
-            age_ms: age_ms(end.at),
-        });
-        SuspectSeen {
-            signature,
-            ends: ends.collect(),
-            finished_ms: self.finished_at.map(age_ms),
-            held_ms: self.held_at.map(age_ms),
-        }
-    }
-}
--- /dev/null
+++ b/crates/rookferry_core/src/serving/quarantine/record.rs
@@ -0,0 +1,192 @@
+//! What is kept of one request.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::EndSeen;
+use super::HELD_FOR;
+use super::MAX_ENDS;
+use super::RequestSignature;
+use super::RunEnd;
+use super::SuspectSeen;
+use super::ends::Weight;
+use super::ends::in_turn;
+use crate::millis::millis;
+
+/// Points from which on a request is held: three servers that ended as it had
+/// begun, or five that ended later. One attempt meets two ends and its caller's
+/// retry two more, so that one that was beside others each time is still run.
+const HELD_POINTS: u32 = 5;
+/// The same for a request that ended well within [`HELD_FOR`] before: five
+/// servers that ended as it had begun. One at fault has no run that ends well, so
+/// it is most likely beside one, as those are that many callers send.
+const HELD_POINTS_AFTER_FINISH: u32 = 10;
+
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    /// In the order of their times.
+    pub(super) ends: Vec<RunEnd>,
+    pub(super) finished_at: Option<Instant>,
+    pub(super) held_at: Option<Instant>,
+    pub(super) changed_at: Instant,
+    pub(super) rounds_left: u8,
+}
+
+impl Record {
+    pub(super) const fn new(finished_at: Option<Instant>, now: Instant) -> Self {
+        Self {
+            ends: Vec::new(),
+            finished_at,
+            held_at: None,
+            changed_at: now,
+            rounds_left: 0,
+        }
+    }
+
+    /// A server's end; tells whether it is news.
+    pub(super) fn add(&mut self, end: RunEnd) -> bool {
+        if self.finished_at.is_some_and(|at| end.at <= at) {
+            return false;
+        }
+        if let Some(known) = self
+            .ends
+            .iter_mut()
+            .find(|known| known.server == end.server)
+        {
+            let is_news = known.progress < end.progress;
+            known.progress = known.progress.max(end.progress);
+            return is_news;
+        }
+        self.ends.push(end);
+        self.ends.sort_by_key(|end| end.at);
+        if self.ends.len() > MAX_ENDS {
+            self.drop_one();
+        }
+        if self.held_at.is_some() {
+            self.held_at = self.last_end().max(self.held_at);
+        }
+        true
+    }
+
+    /// Drops the end without which the others say the most; of those alike the
+    /// oldest, as of a request that is held again the last end is the one that counts.
+    fn drop_one(&mut self) {
+        let points_without = |index: usize| {
+            let mut others = self.ends.clone();
+            others.remove(index);
+            in_turn(&others).points
+        };
+        let least = (0..self.ends.len())
+            .max_by_key(|index| (points_without(*index), std::cmp::Reverse(*index)));
+        if let Some(least) = least {
+            self.ends.remove(least);
+        }
+    }
+
+    /// It ended well; what was before says nothing against it.
+    pub(super) fn finish(&mut self, at: Instant) -> bool {
+        if self.finished_at >= Some(at) {
+            return false;
+        }
+        // A word that went round only comes back a little later; as news it would
+        // go round for ever.
+        let is_first = self.finished_at.is_none();
+        self.finished_at = Some(at);
+        let before = self.ends.len();
+        self.ends.retain(|end| end.at > at);
+        let was_held = self.held_at.is_some_and(|held_at| held_at <= at);
+        if was_held {
+            self.held_at = None;
+        }
+        is_first || was_held || self.ends.len() < before
+    }
+
+    /// Another's word that it is held; tells whether there is something to tell
+    /// others, be it that it isn't, since it ended well.
+    pub(super) fn hold(&mut self, at: Instant) -> bool {
+        if self.finished_at.is_some_and(|finished| at <= finished) {
+            return false;
+        }
+        if self.points() < self.points_to_hold(at) && self.ended_well_before(at) {
+            return true;
+        }
+        let is_known = |known: Instant| at.saturating_duration_since(known) < HELD_FOR / 2;
+        if self.held_at.is_some_and(is_known) {
+            return false;
+        }
+        self.held_at = Some(at);
+        true
+    }
+
+    /// Holds it if enough speaks against it; releases it if it turns out that it
+    /// ended well a while before, which takes more.
+    pub(super) fn decide(&mut self) {
+        let Some(at) = self.held_at.or(self.last_end()) else {
+            return;
+        };
+        let is_enough = self.points() >= self.points_to_hold(at);
+        if is_enough && self.held_at.is_none() {
+            self.held_at = Some(at);
+        } else if !is_enough && self.ended_well_before(at) {
+            self.held_at = None;
+        }
+    }
+
+    fn points_to_hold(&self, at: Instant) -> u32 {
+        if self.ended_well_before(at) {
+            HELD_POINTS_AFTER_FINISH
+        } else {
+            HELD_POINTS
+        }
+    }
+
+    /// Whether it ended well within a while before a time.
+    fn ended_well_before(&self, at: Instant) -> bool {
+        self.finished_at
+            .is_some_and(|finished| at.saturating_duration_since(finished) < HELD_FOR)
+    }
+
+    pub(super) fn points(&self) -> u32 {
+        self.weight().points
+    }
+
+    /// How many ends count.
+    pub(super) fn in_turn(&self) -> usize {
+        self.weight().ends
+    }
+
+    fn weight(&self) -> Weight {
+        in_turn(&self.ends)
+    }
+
+    fn last_end(&self) -> Option<Instant> {
+        self.ends.iter().map(|end| end.at).max()
+    }
+
+    /// How much longer it is held, if it is.
+    pub(super) fn held_for(&self, now: Instant) -> Option<Duration> {
+        let held = now.saturating_duration_since(self.held_at?);
+        HELD_FOR.checked_sub(held).filter(|left| !left.is_zero())
+    }
+
+    /// Whether nothing speaks against it.
+    pub(super) fn is_cleared(&self) -> bool {
+        self.ends.is_empty() && self.held_at.is_none()
+    }
+
+    /// Whether it says nothing, not even that it was cleared.
+    pub(super) fn is_blank(&self) -> bool {
+        self.is_cleared() && self.finished_at.is_none()
+    }
+
+    pub(super) fn seen(&self, signature: RequestSignature, now: Instant) -> SuspectSeen {
+        let age_ms = |at: Instant| millis(now.saturating_duration_since(at));
+        let ends = self.ends.iter().map(|end| EndSeen::new(end, now));
+        SuspectSeen {
+            signature,
+            ends: ends.collect(),
+            finished_ms: self.finished_at.map(age_ms),
+            held_ms: self.held_at.map(age_ms),
+        }
+    }
+}
--- a/crates/rookferry_entry/src/http/service.rs
+++ b/crates/rookferry_entry/src/http/service.rs
@@ -23,6 +23,7 @@
 use rookferry_core::EngineState;
 use rookferry_core::PoolUse;
 use rookferry_core::RequestSignature;
+use rookferry_core::RunEnd;
 use rookferry_core::RunProgress;
 use rookferry_core::ServiceConfig;
 use rookferry_core::ServiceInstance;
@@ -258,6 +259,7 @@
             tried.push(instance.instance.clone());
             ended.record.chains.push(vec![instance.instance.clone()]);
             let (was_sent, dispatched) = progress.dispatch();
+            let sent_at = clock::now();
             let error = match self.try_on(entry, instance, deadline).await {
                 Ok(answer) => {
                     if answer.status < StatusCode::INTERNAL_SERVER_ERROR.as_u16() {
@@ -268,7 +270,7 @@
                 Err(error) => error,
             };
             if matches!(error, ClientError::Broken { .. }) {
-                self.broke_at(entry, instance);
+                self.broke_at(entry, instance, sent_at);
             }
             instance.stats.step_lost();
             progress = if error.is_unsent() && !was_sent {
@@ -300,14 +302,20 @@
     }
 
     /// Its run broke at a server.
-    fn broke_at(&self, entry: &Arc<EntryState>, instance: &ServiceInstance) {
+    fn broke_at(&self, entry: &Arc<EntryState>, instance: &ServiceInstance, sent_at: Instant) {
         let quarantine = &entry.quarantine;
         let server = quarantine.plain_server(&instance.instance, instance.addr);
         let run = BrokenRun {
             signature: self.signature,
             request: self.request_id.to_string(),
-            server: server.key(),
-            progress: RunProgress::Begun,
+            end: RunEnd {
+                server: server.key(),
+                progress: RunProgress::Begun,
+                joined_at: sent_at,
+                // It took the call.
+                alive_at: sent_at,
+                at: clock::now(),
+            },
         };
         entry.run_broke(run, server);
     }
--- a/crates/rookferry_entry/src/quarantine.rs
+++ b/crates/rookferry_entry/src/quarantine.rs
@@ -216,13 +216,13 @@
 
     fn run_crashed(&self, run: &BrokenRun) {
         counter!("rookferry_runs_crashed_total").increment(1);
-        let change =
-            self.quarantine
-                .calls()
-                .note_end(run.signature, run.server, run.progress, clock::now());
+        let change = self
+            .quarantine
+            .calls()
+            .note_end(run.signature, run.end, clock::now());
         warn!(self.log, "request: a server ended under it"; "part" => "quarantine",
             "request_id" => &run.request, "signature" => %run.signature,
-            "server" => %run.server.addr, "progress" => ?run.progress);
+            "server" => %run.end.server.addr, "progress" => ?run.end.progress);
         self.note_change(run.signature, change, "own");
     }
 
--- a/crates/rookferry_entry/src/runner.rs
+++ b/crates/rookferry_entry/src/runner.rs
@@ -2,14 +2,17 @@
 //!
 //! The driver in the core decides; this part sends, waits, and reports back.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::future::join_all;
 use rookferry_core::AbandonReason;
 use rookferry_core::BrokenRun;
 use rookferry_core::ChainRequest;
 use rookferry_core::EngineState;
+use rookferry_core::RunEnd;
 use rookferry_core::RunProgress;
 use rookferry_core::Stage;
 use rookferry_core::StageEvent;
@@ -74,6 +77,8 @@
     used: Vec<EngineId>,
     /// Engines that hold the stream; others get it only while they stay.
     opened: Vec<EngineId>,
+    /// When it first came to each engine.
+    joined: BTreeMap<EngineId, Instant>,
     chains: Vec<Vec<EngineId>>,
 }
 
@@ -104,6 +109,7 @@
             chains: vec![used.clone()],
             used,
             opened: Vec::new(),
+            joined: BTreeMap::new(),
         }
     }
 
@@ -151,6 +157,10 @@
                     StreamAction::Abandon { reason } => return Err(StreamEnd::Abandoned(reason)),
                 }
             }
+            let now = clock::now();
+            for (engine, _) in &opens {
+                self.joined.entry(engine.clone()).or_insert(now);
+            }
             let answers = self.open_all(opens).await;
             self.note_opened(&answers);
             events.extend(answers);
@@ -228,11 +238,19 @@
             incarnation: known.info.incarnation,
             addr: known.addr,
         };
+        let joined_at = self.joined.get(engine).copied();
+        let joined_at = joined_at.unwrap_or_else(clock::now);
         let run = BrokenRun {
             signature: self.need.signature,
             request: self.driver.stream().to_string(),
-            server: server.key(),
-            progress: self.progress,
+            end: RunEnd {
+                server: server.key(),
+                progress: self.progress,
+                joined_at,
+                // It took the stream.
+                alive_at: joined_at,
+                at: clock::now(),
+            },
         };
         self.entry.run_broke(run, server);
     }
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -32,6 +32,8 @@
 use crate::plain::MAX_PERMIT_TRIES;
 use crate::plain::may_send;
 use crate::plain::may_send_again;
+use crate::quarantine::BrokenAt;
+use crate::quarantine::Reach;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
@@ -204,7 +206,13 @@
         self.arrived += 1;
         self.runs += 1;
         if error.is_break() {
-            relay.run_broke(request, first, RunProgress::Begun);
+            let broken = BrokenAt {
+                server: first,
+                reach: Reach::Direct,
+                progress: RunProgress::Begun,
+                joined_at: keeper.joined_at(first),
+            };
+            relay.run_broke(request, broken);
         }
         relay.beliefs.health().failed(first, now);
         request.route.repeatability.may_repeat() && self.runs < request.route.max_servers.max(1)
--- a/crates/rookferry_relay/src/path_keeper/mod.rs
+++ b/crates/rookferry_relay/src/path_keeper/mod.rs
@@ -6,6 +6,7 @@
 
 mod repair;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,6 +29,8 @@
 use crate::load::LoadGuard;
 use crate::opener::StreamTarget;
 use crate::probe;
+use crate::quarantine::BrokenAt;
+use crate::quarantine::Reach;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
 use crate::signs::Sign;
@@ -90,6 +93,8 @@
     is_proven: bool,
     /// Engines at which the run broke.
     broken_at: Vec<ServerKey>,
+    /// When the run came to the engines of its path.
+    joined: HashMap<ServerKey, Instant>,
     signs: Vec<Sign>,
     load: LoadGuard,
 }
@@ -137,7 +142,6 @@
             request: request.clone(),
             service: service.clone(),
             model: model.clone(),
-            path,
             look_at: now + FIRST_EVENT_AFTER,
             look_pause: STALL_AGAIN,
             stalled_since: now,
@@ -150,6 +154,8 @@
             progress: Progress::Waiting,
             is_proven: false,
             broken_at: Vec::new(),
+            joined: joined(&path, now),
+            path,
         }
     }
 
@@ -177,7 +183,24 @@
         } else {
             RunProgress::Begun
         };
-        self.relay.run_broke(&self.request, server, progress);
+        let is_first = server == self.path.first().server;
+        let broken = BrokenAt {
+            server,
+            reach: if is_first {
+                Reach::Direct
+            } else {
+                Reach::ByAnother
+            },
+            progress,
+            joined_at: self.joined_at(server),
+        };
+        self.relay.run_broke(&self.request, broken);
+    }
+
+    /// When the run came to an engine of its path.
+    pub(crate) fn joined_at(&self, server: ServerKey) -> Instant {
+        let joined = self.joined.get(&server).copied();
+        joined.unwrap_or_else(clock::now)
     }
 
     /// The path as a line for logs.
@@ -327,6 +350,11 @@
     relay.beliefs.loads.enter(parts.collect())
 }
 
+fn joined(path: &PipelinePath, now: Instant) -> HashMap<ServerKey, Instant> {
+    let stages = path.stages().iter();
+    stages.map(|stage| (stage.server, now)).collect()
+}
+
 fn signs(relay: &Relay, path: &PipelinePath) -> Vec<Sign> {
     let stages = path.stages().iter();
     stages
--- a/crates/rookferry_relay/src/path_keeper/repair.rs
+++ b/crates/rookferry_relay/src/path_keeper/repair.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::StatusCode;
 use metrics::counter;
@@ -19,6 +20,7 @@
 use super::STALL_AGAIN;
 use super::Watched;
 use super::enter;
+use super::joined;
 use super::signs;
 use crate::engines::StageState;
 use crate::event_log::Weight;
@@ -79,11 +81,13 @@
             let Some(clearance) = self.clear_new(&path).await else {
                 continue;
             };
+            let moved_at = clock::now();
             match self.move_to(&path, &clearance).await {
                 Moved::Done => {
                     self.note_repaired(&replaced, &path);
                     self.load = enter(&self.relay, &self.request, &path);
                     self.signs = signs(&self.relay, &path);
+                    self.join(&path, moved_at);
                     self.path = path;
                     self.is_proven = false;
                     self.refused.clear();
@@ -107,6 +111,16 @@
         Watched::Fine
     }
 
+    /// The run comes to the engines of a path that it didn't pass yet.
+    fn join(&mut self, path: &PipelinePath, at: Instant) {
+        let before = std::mem::replace(&mut self.joined, joined(path, at));
+        for (server, joined_at) in before {
+            if let Some(known) = self.joined.get_mut(&server) {
+                *known = joined_at;
+            }
+        }
+    }
+
     /// Orders to the first engine are backed off from, and a stream with a lost stage
     /// would stand still meanwhile; another run, if one may begin, goes on at once.
     fn put_off(&mut self, left: Duration, has_lost: bool) -> Watched {
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -15,6 +15,8 @@
 use crate::front::Served;
 use crate::front::note_served;
 use crate::permits::Clearance;
+use crate::quarantine::BrokenAt;
+use crate::quarantine::Reach;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::CallerRequest;
@@ -75,6 +77,7 @@
             break;
         };
         avoided.push(server.key);
+        let sent_at = clock::now();
         match send(relay, &request, service, server, &clearance).await {
             Tried::Answer(answer) => {
                 has_run += 1;
@@ -113,7 +116,13 @@
                 arrived += 1;
                 note_failed(relay, &request, server, &error.to_string());
                 if error.is_break() {
-                    relay.run_broke(&request, server.key, RunProgress::Begun);
+                    let broken = BrokenAt {
+                        server: server.key,
+                        reach: Reach::Direct,
+                        progress: RunProgress::Begun,
+                        joined_at: sent_at,
+                    };
+                    relay.run_broke(&request, broken);
                 }
                 relay.beliefs.health().failed(server.key, clock::now());
             }
--- a/crates/rookferry_relay/src/quarantine.rs
+++ b/crates/rookferry_relay/src/quarantine.rs
@@ -15,6 +15,7 @@
 use rookferry_core::Quarantine;
 use rookferry_core::QuarantineChange;
 use rookferry_core::RequestSignature;
+use rookferry_core::RunEnd;
 use rookferry_core::RunProgress;
 use rookferry_core::ServerKey;
 use rookferry_core::SuspectSeen;
@@ -37,6 +38,28 @@
 /// answered 80.
 const VERDICT_WAIT: Duration = Duration::from_millis(150);
 
+/// How long an event may be on its way from an engine that has ended since.
+const EVENT_ON_ITS_WAY: Duration = Duration::from_millis(50);
+
+/// How a run came to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// This instance sent the request there.
+    Direct,
+    /// The first engine of its path passed it on.
+    ByAnother,
+}
+
+/// Where a run broke.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BrokenAt {
+    pub(crate) server: ServerKey,
+    pub(crate) reach: Reach,
+    pub(crate) progress: RunProgress,
+    /// When the run came there.
+    pub(crate) joined_at: Instant,
+}
+
 /// What is known of such requests.
 #[derive(Debug, Default)]
 pub(crate) struct RequestQuarantine {
@@ -121,17 +144,12 @@
     }
 
     /// A request's run broke at a server, which is asked whether it is there.
-    pub(crate) fn run_broke(
-        self: &Arc<Self>,
-        request: &CallerRequest,
-        server: ServerKey,
-        progress: RunProgress,
-    ) {
+    pub(crate) fn run_broke(self: &Arc<Self>, request: &CallerRequest, broken: BrokenAt) {
+        let server = broken.server;
         let run = BrokenRun {
             signature: request.signature(),
             request: request.attempt.clone(),
-            server,
-            progress,
+            end: self.run_end(broken),
         };
         let noted = self.beliefs.broken_runs.lock().note(run, clock::now());
         match noted {
@@ -144,6 +162,24 @@
         }
     }
 
+    fn run_end(&self, broken: BrokenAt) -> RunEnd {
+        let at = clock::now();
+        let sign_age = self.beliefs.signs.of(broken.server).age(at);
+        let sign_at = at.checked_sub(sign_age);
+        let alive_at = match broken.reach {
+            // It took the request.
+            Reach::Direct => sign_at.max(Some(broken.joined_at)),
+            Reach::ByAnother => sign_at.and_then(|sign| sign.checked_sub(EVENT_ON_ITS_WAY)),
+        };
+        RunEnd {
+            server: broken.server,
+            progress: broken.progress,
+            joined_at: broken.joined_at,
+            alive_at: alive_at.unwrap_or(self.started_at),
+            at,
+        }
+    }
+
     /// A server's process has ended, and its runs with it.
     pub(crate) fn server_ended(&self, server: ServerKey) {
         let broken = &self.beliefs.broken_runs;
@@ -157,15 +193,18 @@
     fn note_run_crashed(&self, run: &BrokenRun) {
         counter!("rookferry_runs_crashed_total").increment(1);
         let now = clock::now();
-        let (change, ends) = self.quarantine.update(|quarantine| {
-            let change = quarantine.note_end(run.signature, run.server, run.progress, now);
-            (change, quarantine.ends(run.signature))
+        let (change, ends, in_turn) = self.quarantine.update(|quarantine| {
+            let change = quarantine.note_end(run.signature, run.end, now);
+            let ends = quarantine.ends(run.signature);
+            (change, ends, quarantine.ends_in_turn(run.signature))
         });
         if let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "health: a server ended under a request"; "event" => "run_crashed",
                 "request" => &run.request, "signature" => %run.signature,
-                "server" => %run.server.addr, "servers_ended" => ends,
-                "answering" => run.progress == RunProgress::Answering);
+                "server" => %run.end.server.addr, "servers_ended" => ends, "in_turn" => in_turn,
+                "answering" => run.end.progress == RunProgress::Answering,
+                "lasted_ms" => millis(run.end.at.saturating_duration_since(run.end.joined_at)),
+                "silent_ms" => millis(run.end.at.saturating_duration_since(run.end.alive_at)));
         }
         self.note_own_change(run.signature, change);
     }
