--- a/crates/rookferry_core/src/peers/doubt.rs
+++ b/crates/rookferry_core/src/peers/doubt.rs
@@ -2,9 +2,8 @@
 //!
 //! Load pattern: a few engines are lost, or an instance with an eighth of a
 //! core takes its own delay for their loss, while hundreds of others listen.
-//! Where each of 64 instances asked each such engine itself, the questions
-//! slowed them so that they missed more answers: 300 to 700 servers a second
-//! were taken for lost after a loss of power, and none were. So few ask, and
+//! Where each instance asks each such engine itself, the questions slow them so
+//! that they miss more answers and take sound servers for lost. So few ask, and
 //! the others leave a doubted server alone until it shows that it lives.
 
 use std::collections::BTreeMap;
--- a/crates/rookferry_core/src/peers/fanout.rs
+++ b/crates/rookferry_core/src/peers/fanout.rs
@@ -13,9 +13,7 @@
 use super::PeerTable;
 
 /// Most other instances in a domain in which each writes to all: their word is
-/// 75 ms old on the mean, by a head some 200 ms, and 24 heartbeats each way 6.7
-/// times a second are borne. Among 59 others an instance used 3.7 % of a core in
-/// all on a quiet day, and 0.7 % with heads (charged processor time, mean).
+/// fresher than by a head, and costs a small instance too much where there are more.
 pub(super) const MESH_MEMBERS: usize = 24;
 /// Instances that gather the loads of a larger domain; the second stands in
 /// without delay when the first ends.
@@ -36,7 +34,7 @@
 const FAR_MEMBERS: usize = 8;
 /// The same in a domain with heads, which pass on what one of them hears.
 const FAR_MEMBERS_BESIDE_HEADS: usize = 1;
-/// The same for a speaker, in turn: 235 others are told within 1.2 s.
+/// The same for a speaker, in turn: hundreds are told within a second or so.
 const SPEAKER_FAR_MEMBERS: usize = 64;
 
 /// A round of heartbeats.
--- a/crates/rookferry_core/src/peers/sums.rs
+++ b/crates/rookferry_core/src/peers/sums.rs
@@ -78,10 +78,9 @@
     }
 
     /// Adds what others have taken in since the last sums if each did as this
-    /// instance. Load pattern: the heads of a large domain end under overload.
-    /// Each of 57 instances saw the same room left, and together they filled an
-    /// engine to 1.49 of its room in 0.7 s (`one_door`, simulated); so each takes
-    /// in no more than ends of its own until it is told again.
+    /// instance. Load pattern: the heads of a large domain end under overload. All
+    /// others see the same room left and fill it many times over; so each takes in
+    /// no more than ends of its own until it is told again.
     fn add_alike(&self, loads: &mut BTreeMap<ServerKey, ServerLoad>, instances: u32) {
         let instances = usize::try_from(instances).unwrap_or(usize::MAX);
         for (server, own) in &self.own_loads {
--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -19,9 +19,9 @@
 /// Time of one more stage: handing on, and waiting for the engine's pass
 /// under way. Half a pass of a mid-sized stage at the published figures.
 const STAGE_MS: f64 = 0.7;
-/// What a crossing between failure domains counts for. A prompt's activations
-/// take 18 to 27 ms of the link that all share, so 40 streams a second fill it,
-/// and then all that cross it stand still. So crossings are for domains that
+/// What a crossing between failure domains counts for. A few dozen prompts a second
+/// fill the link that all share, and then all that cross it stand still. So
+/// crossings are for domains that
 /// lack layers: full engines are waited for, or another domain's whole path is
 /// taken.
 const CROSSING_MS: f64 = 1_000.0;
@@ -45,8 +45,7 @@
 /// only where no other holds the layers.
 const NO_ROOM_MS: f64 = 60.0;
 /// Added for as much again as fits: a request waits there until what is over
-/// has ended. Engines that are all full so share what is too much; at twice
-/// the room, first events came after 1.2 s.
+/// has ended. Engines that are all full so share what is too much.
 const OVERFULL_MS: f64 = 800.0;
 
 /// What it counts for to take an engine that takes no new work, so far as is
--- a/crates/rookferry_core/src/pipeline/layout/census.rs
+++ b/crates/rookferry_core/src/pipeline/layout/census.rs
@@ -11,16 +11,15 @@
 
 /// Heartbeats without a new engine to wait for, where none holds a layer,
 /// before the first plan: each engine writes its entry within one of its
-/// start, and a list is a little late. Planned with the 2 engines that were
-/// listed first, a site of 30 needed ten plans and served 0.30 of its
-/// requests in the domain that held the first chain.
+/// start, and a list is a little late. Planned with the few that are listed first, a
+/// site needs many plans and serves by one domain's chain meanwhile.
 const FIRST_QUIET_HEARTBEATS: f64 = 1.2;
 /// Heartbeats after which the first plan is made in any case: engines that go
 /// on being added are no reason to serve nothing.
 const FIRST_PLAN_BY_HEARTBEATS: f64 = 4.0;
 /// Heartbeats without a new engine to wait for in a domain whose engines come
-/// back after a cut. Without it a domain was planned with 10 of its 11 engines
-/// a moment after the cut, and held next to no room afterwards.
+/// back after a cut: planned with all but one of them, a domain has next to no room
+/// afterwards.
 const QUIET_HEARTBEATS: f64 = 0.6;
 
 /// How the engines of a service began to be listed.
--- a/crates/rookferry_core/src/pipeline/layout/holdings.rs
+++ b/crates/rookferry_core/src/pipeline/layout/holdings.rs
@@ -1,10 +1,9 @@
 //! Who holds each layer, kept up while engines get layers.
 //!
 //! Load pattern: thousands of engines that start empty. Each gets its layers
-//! by what all others hold by then. Looked up anew for each, a plan for 3,000
-//! engines took 3.2 s, in which the planner's lease ran out and others began
-//! the same plan; it takes 12 ms with sums that are kept (`plan_time`, mean of
-//! five plans from nothing).
+//! by what all others hold by then. Looked up anew for each, a plan takes so long
+//! that the planner's lease runs out and others begin the same plan; so the sums
+//! are kept.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
--- a/crates/rookferry_core/src/pipeline/layout/room.rs
+++ b/crates/rookferry_core/src/pipeline/layout/room.rs
@@ -13,11 +13,9 @@
 const ROOM_STEP: f64 = 1.1;
 /// The part of the highest rate that counts as as good. The last parts of it
 /// take the most room, and so the most and shortest stages, whose streams last
-/// longer and meet more lost engines: with 0.95 the mean worth of five
-/// deployments was 0.597, with 0.85 0.618, one score each.
+/// longer and meet more lost engines.
 const AS_GOOD: f64 = 0.85;
-/// The longest pause of a stream, in mean rounds of its chain: 2.8 was
-/// measured over some 3,000 streams, on chains of 4 to 10 stages.
+/// The longest pause of a stream, in mean rounds of its chain.
 const PAUSE_ROUNDS: f64 = 3.0;
 /// Time from one stage to the next in one failure domain: its delay, and a
 /// token's activations over the engines' own links.
--- a/crates/rookferry_core/src/serving/closed.rs
+++ b/crates/rookferry_core/src/serving/closed.rs
@@ -26,8 +26,7 @@
 const FIRST_CLOSED: Duration = Duration::from_millis(500);
 /// Instances leave a server alone for up to this many times longer than the
 /// least patient does, so that its word on the next refusal is there before
-/// most others try: 35 of 208 tries met two engines that were leaving, and 93
-/// without it, in the replay of their load.
+/// most others try.
 const PATIENCE_SPREAD: f64 = 2.0;
 /// The longest time, which is how late an entry may tell that an engine left.
 const LONGEST_CLOSED: Duration = Duration::from_secs(4);
--- a/crates/rookferry_core/src/serving/finished_requests.rs
+++ b/crates/rookferry_core/src/serving/finished_requests.rs
@@ -10,8 +10,8 @@
 
 use super::RequestSignature;
 
-/// Most requests of a generation. Two are kept: with 24 bytes a request, some
-/// 200 KB; an instance of a large site ends ten requests a second.
+/// Most requests of a generation. Two are kept; an instance of a large site ends some
+/// ten requests a second.
 const MAX_GENERATION: usize = 2_048;
 
 /// When requests last ended well.
--- a/crates/rookferry_core/src/serving/notices.rs
+++ b/crates/rookferry_core/src/serving/notices.rs
@@ -3,8 +3,8 @@
 //!
 //! Load pattern: a server that is short of room refuses with a time, and each
 //! request that comes in it costs the server work and the caller a retry. Where
-//! the others of its service fail requests too, it looked the best of them again
-//! after 1.7 s of three. A time is between a server and whoever it told, so it
+//! the others of its service fail requests too, it looks the best of them again
+//! before the time is over. A time is between a server and whoever it told, so it
 //! isn't passed on: others may go on sending. Both go by a server's start, so
 //! that the next one begins with nothing against it.
 
--- a/crates/rookferry_core/src/serving/quarantine/mod.rs
+++ b/crates/rookferry_core/src/serving/quarantine/mod.rs
@@ -3,9 +3,8 @@
 //! Load pattern: a request makes each server end that begins to run it, and
 //! comes again under another id, at any instance, for as long as its caller
 //! tries. Each end costs the server's other requests their run and the site the
-//! server for seconds: 18 servers of 38 ended under one request within half a
-//! minute, and a third of the others were served. So instances keep under which
-//! requests servers have ended, whatever their ids, and tell each other.
+//! server for seconds. So instances keep under which requests servers have ended,
+//! whatever their ids, and tell each other.
 //!
 //! An end says little by itself, as every request that the server had is under
 //! it. What tells the one at fault from those beside it: it never ends well, so
@@ -42,8 +41,7 @@
 /// How long it is kept that a request was cleared, for those that are yet to
 /// hear of an end before.
 const CLEARED_KEPT: Duration = Duration::from_secs(30);
-/// Most requests that are kept: those of ten engines that end with 190 requests
-/// each, twice. With five ends each they take 2.7 MB (resident memory).
+/// Most requests that are kept: those of ten engines that end full, twice.
 const MAX_RECORDS: usize = 4_096;
 /// The part of them that goes at once where there is no room, one in so many.
 const DROPPED_PART: usize = 8;
--- a/crates/rookferry_core/src/serving/retry_window.rs
+++ b/crates/rookferry_core/src/serving/retry_window.rs
@@ -16,8 +16,7 @@
 
 /// The part of the slack that is used in the first window after a restart: half
 /// of what is otherwise left, so that a site may restart twice in a window.
-/// With the whole part, seven instances that were killed together came to 425
-/// repeats in 10 s where 375 were allowed.
+/// With the whole part instances that are killed together exceed the budget.
 const USED_PART_AFTER_RESTART: f64 = (1.0 - USED_PART) / 2.0;
 
 /// Repeats and fresh requests of one instance for one service.
--- a/crates/rookferry_core/src/serving/store_pace.rs
+++ b/crates/rookferry_core/src/serving/store_pace.rs
@@ -26,9 +26,8 @@
 
 /// How long an instance that restarts leaves the store alone where no peer
 /// offers what it needs: peers that are there answer within a few
-/// milliseconds, and after a loss of power there are none. Where each start
-/// read the store, a day with 630 starts on a site of 230 servers took 4,102
-/// calls, and 2,067 since.
+/// milliseconds, and after a loss of power there are none. Where each start reads
+/// the store, starts are half of the calls to it.
 const FIRST_READ: Duration = Duration::from_millis(120);
 /// The same while a peer gives it: 200 KB over a link of 20 Mbit/s, at twice
 /// the time for what else the link carries, and one peer asked in vain.
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -225,9 +225,8 @@
     /// What is under way at a server by this instance and those it hears.
     ///
     /// Instances that start together don't hear each other yet, and each sees
-    /// all the room for itself: six that came back after a loss of power had
-    /// 224 requests let in where 150 fit. Meanwhile the others count as if each
-    /// had as much under way as this one.
+    /// all the room for itself, so that engines are overfilled after a loss of
+    /// power. Meanwhile the others count as if each had as much under way as this one.
     pub(crate) fn load_of(&self, server: ServerKey) -> ServerLoad {
         let own = self.beliefs.loads.of(server);
         let mut load = own;
--- a/crates/rookferry_relay/src/opener/room.rs
+++ b/crates/rookferry_relay/src/opener/room.rs
@@ -36,9 +36,8 @@
 
 impl Opener<'_> {
     /// A path with room for the request; it waits for one while it can be in
-    /// time. One that waited at an engine would be late, and make others late:
-    /// where all were let in, first events came after 1.4 to 2 s for as long as
-    /// the site was over its capacity.
+    /// time. One that waited at an engine would be late, and make others late for as
+    /// long as the site is over its capacity.
     pub(super) async fn choose_with_room(&self) -> Result<Option<PipelinePath>, Refusal> {
         let request = &self.target.request;
         let door = &self.target.relay.door;
--- a/crates/rookferry_relay/src/path_keeper/mod.rs
+++ b/crates/rookferry_relay/src/path_keeper/mod.rs
@@ -64,8 +64,8 @@
 /// How long a stream whose repair found no room waits until the next; doubles.
 ///
 /// Load pattern: a seventh of the engines is lost and the others are full, while
-/// the fleet changes many times a second. With a try at each change, streams
-/// were refused up to 25 times each: 3,008 orders on a day of 41 engines.
+/// the fleet changes many times a second. With a try at each change, each stream
+/// would be refused dozens of times.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
 
 /// The path of a running request.
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -29,8 +29,8 @@
 const MAX_DATAGRAM_BYTES: usize = 20 * 1024;
 /// Least time between two rounds when news bring one forward.
 const NEWS_PAUSE: Duration = Duration::from_millis(30);
-/// Least time between two sums of what others have under way. Summed for each
-/// of 400 heartbeats a second they took most of a core.
+/// Least time between two sums of what others have under way: summed for each of
+/// hundreds of heartbeats a second they take most of a core.
 const SUM_PAUSE: Duration = Duration::from_millis(20);
 
 /// The heartbeats of an instance.
--- a/crates/rookferry_relay/src/peers/intake.rs
+++ b/crates/rookferry_relay/src/peers/intake.rs
@@ -72,7 +72,7 @@
         for server in servers.iter().copied() {
             let is_asking = self.relay.doubted_use(server, rank).is_asking();
             // Told once while several doubt it: a cut has each of a domain doubt
-            // all engines beyond it, 6,170 lines in two seconds with 64 instances.
+            // all engines beyond it, thousands of lines.
             let is_news = doubted.since(server).is_none();
             if is_news && let Some(log) = self.relay.events.line(Weight::Routine) {
                 info!(log, "peers: a server doesn't answer another"; "event" => "server_doubted",
--- a/crates/rookferry_relay/src/placement/orders.rs
+++ b/crates/rookferry_relay/src/placement/orders.rs
@@ -1,9 +1,9 @@
 //! Orders that engines were sent, until they show in the engines' entries.
 //!
 //! Load pattern: thousands of engines that start empty, and one instance with
-//! an eighth of a core to order them all. Sent at once, 2,970 orders took so
-//! long that each ran into its time limit and the lease ran out; so they go a
-//! few at a time, and a round of them leaves time to renew the lease.
+//! an eighth of a core to order them all. Sent at once they take so long that each
+//! runs into its time limit and the lease runs out; so they go a few at a time, and
+//! a round of them leaves time to renew the lease.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -178,9 +178,8 @@
         let call = protocol.place_call(placement.layers, Some(report.sequence));
         let request = call.request(server.addr());
         let answer = self.relay.call(upstream, request, ORDER_TIMEOUT).await;
-        // An engine is seldom ordered again, and a kept connection takes some
-        // 25 KB: the one that orders 3,000 engines held 2,820 of them, 79.5 MB,
-        // and others of its kind 6.4 (median at 300 instances).
+        // An engine is seldom ordered again, and the one that orders thousands would
+        // keep a connection to each, most of its memory.
         self.relay.pool.close_last(server.key);
         let outcome = match &answer {
             Ok(answer) => answer.status.as_str().to_owned(),
