refactor(relay): permits, purposes and evidence by the field's words

Names only, from reading the change as a newcomer: what a request's servers need is PathPermits, for whom something is sent is its Purpose, what ends say is Evidence.

--- a/crates/rookferry_core/src/serving/quarantine/ends.rs
+++ b/crates/rookferry_core/src/serving/quarantine/ends.rs
@@ -120,23 +120,23 @@
 
 /// What ends in turn say against a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Weight {
+pub(super) struct Evidence {
     pub(super) points: u32,
     /// How many they are.
     pub(super) ends: usize,
 }
 
 /// Of ends in the order of their times, those in turn that say the most.
-pub(super) fn in_turn(ends: &[RunEnd]) -> Weight {
-    let mut up_to: Vec<Weight> = Vec::with_capacity(ends.len());
+pub(super) fn in_turn(ends: &[RunEnd]) -> Evidence {
+    let mut up_to: Vec<Evidence> = Vec::with_capacity(ends.len());
     for (index, end) in ends.iter().enumerate() {
         let earlier = ends[..index].iter().zip(&up_to);
         let before = earlier
             .filter(|(earlier, _)| end.follows(earlier))
-            .map(|(_, weight)| *weight)
+            .map(|(_, evidence)| *evidence)
             .max()
             .unwrap_or_default();
-        up_to.push(Weight {
+        up_to.push(Evidence {
             points: before.points + end.progress.points(),
             ends: before.ends + 1,
         });
--- a/crates/rookferry_core/src/serving/quarantine/record.rs
+++ b/crates/rookferry_core/src/serving/quarantine/record.rs
@@ -11,7 +11,7 @@
 use super::RunEnd;
 use super::ServerKey;
 use super::SuspectSeen;
-use super::ends::Weight;
+use super::ends::Evidence;
 use super::ends::in_turn;
 use crate::millis::millis;
 
@@ -153,7 +153,7 @@
     }
 
     pub(super) fn points(&self) -> u32 {
-        self.weight().points
+        self.evidence().points
     }
 
     /// What speaks against it, to be compared: points, and of those alike how soon
@@ -166,10 +166,10 @@
 
     /// How many ends count.
     pub(super) fn in_turn(&self) -> usize {
-        self.weight().ends
+        self.evidence().ends
     }
 
-    fn weight(&self) -> Weight {
+    fn evidence(&self) -> Evidence {
         in_turn(&self.ends)
     }
 
--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -18,7 +18,7 @@
 
 use crate::event_log::Weight;
 use crate::event_log::millis;
-use crate::permits::Clearance;
+use crate::permits::PathPermits;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamAnswer;
@@ -50,11 +50,11 @@
 
 /// For whom something is sent to a server.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Errand<'a> {
+pub(crate) enum Purpose<'a> {
     /// A caller, whose request passes servers with these permits.
-    Caller(&'a Clearance),
+    CallerRequest(&'a PathPermits),
     /// The instance itself; servers with a limit are told of it, not asked.
-    Own,
+    OwnCall,
 }
 
 impl Relay {
@@ -66,36 +66,36 @@
         &self,
         upstream: Upstream,
         request: Request<Full<Bytes>>,
-        errand: Errand<'_>,
+        purpose: Purpose<'_>,
         may_send: impl Fn() -> bool,
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let server = upstream.server;
         let may_send = || {
-            self.is_wanted(server, errand)?;
+            self.check_wanted(server, purpose)?;
             may_send().then_some(()).ok_or(UpstreamError::Withdrawn)?;
-            self.note_sent(server, errand);
+            self.note_sent(server, purpose);
             Ok(())
         };
-        self.is_wanted(server, errand)?;
+        self.check_wanted(server, purpose)?;
         let sent_at = clock::now();
         let mut answer = self.pool.send(upstream, request, may_send).await?;
         let notice = self.read_notice(server, answer.status, &answer.headers);
         answer.backoff = notice.backoff;
         self.take_notice(server, notice);
-        self.take_limit(server, notice.limit, errand, sent_at);
+        self.take_limit(server, notice.limit, purpose, sent_at);
         Ok(answer)
     }
 
     /// Whether servers take something now, by what they said.
-    fn is_wanted(&self, server: ServerKey, errand: Errand<'_>) -> Result<(), UpstreamError> {
+    fn check_wanted(&self, server: ServerKey, purpose: Purpose<'_>) -> Result<(), UpstreamError> {
         if let Some(left) = self.beliefs.backoff_left(server) {
             let addr = server.addr;
             return Err(UpstreamError::BackedOff { addr, left });
         }
-        let Errand::Caller(clearance) = errand else {
+        let Purpose::CallerRequest(permits) = purpose else {
             return Ok(());
         };
-        let missing = clearance.missing(&self.beliefs.limits(), clock::now());
+        let missing = permits.missing(&self.beliefs.limits(), clock::now());
         match missing {
             Some(limited) => Err(UpstreamError::NotPermitted { addr: limited.addr }),
             None => Ok(()),
@@ -104,18 +104,18 @@
 
     /// Something leaves for a server; what has no permit is told to its granter once
     /// there is a limit.
-    fn note_sent(&self, server: ServerKey, errand: Errand<'_>) {
-        match errand {
-            Errand::Own => self.permits.book().note_sent(server, clock::now()),
-            Errand::Caller(clearance) => self.note_passed(clearance),
+    fn note_sent(&self, server: ServerKey, purpose: Purpose<'_>) {
+        match purpose {
+            Purpose::OwnCall => self.permits.book().note_sent(server, clock::now()),
+            Purpose::CallerRequest(permits) => self.note_passed(permits),
         }
     }
 
     /// A request passes servers.
-    pub(crate) fn note_passed(&self, clearance: &Clearance) {
+    pub(crate) fn note_passed(&self, permits: &PathPermits) {
         let now = clock::now();
         let mut book = self.permits.book();
-        for server in clearance.unpermitted(now) {
+        for server in permits.unpermitted(now) {
             book.note_sent(server, now);
         }
     }
@@ -129,7 +129,9 @@
     ) -> Result<WholeAnswer, UpstreamError> {
         let addr = upstream.server.addr;
         let whole = async {
-            let answer = self.send(upstream, request, Errand::Own, || true).await?;
+            let answer = self
+                .send(upstream, request, Purpose::OwnCall, || true)
+                .await?;
             answer.collect(addr).await
         };
         let Ok(answer) = tokio::time::timeout(wait, whole).await else {
@@ -184,15 +186,15 @@
         &self,
         server: ServerKey,
         limit: LimitNotice,
-        errand: Errand<'_>,
+        purpose: Purpose<'_>,
         sent_at: Instant,
     ) {
         let now = clock::now();
-        let change = match (limit, errand) {
+        let change = match (limit, purpose) {
             (LimitNotice::Named(rate), _) => self
                 .beliefs
                 .update_limits(|limits| limits.named(server, rate, now)),
-            (LimitNotice::None, Errand::Caller(_))
+            (LimitNotice::None, Purpose::CallerRequest(_))
                 if self.beliefs.limits().of(server).is_some() =>
             {
                 self.beliefs
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -23,12 +23,12 @@
 
 use crate::event_log::Weight;
 use crate::event_log::millis;
-use crate::exchange::Errand;
+use crate::exchange::Purpose;
 use crate::front::Served;
 use crate::front::note_served;
 use crate::path_keeper::PathKeeper;
 use crate::path_keeper::Watched;
-use crate::permits::Clearance;
+use crate::permits::PathPermits;
 use crate::plain::MAX_PERMIT_TRIES;
 use crate::plain::may_send;
 use crate::plain::may_send_again;
@@ -126,14 +126,14 @@
             if self.arrived > 0 && !is_paid && !self.target.relay.take_retry(&self.target.request) {
                 break;
             }
-            let chosen = self.choose_cleared().await.map_err(Served::Refused)?;
-            let Some((path, clearance)) = chosen else {
+            let chosen = self.choose_permitted().await.map_err(Served::Refused)?;
+            let Some((path, permits)) = chosen else {
                 self.note_failed("", "no engines cover the layers");
                 break;
             };
             let first = path.first().server;
             let mut keeper = PathKeeper::new(self.target, path);
-            match self.send(&mut keeper, &clearance, after).await {
+            match self.send(&mut keeper, &permits, after).await {
                 Opened::Answer(answer) => {
                     self.arrived += 1;
                     self.runs += 1;
@@ -236,7 +236,7 @@
 
     /// The best path whose engines all take the request: those with a limit may have
     /// no permit for it.
-    async fn choose_cleared(&self) -> Result<Option<(PipelinePath, Clearance)>, Refusal> {
+    async fn choose_permitted(&self) -> Result<Option<(PipelinePath, PathPermits)>, Refusal> {
         for _ in 0..MAX_PERMIT_TRIES {
             let chosen = if self.is_fresh() {
                 self.choose_with_room().await?
@@ -248,8 +248,8 @@
             };
             let servers = path.stages().iter().map(|stage| stage.server).collect();
             let request = &self.target.request;
-            if let Some(clearance) = self.target.relay.clear(request, servers).await {
-                return Ok(Some((path, clearance)));
+            if let Some(permits) = self.target.relay.permits_for(request, servers).await {
+                return Ok(Some((path, permits)));
             }
         }
         Ok(None)
@@ -300,7 +300,7 @@
     async fn send(
         &mut self,
         keeper: &mut PathKeeper,
-        clearance: &Clearance,
+        permits: &PathPermits,
         after: Option<u64>,
     ) -> Opened {
         let relay = &self.target.relay;
@@ -325,8 +325,8 @@
                 may_send(relay, request, &server)
             }
         };
-        let errand = Errand::Caller(clearance);
-        let sending = relay.send(upstream, outbound, errand, may_send);
+        let purpose = Purpose::CallerRequest(permits);
+        let sending = relay.send(upstream, outbound, purpose, may_send);
         tokio::pin!(sending);
         let sent = loop {
             tokio::select! {
--- a/crates/rookferry_relay/src/path_keeper/repair.rs
+++ b/crates/rookferry_relay/src/path_keeper/repair.rs
@@ -25,7 +25,7 @@
 use crate::engines::StageState;
 use crate::event_log::Weight;
 use crate::event_log::millis;
-use crate::permits::Clearance;
+use crate::permits::PathPermits;
 use crate::probe;
 
 /// How long the order to move a request may take.
@@ -78,11 +78,11 @@
                 return Watched::Costly;
             }
             // An engine with a limit may have no permit; the next path is without it.
-            let Some(clearance) = self.clear_new(&path).await else {
+            let Some(permits) = self.permits_for_new(&path).await else {
                 continue;
             };
             let moved_at = clock::now();
-            match self.move_to(&path, &clearance).await {
+            match self.move_to(&path, &permits).await {
                 Moved::Done => {
                     self.note_repaired(&replaced, &path);
                     self.load = enter(&self.relay, &self.request, &path);
@@ -190,23 +190,23 @@
     }
 
     /// The permits to move the request to engines that it doesn't pass yet.
-    async fn clear_new(&self, path: &PipelinePath) -> Option<Clearance> {
+    async fn permits_for_new(&self, path: &PipelinePath) -> Option<PathPermits> {
         let stages = path.stages().iter().map(|stage| stage.server);
         let is_new = |server: &ServerKey| {
             let mut known = self.path.stages().iter();
             !known.any(|stage| stage.server == *server)
         };
         let servers = stages.filter(is_new).collect();
-        self.relay.clear(&self.request, servers).await
+        self.relay.permits_for(&self.request, servers).await
     }
 
     /// Orders the first engine to move the request to another path.
-    async fn move_to(&self, path: &PipelinePath, clearance: &Clearance) -> Moved {
+    async fn move_to(&self, path: &PipelinePath, permits: &PathPermits) -> Moved {
         let protocol = &self.relay.protocol;
         let call = protocol.repath_call(&self.request.attempt, path);
         let upstream = self.relay.upstream(path.first().server, &self.service);
         let request = call.request(upstream.server.addr);
-        self.relay.note_passed(clearance);
+        self.relay.note_passed(permits);
         let answer = self.relay.call(upstream, request, REPATH_TIMEOUT).await;
         let answer = match answer {
             Ok(answer) => answer,
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -206,7 +206,7 @@
         match postcard::from_bytes::<PeerDatagram<Heartbeat>>(bytes) {
             Ok(PeerDatagram::Heartbeat(beat)) => self.take_heartbeat(beat, from),
             Ok(PeerDatagram::Ask(ask)) => {
-                let answer = self.relay.judge(&ask);
+                let answer = self.relay.answer_ask(&ask);
                 let answer = PeerDatagram::Answer(ask.number, answer);
                 self.relay.permits.send(from, &answer);
             }
--- a/crates/rookferry_relay/src/permits.rs
+++ b/crates/rookferry_relay/src/permits.rs
@@ -59,12 +59,12 @@
 
 /// The servers that a request passes, and the permits for those with a limit.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Clearance {
+pub(crate) struct PathPermits {
     servers: Vec<ServerKey>,
     permits: Vec<Permit>,
 }
 
-impl Clearance {
+impl PathPermits {
     /// A server with a limit that there is no good permit for.
     pub(crate) fn missing(&self, limits: &ServerLimits, now: Instant) -> Option<ServerKey> {
         let allows = |server| self.permits.iter().any(|one| one.allows(server, now));
@@ -84,7 +84,7 @@
 
 /// Asks for permits, and grants them.
 #[derive(Debug)]
-pub(crate) struct PermitDesk {
+pub(crate) struct Permits {
     socket: OnceLock<Arc<UdpSocket>>,
     last_number: AtomicU64,
     waiting: Mutex<HashMap<u64, oneshot::Sender<PermitAnswer>>>,
@@ -110,17 +110,17 @@
 
 /// A question that waits for its answer, until it is dropped.
 struct Waiting<'a> {
-    desk: &'a PermitDesk,
+    permits: &'a Permits,
     number: u64,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        lock(&self.desk.waiting).remove(&self.number);
+        lock(&self.permits.waiting).remove(&self.number);
     }
 }
 
-impl PermitDesk {
+impl Permits {
     /// Nothing asked and nothing granted. Questions are numbered from `first` on, so
     /// that late answers to a former process answer none.
     pub(crate) fn new(first: u64) -> Self {
@@ -160,7 +160,7 @@
         let (sender, receiver) = oneshot::channel();
         lock(&self.waiting).insert(ask.number, sender);
         let _waiting = Waiting {
-            desk: self,
+            permits: self,
             number: ask.number,
         };
         self.send(to, &PeerDatagram::Ask(ask.clone()));
@@ -181,18 +181,18 @@
 impl Relay {
     /// The permits for a request to pass some servers, or none if one of them takes no
     /// more now.
-    pub(crate) async fn clear(
+    pub(crate) async fn permits_for(
         &self,
         request: &CallerRequest,
         servers: Vec<ServerKey>,
-    ) -> Option<Clearance> {
+    ) -> Option<PathPermits> {
         let mut permits = Vec::new();
         for server in &servers {
             if let Some(rate) = self.beliefs.limits().of(*server) {
                 permits.push(self.permit(request, *server, rate).await?);
             }
         }
-        Some(Clearance { servers, permits })
+        Some(PathPermits { servers, permits })
     }
 
     async fn permit(
@@ -274,7 +274,7 @@
                 break;
             };
             let answer = if granter == self.settings.listen.peers {
-                Some(self.judge(&ask))
+                Some(self.answer_ask(&ask))
             } else {
                 self.permits.ask(granter, &ask).await
             };
@@ -295,7 +295,7 @@
     }
 
     /// Another instance's question, or this one's own.
-    pub(crate) fn judge(&self, ask: &PermitAsk) -> PermitAnswer {
+    pub(crate) fn answer_ask(&self, ask: &PermitAsk) -> PermitAnswer {
         let server = ask.seen.server;
         let now = clock::now();
         let change = self
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -11,10 +11,10 @@
 use slog::warn;
 
 use crate::event_log::Weight;
-use crate::exchange::Errand;
+use crate::exchange::Purpose;
 use crate::front::Served;
 use crate::front::note_served;
-use crate::permits::Clearance;
+use crate::permits::PathPermits;
 use crate::quarantine::BrokenAt;
 use crate::quarantine::Reach;
 use crate::refusal::Refusal;
@@ -72,13 +72,13 @@
         if arrived > 0 && !relay.take_retry(&request) {
             break;
         }
-        let chosen = choose_cleared(relay, &request, table, service, &avoided).await;
-        let Some((server, clearance)) = chosen else {
+        let chosen = choose_permitted(relay, &request, table, service, &avoided).await;
+        let Some((server, permits)) = chosen else {
             break;
         };
         avoided.push(server.key);
         let sent_at = clock::now();
-        match send(relay, &request, service, server, &clearance).await {
+        match send(relay, &request, service, server, &permits).await {
             Tried::Answer(answer) => {
                 has_run += 1;
                 arrived += 1;
@@ -165,17 +165,17 @@
 
 /// The server with the least to do, of those that take the request: one with a
 /// limit may have no permit for it.
-async fn choose_cleared<'a>(
+async fn choose_permitted<'a>(
     relay: &Relay,
     request: &CallerRequest,
     table: &'a ServerTable,
     service: &ServingService,
     avoided: &[ServerKey],
-) -> Option<(&'a BackendServer, Clearance)> {
+) -> Option<(&'a BackendServer, PathPermits)> {
     for _ in 0..MAX_PERMIT_TRIES {
         let server = choose(relay, request, table, service, avoided)?;
-        if let Some(clearance) = relay.clear(request, vec![server.key]).await {
-            return Some((server, clearance));
+        if let Some(permits) = relay.permits_for(request, vec![server.key]).await {
+            return Some((server, permits));
         }
     }
     None
@@ -208,7 +208,7 @@
     request: &CallerRequest,
     service: &ServingService,
     server: &BackendServer,
-    clearance: &Clearance,
+    permits: &PathPermits,
 ) -> Tried {
     let names = relay.protocol.names();
     let _load = relay
@@ -219,8 +219,8 @@
     let upstream = relay.upstream(server.key, service);
     let may_send = || may_send(relay, request, server);
     let exchange = async {
-        let errand = Errand::Caller(clearance);
-        let answer = relay.send(upstream, outbound, errand, may_send).await?;
+        let purpose = Purpose::CallerRequest(permits);
+        let answer = relay.send(upstream, outbound, purpose, may_send).await?;
         if !answer.is_for(names, &request.attempt) {
             return Err(UpstreamError::Crossed {
                 addr: server.addr(),
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -34,7 +34,7 @@
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::mutex::lock;
-use crate::permits::PermitDesk;
+use crate::permits::Permits;
 use crate::pool::UpstreamPool;
 use crate::protocol::EngineReport;
 use crate::protocol::ServerProtocol;
@@ -59,7 +59,7 @@
     /// Requests under which servers ended.
     pub(crate) quarantine: RequestQuarantine,
     /// Permits for servers that named a limit.
-    pub(crate) permits: PermitDesk,
+    pub(crate) permits: Permits,
     pub(crate) door: Arc<Door>,
     pub(crate) events: EventLog,
     /// Raised whenever paths may have to be looked at again.
@@ -111,7 +111,7 @@
             view: ArcSwap::default(),
             beliefs: ServerBeliefs::new(rand::random()),
             quarantine: RequestQuarantine::default(),
-            permits: PermitDesk::new(rand::random()),
+            permits: Permits::new(rand::random()),
             door: Arc::new(Door::new()),
             events,
             fleet_changes: watch::Sender::new(0),
