feat(relay): lists of servers, refused watches and the store's era are logged

Which list an instance took, from whom and as of which version, left no line; a watch that the store refused neither; the header Store-Era was read nowhere. With that the hypotheses for requests at a server that leaves differed by counters only. No decision is changed. Calls of the store answer with the era where it reads; one that doesn't is logged once.

The lease is read as a list of its kind, as the quarantine is: the answer to one object that isn't there is a failure without an era.

--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -109,6 +110,29 @@
     }
 }
 
+/// A success, read whole.
+#[derive(Clone, Debug)]
+pub struct ClientAnswer {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl ClientAnswer {
+    /// The body as JSON; `addr` is whose answer it is.
+    ///
+    /// # Errors
+    ///
+    /// If it isn't JSON of that type.
+    pub fn json<T: DeserializeOwned>(&self, addr: SocketAddr) -> Result<T, ClientError> {
+        serde_json::from_slice(&self.body).map_err(|error| ClientError::Decode {
+            addr,
+            message: error.to_string(),
+        })
+    }
+}
+
 /// A client with a pool of connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -200,12 +224,12 @@
     /// # Errors
     ///
     /// If there is no answer within `wait`.
-    pub async fn get_bytes(
+    pub async fn get_answer(
         &self,
         addr: SocketAddr,
         path: &str,
         wait: Duration,
-    ) -> Result<Bytes, ClientError> {
+    ) -> Result<ClientAnswer, ClientError> {
         let request = build(Method::GET, addr, path, Bytes::new())?;
         self.exchange(addr, request, wait).await
     }
@@ -221,8 +245,8 @@
         path: &str,
         wait: Duration,
     ) -> Result<String, ClientError> {
-        let body = self.get_bytes(addr, path, wait).await?;
-        Ok(String::from_utf8_lossy(&body).into_owned())
+        let answer = self.get_answer(addr, path, wait).await?;
+        Ok(String::from_utf8_lossy(&answer.body).into_owned())
     }
 
     /// Calls with an optional JSON body and reads a JSON answer.
@@ -238,6 +262,23 @@
         body: Option<&Q>,
         wait: Duration,
     ) -> Result<T, ClientError> {
+        let answer = self.call_answer(method, addr, path, body, wait).await?;
+        answer.json(addr)
+    }
+
+    /// Calls with an optional JSON body and reads the answer as it came.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer within `wait`.
+    pub async fn call_answer<Q: Serialize + Sync>(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Option<&Q>,
+        wait: Duration,
+    ) -> Result<ClientAnswer, ClientError> {
         let body = match body {
             Some(value) => serde_json::to_vec(value).map_err(|error| ClientError::Decode {
                 addr,
@@ -246,11 +287,7 @@
             None => Vec::new(),
         };
         let request = build(method, addr, path, body.into())?;
-        let answer = self.exchange(addr, request, wait).await?;
-        serde_json::from_slice(&answer).map_err(|error| ClientError::Decode {
-            addr,
-            message: error.to_string(),
-        })
+        self.exchange(addr, request, wait).await
     }
 
     async fn exchange(
@@ -258,14 +295,16 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         wait: Duration,
-    ) -> Result<Bytes, ClientError> {
+    ) -> Result<ClientAnswer, ClientError> {
         let whole = async {
             let response = self.send(addr, request, wait).await?;
-            let status = response.status();
-            let retry_after = retry_after(response.headers());
-            let body = read_answer(addr, response.into_body()).await?;
+            let (head, body) = response.into_parts();
+            let status = head.status;
+            let retry_after = retry_after(&head.headers);
+            let body = read_answer(addr, body).await?;
             if status.is_success() {
-                return Ok(body);
+                let headers = head.headers;
+                return Ok(ClientAnswer { headers, body });
             }
             Err(ClientError::Status {
                 addr,
--- a/crates/rookferry_net/src/lib.rs
+++ b/crates/rookferry_net/src/lib.rs
@@ -24,6 +24,7 @@
 mod until;
 
 pub use backoff_table::BackoffTable;
+pub use client::ClientAnswer;
 pub use client::ClientError;
 pub use client::HttpClient;
 pub use connection::ConnectionGuard;
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -14,7 +14,6 @@
 
 mod beliefs;
 mod broken_runs;
-mod counted_store;
 mod door;
 mod engines;
 mod event_log;
@@ -47,6 +46,7 @@
 mod store;
 mod stream;
 mod sync;
+mod tracked_store;
 mod upstream;
 mod view;
 
@@ -66,4 +66,5 @@
 pub use settings::SettingsError;
 pub use store::AsOf;
 pub use store::SiteStore;
+pub use store::StoreAnswer;
 pub use store::StoreError;
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -31,7 +31,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::counted_store::CountedStore;
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
@@ -127,7 +126,6 @@
                 "callers" => %listen.callers);
         }
         let handle = install_recorder();
-        let store = Arc::new(CountedStore::new(store));
         let (socket, listener, peers) = bind_peers(listen.peers).await?;
         // The order of instances goes by this address.
         settings.listen.peers = peers;
--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -162,10 +162,11 @@
     let is_had = || relay.servers_version.load(Ordering::Relaxed) > newer_than;
     let asked = ask_round(relay, from, request, is_had).await;
     if let Some((_, PeerAnswer::Servers { version, servers })) = asked {
-        let value = servers;
-        relay
-            .peer_servers
-            .send_replace(Some(AsOf { version, value }));
+        relay.peer_servers.send_replace(Some(AsOf {
+            era: None,
+            revision: version,
+            value: servers,
+        }));
     }
 }
 
--- a/crates/rookferry_relay/src/quarantine_keeper.rs
+++ b/crates/rookferry_relay/src/quarantine_keeper.rs
@@ -86,8 +86,10 @@
             Some(after) => store.watch_quarantine(after, WATCH_WAIT).await,
         };
         match read {
-            Ok(AsOf { version, value }) => {
-                self.after = Some(version);
+            Ok(AsOf {
+                revision, value, ..
+            }) => {
+                self.after = Some(revision);
                 if let Some(object) = value {
                     self.take(&object);
                 }
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -44,14 +44,18 @@
 use crate::settings::RelaySettings;
 use crate::store::AsOf;
 use crate::store::SiteStore;
+use crate::tracked_store::TrackedStore;
 use crate::view::ServerTable;
 use crate::view::SiteView;
 
+/// Most servers named in a line that leave, and most that are gone.
+const MAX_DEPARTED_NAMED: usize = 8;
+
 /// State that all parts of an instance share.
 pub(crate) struct Relay {
     pub(crate) settings: RelaySettings,
     pub(crate) protocol: Arc<dyn ServerProtocol>,
-    pub(crate) store: Arc<dyn SiteStore>,
+    pub(crate) store: TrackedStore,
     pub(crate) pool: UpstreamPool,
     pub(crate) view: ArcSwap<SiteView>,
     /// What is believed of the servers.
@@ -61,7 +65,7 @@
     /// Permits for servers that named a limit.
     pub(crate) permits: Permits,
     pub(crate) door: Arc<Door>,
-    pub(crate) events: EventLog,
+    pub(crate) events: Arc<EventLog>,
     /// Raised whenever paths may have to be looked at again.
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Raised whenever there is a newer configuration or list of servers.
@@ -102,11 +106,12 @@
         store: Arc<dyn SiteStore>,
         events: EventLog,
     ) -> Self {
+        let events = Arc::new(events);
         let peers = PeerTable::new(settings.listen.peers, settings.domain.clone());
         Self {
             settings,
             protocol,
-            store,
+            store: TrackedStore::new(store, events.clone()),
             pool: UpstreamPool::new(),
             view: ArcSwap::default(),
             beliefs: ServerBeliefs::new(rand::random()),
@@ -216,9 +221,15 @@
     }
 
     /// Replaces the table of backend servers.
-    pub(crate) fn adopt_servers(&self, servers: ServerTable, version: ObjectVersion) {
+    pub(crate) fn adopt_servers(
+        &self,
+        servers: ServerTable,
+        version: ObjectVersion,
+        source: &'static str,
+    ) {
         self.servers_version.store(version, Ordering::Relaxed);
         let servers = Arc::new(servers);
+        self.note_servers(&servers, version, source);
         self.beliefs
             .adopt(self.view.load().servers.as_deref(), &servers);
         self.update_view(|view| SiteView {
@@ -232,6 +243,18 @@
         self.versions.send_modify(|changes| *changes += 1);
     }
 
+    /// Tells which list of servers is in force from now on, and whom it takes out of
+    /// use.
+    fn note_servers(&self, servers: &ServerTable, version: ObjectVersion, source: &'static str) {
+        let before = self.view.load();
+        let departed = servers.departed_since(before.servers.as_deref(), MAX_DEPARTED_NAMED);
+        if let Some(log) = self.events.line(Weight::Notable) {
+            info!(log, "directory: a list of servers is in force"; "event" => "servers_adopted",
+                "version" => version, "source" => source, "servers" => servers.all().len(),
+                "leaving" => departed.leaving.join(","), "gone" => departed.gone.join(","));
+        }
+    }
+
     fn update_view(&self, update: impl Fn(&SiteView) -> SiteView) {
         self.view.rcu(|view| Arc::new(update(view)));
     }
--- a/crates/rookferry_relay/src/store.rs
+++ b/crates/rookferry_relay/src/store.rs
@@ -10,6 +10,7 @@
 use rookferry_core::ServingConfig;
 use rookferry_wire::Object;
 use rookferry_wire::ObjectVersion;
+use rookferry_wire::StoreEra;
 use snafu::Snafu;
 
 /// Why the store gave no usable answer.
@@ -44,64 +45,82 @@
     },
 }
 
-/// A value, as of a version of the store.
+/// A value, as an answer of the store shows it.
 #[derive(Clone, Debug)]
 pub struct AsOf<T> {
-    /// The store's version; watches go on from it.
-    pub version: ObjectVersion,
+    /// The store's era, if the answer tells it in a way that reads.
+    pub era: Option<StoreEra>,
+    /// The revision that the value is of: the store's, from which watches go on,
+    /// or that of the one object that was read or written.
+    pub revision: ObjectVersion,
     /// The value.
     pub value: T,
 }
 
+impl<T> AsOf<T> {
+    /// The same of another value.
+    #[must_use]
+    pub fn map<U>(self, change: impl FnOnce(T) -> U) -> AsOf<U> {
+        AsOf {
+            era: self.era,
+            revision: self.revision,
+            value: change(self.value),
+        }
+    }
+}
+
+/// What the store answers to a call.
+pub type StoreAnswer<'a, T> = BoxFuture<'a, Result<AsOf<T>, StoreError>>;
+
 /// The platform's store, as a relay sees it.
 pub trait SiteStore: Send + Sync {
     /// The configuration; `None` if there is none yet.
-    fn config(&self) -> BoxFuture<'_, Result<AsOf<Option<ServingConfig>>, StoreError>>;
+    fn config(&self) -> StoreAnswer<'_, Option<ServingConfig>>;
 
-    /// Waits for a configuration after a version; `None` if none came.
+    /// Waits for a configuration after a revision; `None` if none came.
     fn watch_config(
         &self,
         after: ObjectVersion,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<AsOf<Option<ServingConfig>>, StoreError>>;
+    ) -> StoreAnswer<'_, Option<ServingConfig>>;
 
     /// The backend servers.
-    fn servers(&self) -> BoxFuture<'_, Result<AsOf<Vec<BackendServer>>, StoreError>>;
+    fn servers(&self) -> StoreAnswer<'_, Vec<BackendServer>>;
 
-    /// Waits for changes of the backend servers after a version.
+    /// Waits for changes of the backend servers after a revision.
     fn watch_servers(
         &self,
         after: ObjectVersion,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<AsOf<Vec<DirectoryChange>>, StoreError>>;
+    ) -> StoreAnswer<'_, Vec<DirectoryChange>>;
 
     /// The held requests; `None` if none ever were.
-    fn quarantine(&self) -> BoxFuture<'_, Result<AsOf<Option<Object>>, StoreError>>;
+    fn quarantine(&self) -> StoreAnswer<'_, Option<Object>>;
 
-    /// Waits for a change of the held requests after a version; `None` if none
+    /// Waits for a change of the held requests after a revision; `None` if none
     /// came.
     fn watch_quarantine(
         &self,
         after: ObjectVersion,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<AsOf<Option<Object>>, StoreError>>;
+    ) -> StoreAnswer<'_, Option<Object>>;
 
-    /// Writes the held requests if their version is the expected one (0: there
-    /// are none).
+    /// Writes the held requests if their revision is the expected one (0: there
+    /// are none); answers as of their new one.
     fn write_quarantine<'a>(
         &'a self,
         expected: ObjectVersion,
         quarantine: &'a QuarantineObject,
-    ) -> BoxFuture<'a, Result<ObjectVersion, StoreError>>;
+    ) -> StoreAnswer<'a, ()>;
 
     /// The lease of the placement controller.
-    fn lease(&self) -> BoxFuture<'_, Result<Option<Object>, StoreError>>;
+    fn lease(&self) -> StoreAnswer<'_, Option<Object>>;
 
-    /// Writes the lease if its version is the expected one (0: there is none);
-    /// answers with its new version.
+    /// Writes the lease if its revision is the expected one (0: there is none);
+    /// answers as of its new one.
     fn write_lease<'a>(
         &'a self,
         expected: ObjectVersion,
         lease: &'a LeaseObject,
-    ) -> BoxFuture<'a, Result<ObjectVersion, StoreError>>;
+    ) -> StoreAnswer<'a, ()>;
 }
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -116,10 +116,12 @@
             Some(after) => relay.store.watch_config(after, CONFIG_WAIT).await,
         };
         match read {
-            Ok(AsOf { version, value }) => {
+            Ok(AsOf {
+                revision, value, ..
+            }) => {
                 outage.ended(&relay);
                 relay.is_store_away.store(false, Ordering::Relaxed);
-                after = Some(version);
+                after = Some(revision);
                 if let Some(config) = value {
                     relay.adopt_config(config, "store", asked_at);
                 } else if let Some(version) = relay.config_version() {
@@ -159,6 +161,7 @@
             read = read_servers(&relay, after, wait, &mut outage) => read,
         };
         let now = clock::now();
+        let source = read.as_ref().map_or("store", Read::source);
         let is_changed = match read {
             Ok(read) => {
                 if read.is_from_store() && outage.ended(&relay) {
@@ -188,7 +191,7 @@
             let unusable = directory.unusable(is_usable).cloned().collect();
             let table = ServerTable::new(directory.in_use(is_usable), unusable);
             judged_by = view.config_version();
-            relay.adopt_servers(table, after.unwrap_or(0));
+            relay.adopt_servers(table, after.unwrap_or(0), source);
         }
         if is_news {
             // Entries change in bursts; one call brings those that follow.
@@ -210,7 +213,7 @@
         }
         let list = from_peers.borrow_and_update().clone();
         let own = relay.servers_version.load(Ordering::Relaxed);
-        if let Some(list) = list.filter(|list| list.version > own) {
+        if let Some(list) = list.filter(|list| list.revision > own) {
             return Read::Peer(list);
         }
     }
@@ -267,12 +270,22 @@
     /// The version of the store that it is from, if it is from there.
     const fn version(&self) -> Option<ObjectVersion> {
         match self {
-            Self::List(list) | Self::Peer(list) => Some(list.version),
-            Self::Changes(changes) => Some(changes.version),
+            Self::List(list) | Self::Peer(list) => Some(list.revision),
+            Self::Changes(changes) => Some(changes.revision),
             Self::Restarted(_) | Self::OtherConfig => None,
         }
     }
 
+    /// Where it is from, as logged.
+    const fn source(&self) -> &'static str {
+        match self {
+            Self::List(_) | Self::Changes(_) => "store",
+            Self::Peer(_) => "peer",
+            Self::OtherConfig => "configuration",
+            Self::Restarted(_) => "report",
+        }
+    }
+
     const fn is_from_store(&self) -> bool {
         matches!(self, Self::List(_) | Self::Changes(_))
     }
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// Servers that a newer table has no use for.
+#[derive(Debug)]
+pub(crate) struct Departed {
+    /// They say that they leave.
+    pub(crate) leaving: Vec<EngineId>,
+    /// They aren't in use any more.
+    pub(crate) gone: Vec<EngineId>,
+}
+
 /// The backend servers with their look-ups.
 #[derive(Debug, Default)]
 pub(crate) struct ServerTable {
@@ -123,6 +132,25 @@
             .count()
     }
 
+    /// The names of servers that a former table had in use, and that this one says
+    /// leave, or doesn't have; at most `most` of each.
+    pub(crate) fn departed_since(&self, before: Option<&Self>, most: usize) -> Departed {
+        let before = before.map_or(&[][..], |before| before.all());
+        let used = before.iter().filter(|server| !server.is_leaving);
+        let now = |server: &&BackendServer| self.get(server.key);
+        let leaves = |server: &&BackendServer| now(server).is_some_and(|now| now.is_leaving);
+        let name = |server: &BackendServer| server.id.clone();
+        Departed {
+            leaving: used.clone().filter(leaves).take(most).map(name).collect(),
+            gone: before
+                .iter()
+                .filter(|server| now(server).is_none())
+                .take(most)
+                .map(name)
+                .collect(),
+        }
+    }
+
     /// A server, if that start of it is in use.
     pub(crate) fn get(&self, server: ServerKey) -> Option<&BackendServer> {
         self.at(server.addr).filter(|entry| entry.key == server)
--- a/crates/rookferry_wire/src/id.rs
+++ b/crates/rookferry_wire/src/id.rs
@@ -29,5 +29,8 @@
 pub type RequestId = Arc<str>;
 /// Name of a plain service.
 pub type ServiceId = Arc<str>;
+/// How often the platform's store has come back from a copy. Its revisions go on
+/// from the copy's and are given out again, so they only compare within an era.
+pub type StoreEra = u64;
 /// Id of a stream on the engines.
 pub type StreamId = Uuid;
