fix(relay): the version of a list of servers is swapped with the list

A new list's version was stored first, then its table put in force, and one who asked between got the old list under the new version: it had no reason to ask again, and its own watch would have gone on behind the change.

--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -98,7 +98,7 @@
             sent_ms: millis(now.saturating_duration_since(self.epoch)),
             echo: None,
             config,
-            servers_version: self.relay.servers_version.load(Ordering::Relaxed),
+            servers_version: self.relay.servers_version(),
             holder: self.holder(now),
             loads: self.load_entries(self.relay.beliefs.loads.snapshot(), now),
             domain_loads: None,
--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -62,7 +61,7 @@
             (&relay.config_source, newer, config_answer)
         }
         PeerRequest::Servers { newer_than } => {
-            let version = relay.servers_version.load(Ordering::Relaxed);
+            let version = relay.servers_version();
             let newer = Some(version).filter(|own| *own > newer_than);
             (&relay.servers_source, newer, servers_answer)
         }
@@ -125,14 +124,12 @@
 }
 
 fn servers_answer(relay: &Relay) -> PeerAnswer {
-    // The version first: a list that is newer than it says is asked for again.
-    let version = relay.servers_version.load(Ordering::Relaxed);
     let view = relay.view.load_full();
     let Some(table) = &view.servers else {
         return PeerAnswer::NothingNewer;
     };
     PeerAnswer::Servers {
-        version,
+        version: table.version(),
         servers: table.listed().cloned().collect(),
     }
 }
@@ -157,9 +154,9 @@
 
 /// Hands a peer's backend servers on if they are newer.
 pub(super) async fn fetch_servers(relay: &Relay, from: SocketAddr) {
-    let newer_than = relay.servers_version.load(Ordering::Relaxed);
+    let newer_than = relay.servers_version();
     let request = PeerRequest::Servers { newer_than };
-    let is_had = || relay.servers_version.load(Ordering::Relaxed) > newer_than;
+    let is_had = || relay.servers_version() > newer_than;
     let asked = ask_round(relay, from, request, is_had).await;
     if let Some((_, PeerAnswer::Servers { version, servers })) = asked {
         relay.peer_servers.send_replace(Some(AsOf {
--- a/crates/rookferry_relay/src/peers/fetch.rs
+++ b/crates/rookferry_relay/src/peers/fetch.rs
@@ -90,8 +90,7 @@
     /// A peer has newer servers: they are asked for, unless the own watch
     /// brings them first.
     pub(super) fn take_servers(&self, beat: &Heartbeat, from: SocketAddr) {
-        let is_newer =
-            |relay: &Relay| relay.servers_version.load(Ordering::Relaxed) < beat.servers_version;
+        let is_newer = |relay: &Relay| relay.servers_version() < beat.servers_version;
         if !is_newer(&self.relay) || !self.servers.begin(beat.servers_version) {
             return;
         }
@@ -103,7 +102,7 @@
             if !relay.leaves_store() {
                 tokio::time::sleep(OWN_WATCH_FIRST).await;
             }
-            if relay.servers_version.load(Ordering::Relaxed) < version {
+            if relay.servers_version() < version {
                 exchange::fetch_servers(&relay, from).await;
             }
         });
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -72,8 +72,7 @@
     pub(crate) fn relies_on_peers(&self) -> bool {
         let now = clock::now();
         let bound = reliance_in_line(RELY_ON_PEERS, self.rank(now));
-        let is_informed = self.config_age().is_fresh(now, bound)
-            && self.servers_version.load(Ordering::Relaxed) > 0;
+        let is_informed = self.config_age().is_fresh(now, bound) && self.servers_version() > 0;
         is_informed && !lock(&self.peers).asks_store(now, RELY_ON_PEERS)
     }
 
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -5,9 +5,7 @@
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -75,8 +73,6 @@
     /// Those of them in the same failure domain.
     pub(crate) near_instances: AtomicUsize,
     pub(crate) peers: Mutex<PeerTable>,
-    /// The store's version that the servers are from.
-    pub(crate) servers_version: AtomicU64,
     /// The newest list of servers that a peer gave.
     pub(crate) peer_servers: watch::Sender<Option<AsOf<Vec<BackendServer>>>>,
     /// Engines that started again before their entries tell of it.
@@ -124,7 +120,6 @@
             instances: AtomicUsize::new(1),
             near_instances: AtomicUsize::new(1),
             peers: Mutex::new(peers),
-            servers_version: AtomicU64::new(0),
             peer_servers: watch::Sender::new(None),
             restarts: Restarts::default(),
             link_pace: Mutex::new(LinkPace::new(rand::random())),
@@ -220,16 +215,15 @@
         self.view.load().config_version()
     }
 
+    /// The store's version that the servers in force are of; 0 while there are none.
+    pub(crate) fn servers_version(&self) -> ObjectVersion {
+        self.view.load().servers_version()
+    }
+
     /// Replaces the table of backend servers.
-    pub(crate) fn adopt_servers(
-        &self,
-        servers: ServerTable,
-        version: ObjectVersion,
-        source: &'static str,
-    ) {
-        self.servers_version.store(version, Ordering::Relaxed);
+    pub(crate) fn adopt_servers(&self, servers: ServerTable, source: &'static str) {
         let servers = Arc::new(servers);
-        self.note_servers(&servers, version, source);
+        self.note_servers(&servers, source);
         self.beliefs
             .adopt(self.view.load().servers.as_deref(), &servers);
         self.update_view(|view| SiteView {
@@ -245,12 +239,12 @@
 
     /// Tells which list of servers is in force from now on, and whom it takes out of
     /// use.
-    fn note_servers(&self, servers: &ServerTable, version: ObjectVersion, source: &'static str) {
+    fn note_servers(&self, servers: &ServerTable, source: &'static str) {
         let before = self.view.load();
         let departed = servers.departed_since(before.servers.as_deref(), MAX_DEPARTED_NAMED);
         if let Some(log) = self.events.line(Weight::Notable) {
             info!(log, "directory: a list of servers is in force"; "event" => "servers_adopted",
-                "version" => version, "source" => source, "servers" => servers.all().len(),
+                "version" => servers.version(), "source" => source, "servers" => servers.all().len(),
                 "leaving" => departed.leaving.join(","), "gone" => departed.gone.join(","));
         }
     }
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync.rs
@@ -189,9 +189,10 @@
             let view = relay.view.load_full();
             let is_usable = |server: &BackendServer| view.is_usable(server);
             let unusable = directory.unusable(is_usable).cloned().collect();
-            let table = ServerTable::new(directory.in_use(is_usable), unusable);
+            let version = after.unwrap_or(0);
+            let table = ServerTable::new(version, directory.in_use(is_usable), unusable);
             judged_by = view.config_version();
-            relay.adopt_servers(table, after.unwrap_or(0), source);
+            relay.adopt_servers(table, source);
         }
         if is_news {
             // Entries change in bursts; one call brings those that follow.
@@ -212,7 +213,7 @@
             std::future::pending::<()>().await;
         }
         let list = from_peers.borrow_and_update().clone();
-        let own = relay.servers_version.load(Ordering::Relaxed);
+        let own = relay.servers_version();
         if let Some(list) = list.filter(|list| list.revision > own) {
             return Read::Peer(list);
         }
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -11,6 +11,7 @@
 use rookferry_core::ServingIndex;
 use rookferry_core::ServingService;
 use rookferry_wire::EngineId;
+use rookferry_wire::ObjectVersion;
 use rookferry_wire::ServiceId;
 
 /// A snapshot of configuration and backend servers.
@@ -28,6 +29,12 @@
         self.index.as_ref().map(|index| index.config().version)
     }
 
+    /// The store's version that the servers are of; 0 while there are none.
+    pub(crate) fn servers_version(&self) -> ObjectVersion {
+        let servers = self.servers.as_ref();
+        servers.map_or(0, |servers| servers.version())
+    }
+
     /// A server, if that start of it is in use.
     pub(crate) fn server(&self, server: ServerKey) -> Option<&BackendServer> {
         self.servers.as_ref()?.get(server)
@@ -71,6 +78,9 @@
 /// The backend servers with their look-ups.
 #[derive(Debug, Default)]
 pub(crate) struct ServerTable {
+    /// The store's version that it is of. One who asks gets both or neither: an old
+    /// list under a new version would never be asked for again.
+    version: ObjectVersion,
     servers: Vec<BackendServer>,
     /// Entries that this instance has no use for, to tell others.
     unusable: Vec<BackendServer>,
@@ -80,8 +90,13 @@
 }
 
 impl ServerTable {
-    /// A table of servers, one an address, and of entries without use.
-    pub(crate) fn new(servers: Vec<BackendServer>, unusable: Vec<BackendServer>) -> Self {
+    /// A table of servers, one an address, and of entries without use, as of a version
+    /// of the store.
+    pub(crate) fn new(
+        version: ObjectVersion,
+        servers: Vec<BackendServer>,
+        unusable: Vec<BackendServer>,
+    ) -> Self {
         let mut by_service: HashMap<ServiceId, Vec<usize>> = HashMap::new();
         let mut by_addr = HashMap::new();
         let mut by_id = HashMap::with_capacity(servers.len());
@@ -94,6 +109,7 @@
             by_addr.insert(server.addr(), index);
         }
         Self {
+            version,
             servers,
             unusable,
             by_service,
@@ -102,6 +118,11 @@
         }
     }
 
+    /// The store's version that it is of.
+    pub(crate) const fn version(&self) -> ObjectVersion {
+        self.version
+    }
+
     /// All servers.
     pub(crate) fn all(&self) -> &[BackendServer] {
         &self.servers
