--- a/crates/rookferry_core/src/lease.rs
+++ b/crates/rookferry_core/src/lease.rs
@@ -87,6 +87,8 @@
     timing: LeaseTiming,
     seen: Option<Seen>,
     held: Option<Held>,
+    /// The highest fence that was seen before what was seen became void.
+    highest_fence: u64,
 }
 
 impl Lease {
@@ -99,6 +101,7 @@
             timing,
             seen: None,
             held: None,
+            highest_fence: 0,
         }
     }
 
@@ -124,6 +127,17 @@
         });
     }
 
+    /// What was read and written is void, as the platform was restored from a copy:
+    /// the lease isn't held until it is read and written again.
+    pub fn forget(&mut self) {
+        if let Some(seen) = self.seen.take()
+            && let Some(object) = seen.object
+        {
+            self.highest_fence = self.highest_fence.max(object.fence);
+        }
+        self.held = None;
+    }
+
     /// What to do now.
     #[must_use]
     pub fn next(&self, now: Instant) -> LeaseAction {
@@ -139,15 +153,15 @@
                 }
                 held.fence
             }
-            (Some(object), _) if self.is_own(Some(object)) => object.fence + 1,
+            (Some(object), _) if self.is_own(Some(object)) => self.fence_after(object.fence),
             (Some(object), _) => {
                 let duration = Duration::from_millis(object.duration_ms);
                 if now.saturating_duration_since(seen.first_at) < duration {
                     return LeaseAction::Wait;
                 }
-                object.fence + 1
+                self.fence_after(object.fence)
             }
-            (None, _) => 1 + seen.version,
+            (None, _) => self.fence_after(seen.version),
         };
         LeaseAction::Write {
             expected: seen.version,
@@ -216,6 +230,11 @@
         self.seen.as_ref()?.object.as_ref()
     }
 
+    /// The fence of the holder that follows one with another.
+    fn fence_after(&self, fence: u64) -> u64 {
+        fence.max(self.highest_fence) + 1
+    }
+
     fn is_own(&self, object: Option<&LeaseObject>) -> bool {
         object.is_some_and(|object| {
             object.holder == self.own && object.incarnation == self.incarnation
--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -5,7 +5,6 @@
 use rookferry_wire::DomainId;
 use rookferry_wire::Incarnation;
 use rookferry_wire::InstanceId;
-use rookferry_wire::ObjectVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -13,6 +12,7 @@
 use crate::limits::LimitSeen;
 use crate::serving::ClosedSeen;
 use crate::serving::ServerKey;
+use crate::serving::StoreVersion;
 use crate::serving::SuspectSeen;
 
 /// A heartbeat; one datagram.
@@ -32,7 +32,7 @@
     /// The configuration that the sender has in force.
     pub config: Option<ConfigState>,
     /// The store's version that the sender's servers are from.
-    pub servers_version: ObjectVersion,
+    pub servers_version: StoreVersion,
     /// The holder that the sender heard of, itself or by others.
     pub holder: Option<HolderSeen>,
     /// What is under way at servers by the sender's own requests; told in its
--- a/crates/rookferry_core/src/peers/source.rs
+++ b/crates/rookferry_core/src/peers/source.rs
@@ -23,28 +23,24 @@
     Elsewhere(Vec<SocketAddr>),
 }
 
-/// Gives one kind of body on.
+/// Gives one kind of body on; its versions tell bodies apart.
 #[derive(Clone, Debug, Default)]
-pub struct BodySource {
-    version: u64,
+pub struct BodySource<V> {
+    version: V,
     under_way: usize,
     receivers: Vec<SocketAddr>,
 }
 
-impl BodySource {
+impl<V: Copy + Default + PartialEq> BodySource<V> {
     /// Nothing sent so far.
     #[must_use]
-    pub const fn new() -> Self {
-        Self {
-            version: 0,
-            under_way: 0,
-            receivers: Vec::new(),
-        }
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// Answers one that asks for a version.
-    pub fn offer(&mut self, version: u64) -> Offer {
-        if version > self.version {
+    pub fn offer(&mut self, version: V) -> Offer {
+        if version != self.version {
             self.version = version;
             self.receivers.clear();
         }
@@ -58,7 +54,7 @@
 
     /// A body was sent to one that listens at an address; nobody got it where
     /// there is none.
-    pub fn ended(&mut self, version: u64, to: Option<SocketAddr>) {
+    pub fn ended(&mut self, version: V, to: Option<SocketAddr>) {
         self.under_way = self.under_way.saturating_sub(1);
         if let Some(to) = to.filter(|_| version == self.version) {
             self.receivers.push(to);
--- a/crates/rookferry_core/src/serving/directory.rs
+++ b/crates/rookferry_core/src/serving/directory.rs
@@ -10,90 +10,25 @@
 //! that for three heartbeats each address is listed twice, and the former
 //! entries name layers that nobody holds any more. One address is one process,
 //! so only the latest start at an address is in use.
+//!
+//! A store that is restored from a copy shows entries as they once were. What is
+//! known of a start stays, also that it left, until the server writes again.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use rookferry_wire::DomainId;
 use rookferry_wire::EngineId;
-use rookferry_wire::Incarnation;
-use rookferry_wire::LayerRange;
-use rookferry_wire::ServiceId;
-use serde::Deserialize;
-use serde::Serialize;
 
-use super::ServerKey;
+use super::BackendServer;
 
 /// How long a name whose entry went is known as that of an earlier start. What
 /// a process wrote before it ended came up to 4 s after its successor's entry;
 /// the longest outage of the store takes some 10 s more.
 const FORMER_KEPT: Duration = Duration::from_secs(30);
 
-/// A backend server.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct BackendServer {
-    /// Its name.
-    pub id: EngineId,
-    /// Its service.
-    pub service: ServiceId,
-    /// This start of it, and where it listens.
-    pub key: ServerKey,
-    /// When it started, in Unix milliseconds; without it, each start has a
-    /// name of its own.
-    pub incarnation: Option<Incarnation>,
-    /// How often it has written its entry since its start.
-    pub writes: u64,
-    /// Its failure domain.
-    pub domain: DomainId,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// Whether it has said that it leaves.
-    pub is_leaving: bool,
-    /// Its accelerator's kind, if it is a model engine.
-    pub accelerator: Option<Arc<str>>,
-    /// The layers it holds, ready to run.
-    pub held: Option<LayerRange>,
-}
-
-impl BackendServer {
-    /// Where it listens.
-    #[must_use]
-    pub const fn addr(&self) -> SocketAddr {
-        self.key.addr
-    }
-
-    /// Whether another entry says the same of the same start, however often it
-    /// was written.
-    #[must_use]
-    pub fn says_the_same(&self, other: &Self) -> bool {
-        let Self {
-            id,
-            service,
-            key,
-            incarnation,
-            writes: _,
-            domain,
-            slots,
-            is_leaving,
-            accelerator,
-            held,
-        } = self;
-        *key == other.key
-            && *held == other.held
-            && *is_leaving == other.is_leaving
-            && *incarnation == other.incarnation
-            && *slots == other.slots
-            && *id == other.id
-            && *service == other.service
-            && *domain == other.domain
-            && *accelerator == other.accelerator
-    }
-}
-
 /// A change of the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DirectoryChange {
@@ -105,6 +40,17 @@
     Unusable(EngineId),
 }
 
+/// What may be wrong with a list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListDoubts {
+    /// A server that it lacks may only have lapsed, during an outage.
+    pub may_lack: bool,
+    /// It may show servers as they once were, by a restore. Of one that had gone the
+    /// entry is believed if it stands for this time, in which the entry of one that
+    /// has ended goes.
+    pub may_be_old: Option<Duration>,
+}
+
 /// An entry, and the order in which its start was first seen.
 #[derive(Clone, Debug)]
 struct Listed {
@@ -122,12 +68,37 @@
     gone_at: Instant,
 }
 
+/// A former start whose entry is there again after a restore.
+#[derive(Clone, Debug)]
+struct Restored {
+    server: BackendServer,
+    believed_at: Instant,
+}
+
+/// Servers whose time was over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Expired {
+    /// They were missing for too long, and have left.
+    pub gone: Vec<EngineId>,
+    /// Their restored entries stand.
+    pub back: Vec<EngineId>,
+}
+
+impl Expired {
+    /// Whether nothing changed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.gone.is_empty() && self.back.is_empty()
+    }
+}
+
 /// The servers.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<EngineId, Listed>,
     missing_since: BTreeMap<EngineId, Instant>,
     former: BTreeMap<EngineId, Former>,
+    restored: BTreeMap<EngineId, Restored>,
     reads: SeenOrder,
 }
 
@@ -184,29 +155,46 @@
     pub fn apply(&mut self, change: DirectoryChange, now: Instant) -> bool {
         self.reads += 1;
         match change {
-            DirectoryChange::Updated(server) => self.insert(server),
+            DirectoryChange::Updated(server) if self.is_late_word(&server) => false,
+            DirectoryChange::Updated(server) => {
+                self.restored.remove(&server.id);
+                self.insert(server)
+            }
             DirectoryChange::Removed(id) | DirectoryChange::Unusable(id) => {
+                self.restored.remove(&id);
                 self.missing_since.remove(&id);
                 self.remove(&id, now)
             }
         }
     }
 
-    /// Takes a whole list in. With `may_have_lapsed`, servers that are not in
-    /// it stay until [`Directory::expire`] finds their time over.
-    pub fn replace(&mut self, list: Vec<BackendServer>, may_have_lapsed: bool, now: Instant) {
+    /// Whether an entry is from before what is known of its start, which counts its
+    /// writes: written late, or in a list that is older than it looks.
+    fn is_late_word(&self, server: &BackendServer) -> bool {
+        let known = self.entries.get(&server.id);
+        known.is_some_and(|known| {
+            known.server.key == server.key
+                && server.incarnation.is_some()
+                && server.writes < known.server.writes
+        })
+    }
+
+    /// Takes a whole list in. Where servers that aren't in it may have lapsed, they
+    /// stay until [`Directory::expire`] finds their time over.
+    pub fn replace(&mut self, list: Vec<BackendServer>, doubts: ListDoubts, now: Instant) {
         self.reads += 1;
         let listed: BTreeSet<EngineId> = list.iter().map(|server| server.id.clone()).collect();
+        self.restored.clear();
         for server in list {
-            self.insert(server);
+            self.take_listed(server, doubts, now);
         }
         let names = self.entries.keys();
         let missing: Vec<EngineId> = names.filter(|id| !listed.contains(*id)).cloned().collect();
-        if !may_have_lapsed {
+        if !doubts.may_lack {
             self.missing_since.clear();
         }
         for id in missing {
-            if may_have_lapsed {
+            if doubts.may_lack {
                 self.missing_since.entry(id).or_insert(now);
             } else {
                 self.remove(&id, now);
@@ -214,6 +202,35 @@
         }
     }
 
+    fn take_listed(&mut self, server: BackendServer, doubts: ListDoubts, now: Instant) {
+        let Some(stands_for) = doubts.may_be_old else {
+            if self.is_late_word(&server) {
+                self.missing_since.remove(&server.id);
+            } else {
+                self.insert(server);
+            }
+            return;
+        };
+        if let Some(known) = self.entries.get(&server.id)
+            && known.server.key == server.key
+            && (server.writes < known.server.writes || known.server.is_leaving)
+        {
+            self.missing_since.remove(&server.id);
+            return;
+        }
+        let former = self.former.get(&server.id);
+        if former.is_some_and(|former| former.listed.server.key == server.key) {
+            let believed_at = now + stands_for;
+            let restored = Restored {
+                server,
+                believed_at,
+            };
+            self.restored.insert(restored.server.id.clone(), restored);
+            return;
+        }
+        self.insert(server);
+    }
+
     /// Keeps a server whose entry went during an outage for now.
     pub fn lapse(&mut self, id: &EngineId, now: Instant) {
         if self.entries.contains_key(id) {
@@ -221,9 +238,9 @@
         }
     }
 
-    /// Drops the servers that have been missing for longer than `grace`;
-    /// tells which.
-    pub fn expire(&mut self, now: Instant, grace: Duration) -> Vec<EngineId> {
+    /// Drops the servers that have been missing for longer than `grace`, and takes
+    /// those in use again whose restored entries stand; tells what changed.
+    pub fn expire(&mut self, now: Instant, grace: Duration) -> Expired {
         self.former
             .retain(|_, former| now.saturating_duration_since(former.gone_at) < FORMER_KEPT);
         let is_over = |since: &Instant| now.saturating_duration_since(*since) >= grace;
@@ -237,13 +254,23 @@
             self.missing_since.remove(id);
             self.remove(id, now);
         }
-        gone
+        let standing = self
+            .restored
+            .extract_if(.., |_, restored| restored.believed_at <= now);
+        let standing: Vec<BackendServer> = standing.map(|(_, restored)| restored.server).collect();
+        let back = standing.iter().map(|server| server.id.clone()).collect();
+        for server in standing {
+            self.insert(server);
+        }
+        Expired { gone, back }
     }
 
-    /// Whether servers are missing whose time isn't over.
+    /// When [`Directory::expire`] has something to do next, if it may.
     #[must_use]
-    pub fn has_missing(&self) -> bool {
-        !self.missing_since.is_empty()
+    pub fn expires_at(&self, grace: Duration) -> Option<Instant> {
+        let missing = self.missing_since.values().map(|since| *since + grace);
+        let restored = self.restored.values().map(|restored| restored.believed_at);
+        missing.chain(restored).min()
     }
 
     fn insert(&mut self, server: BackendServer) -> bool {
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -3,6 +3,8 @@
 //! [`ServingConfig`] is what the operator wants: routes, services and client
 //! accounts. [`Directory`] is what is known of the backend servers, and
 //! [`ServerKey`] one start of one of them.
+//! [`StoreVersion`] orders what the store shows over its restores, and [`EraTracker`]
+//! notices them.
 //! [`ConfigAge`] bounds how old a configuration may be when a request is sent,
 //! [`RetryWindow`] what may be sent twice, and [`ServerHealth`] whom to avoid.
 //! [`RoomQueue`] says who waits for room and how long, [`Overload`] when those
@@ -14,11 +16,13 @@
 //! doesn't answer.
 
 mod age;
+mod backend_server;
 mod backoffs;
 mod broken_runs;
 mod closed;
 mod config;
 mod directory;
+mod era_tracker;
 mod finished_requests;
 mod health;
 mod link_pace;
@@ -31,8 +35,10 @@
 mod room_queue;
 mod server_key;
 mod store_pace;
+mod store_version;
 
 pub use age::ConfigAge;
+pub use backend_server::BackendServer;
 pub use backoffs::Backoffs;
 pub use broken_runs::BrokenRun;
 pub use broken_runs::BrokenRunNoted;
@@ -47,9 +53,12 @@
 pub use config::ServingIndex;
 pub use config::ServingRoute;
 pub use config::ServingService;
-pub use directory::BackendServer;
 pub use directory::Directory;
 pub use directory::DirectoryChange;
+pub use directory::Expired;
+pub use directory::ListDoubts;
+pub use era_tracker::EraTracker;
+pub use era_tracker::EraVerdict;
 pub use health::ServerHealth;
 pub use link_pace::LinkPace;
 pub use notices::ServerNotices;
@@ -75,3 +84,4 @@
 pub use store_pace::first_read_in_line;
 pub use store_pace::pause_in_line;
 pub use store_pace::reliance_in_line;
+pub use store_version::StoreVersion;
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -9,6 +9,7 @@
 use rookferry_core::ConfigAge;
 use rookferry_core::Directory;
 use rookferry_core::DirectoryChange;
+use rookferry_core::ListDoubts;
 use rookferry_core::Repeatability;
 use rookferry_core::RetryWindow;
 use rookferry_core::RouteTarget;
@@ -23,6 +24,18 @@
 use rookferry_core::reliance_in_line;
 use rstest::rstest;
 
+/// A list with all that was acknowledged.
+const COMPLETE: ListDoubts = ListDoubts {
+    may_lack: false,
+    may_be_old: None,
+};
+
+/// A list from right after an outage.
+const AFTER_OUTAGE: ListDoubts = ListDoubts {
+    may_lack: true,
+    may_be_old: None,
+};
+
 fn route(name: &str, host: &str, prefix: &str) -> ServingRoute {
     ServingRoute {
         name: name.into(),
@@ -167,23 +180,23 @@
     let grace = Duration::from_secs(2);
     let start = Instant::now();
     let mut directory = Directory::new();
-    directory.replace(vec![server("1"), server("2"), server("3")], false, start);
-    directory.replace(vec![server("1")], true, start);
+    directory.replace(vec![server("1"), server("2"), server("3")], COMPLETE, start);
+    directory.replace(vec![server("1")], AFTER_OUTAGE, start);
     assert_eq!(ids(&directory), ["1", "2", "3"]);
     directory.apply(DirectoryChange::Updated(server("2")), start);
     assert!(directory.expire(start + grace / 2, grace).is_empty());
-    let gone = directory.expire(start + grace, grace);
+    let gone = directory.expire(start + grace, grace).gone;
     assert_eq!(gone.len(), 1);
     assert_eq!(ids(&directory), ["1", "2"]);
-    assert!(!directory.has_missing());
+    assert_eq!(directory.expires_at(grace), None);
 }
 
 #[test]
 fn a_list_without_an_outage_is_the_truth() {
     let mut directory = Directory::new();
     let now = Instant::now();
-    directory.replace(vec![server("1"), server("2")], false, now);
-    directory.replace(vec![server("2")], false, now);
+    directory.replace(vec![server("1"), server("2")], COMPLETE, now);
+    directory.replace(vec![server("2")], COMPLETE, now);
     assert_eq!(ids(&directory), ["2"]);
     directory.apply(DirectoryChange::Removed("2".into()), now);
     assert!(ids(&directory).is_empty());
--- /dev/null
+++ b/crates/rookferry_core/tests/store_era.rs
@@ -0,0 +1,242 @@
+//! The store is restored from a copy: which versions, answers, entries and leases
+//! still hold.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::BackendServer;
+use rookferry_core::Directory;
+use rookferry_core::DirectoryChange;
+use rookferry_core::EraTracker;
+use rookferry_core::EraVerdict;
+use rookferry_core::Lease;
+use rookferry_core::LeaseAction;
+use rookferry_core::LeaseObject;
+use rookferry_core::LeaseTiming;
+use rookferry_core::ListDoubts;
+use rookferry_core::ServerKey;
+use rookferry_core::StoreVersion;
+use rookferry_wire::Object;
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+const GRACE: Duration = Duration::from_secs(2);
+const STANDS_FOR: Duration = Duration::from_secs(5);
+/// A list from right after a restore.
+const RESTORED: ListDoubts = ListDoubts {
+    may_lack: true,
+    may_be_old: Some(STANDS_FOR),
+};
+const COMPLETE: ListDoubts = ListDoubts {
+    may_lack: false,
+    may_be_old: None,
+};
+
+#[test]
+fn a_version_of_a_later_era_is_newer_whatever_its_revision() {
+    assert!(StoreVersion::new(2, 1) > StoreVersion::new(1, 1_000));
+    assert!(StoreVersion::new(2, 2) > StoreVersion::new(2, 1));
+    assert_eq!(StoreVersion::new(2, 41).to_string(), "2/41");
+}
+
+#[test]
+fn an_answer_of_an_era_that_is_over_is_late() {
+    let start = Instant::now();
+    let mut eras = EraTracker::new();
+    let changed = |before| EraVerdict::Changed { before };
+    assert_eq!(eras.observe(Some(1), start, start), changed(None));
+    let asked_at = start + SECOND;
+    assert_eq!(
+        eras.observe(Some(2), asked_at, asked_at + SECOND),
+        changed(Some(1))
+    );
+    let late = eras.observe(Some(1), asked_at, asked_at + 2 * SECOND);
+    assert_eq!(late, EraVerdict::Late);
+    assert_eq!(eras.era(), 2);
+    // Two restores that none of its calls saw.
+    let asked_at = start + 5 * SECOND;
+    assert_eq!(eras.observe(Some(4), asked_at, asked_at), changed(Some(2)));
+}
+
+#[rstest]
+#[case::it_tells_none(None)]
+#[case::it_tells_the_known_one(Some(3))]
+fn an_answer_without_an_era_holds(#[case] told: Option<u64>) {
+    let start = Instant::now();
+    let mut eras = EraTracker::new();
+    assert_eq!(eras.observe(None, start, start), EraVerdict::Current);
+    assert_eq!(eras.era(), 0);
+    eras.observe(Some(3), start, start);
+    assert_eq!(eras.observe(told, start, start), EraVerdict::Current);
+    assert_eq!(eras.era(), 3);
+}
+
+/// Without it all later answers would be late.
+#[rstest]
+#[case::an_answer_told_it(true)]
+#[case::a_peer_told_it(false)]
+fn an_era_that_the_store_denies_is_dropped(#[case] by_an_answer: bool) {
+    let start = Instant::now();
+    let mut eras = EraTracker::new();
+    eras.observe(Some(2), start, start);
+    if by_an_answer {
+        eras.observe(Some(999), start, start + SECOND);
+    } else {
+        assert!(eras.hear(999, start + SECOND));
+    }
+    let asked_at = start + 2 * SECOND;
+    let denial = eras.observe(Some(2), asked_at, asked_at);
+    assert_eq!(denial, EraVerdict::Changed { before: Some(999) });
+    assert_eq!(eras.era(), 2);
+    // Those that still believe it don't bring it back.
+    assert!(!eras.hear(999, asked_at + SECOND));
+    assert!(eras.is_denied(1_000) && !eras.is_denied(3));
+    assert!(eras.hear(3, asked_at + SECOND));
+    assert_eq!(eras.era(), 3);
+}
+
+fn server(id: &str, writes: u64, is_leaving: bool) -> BackendServer {
+    let addr = SocketAddr::from(([10, 0, 0, 1], 80 + u16::from(id.as_bytes()[0])));
+    BackendServer {
+        id: id.into(),
+        service: "plain".into(),
+        key: ServerKey::new(addr, id, None),
+        incarnation: None,
+        writes,
+        domain: "a".into(),
+        slots: 8,
+        is_leaving,
+        accelerator: None,
+        held: None,
+    }
+}
+
+/// The names of servers that get new work.
+fn used(directory: &Directory) -> Vec<String> {
+    let servers = directory.in_use(|_| true).into_iter();
+    let used = servers.filter(|server| !server.is_leaving);
+    used.map(|server| server.id.to_string()).collect()
+}
+
+#[test]
+fn a_server_that_left_stays_out_of_use_after_a_restore() {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    let before = ["a", "b", "c"].map(|id| server(id, 3, false));
+    directory.replace(before.to_vec(), COMPLETE, now);
+    directory.apply(DirectoryChange::Updated(server("a", 5, true)), now);
+    directory.apply(DirectoryChange::Removed("b".into()), now);
+    // The copy is from before, but for the entry's unseen writes.
+    let copy = ["a", "b", "c"].map(|id| server(id, 4, false));
+    directory.replace(copy.to_vec(), RESTORED, now + SECOND);
+    assert_eq!(used(&directory), ["c"]);
+    // The entry of one that has ended goes again.
+    directory.apply(DirectoryChange::Removed("b".into()), now + 4 * SECOND);
+    assert!(directory.expire(now + 10 * SECOND, GRACE).is_empty());
+    assert_eq!(used(&directory), ["c"]);
+}
+
+#[rstest]
+#[case::its_entry_stands(false)]
+#[case::it_writes_again(true)]
+fn a_server_whose_entry_had_only_lapsed_is_back_after_a_restore(#[case] writes_again: bool) {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    directory.replace(vec![server("a", 3, false)], COMPLETE, now);
+    directory.apply(DirectoryChange::Removed("a".into()), now);
+    directory.replace(vec![server("a", 2, false)], RESTORED, now);
+    assert_eq!(used(&directory), Vec::<String>::new());
+    if writes_again {
+        directory.apply(DirectoryChange::Updated(server("a", 9, false)), now);
+    } else {
+        assert_eq!(directory.expires_at(GRACE), Some(now + STANDS_FOR));
+        let expired = directory.expire(now + STANDS_FOR, GRACE);
+        assert_eq!(expired.back, ["a".into()]);
+    }
+    assert_eq!(used(&directory), ["a"]);
+}
+
+#[test]
+fn a_server_that_the_copy_lacks_has_not_left() {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    directory.replace(vec![server("a", 3, false)], COMPLETE, now);
+    directory.replace(Vec::new(), RESTORED, now);
+    assert_eq!(used(&directory), ["a"]);
+    let expired = directory.expire(now + GRACE, GRACE);
+    assert_eq!(expired.gone, ["a".into()], "it did not write again");
+}
+
+#[test]
+fn what_a_start_wrote_before_replaces_nothing() {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    let of_start = |writes, is_leaving| BackendServer {
+        incarnation: Some(1),
+        ..server("a", writes, is_leaving)
+    };
+    directory.apply(DirectoryChange::Updated(of_start(5, true)), now);
+    assert!(!directory.apply(DirectoryChange::Updated(of_start(4, false)), now));
+    directory.replace(vec![of_start(4, false)], COMPLETE, now);
+    assert_eq!(used(&directory), Vec::<String>::new());
+}
+
+fn lease(own: &str) -> Lease {
+    let timing = LeaseTiming {
+        duration: 2 * SECOND,
+        pause_bound: SECOND,
+    };
+    Lease::new(own.into(), 1, timing)
+}
+
+fn as_read(version: u64, object: &LeaseObject) -> Object {
+    Object {
+        name: "placement".to_owned(),
+        version,
+        value: serde_json::to_value(object).expect("JSON"),
+    }
+}
+
+fn write(action: LeaseAction) -> (u64, LeaseObject) {
+    match action {
+        LeaseAction::Write { expected, object } => (expected, object),
+        LeaseAction::Wait => panic!("nothing to write"),
+    }
+}
+
+#[test]
+fn a_holder_of_a_lease_that_a_restore_lost_gives_no_orders_until_it_is_written_again() {
+    let now = Instant::now();
+    let mut holder = lease("n1");
+    holder.observed(now, None);
+    let (_, first) = write(holder.next(now));
+    holder.written(now, 7, first.clone());
+    assert!(holder.fence_for(now, true).is_some());
+    holder.forget();
+    assert_eq!(holder.fence_for(now, true), None);
+    assert_eq!(
+        holder.next(now),
+        LeaseAction::Wait,
+        "what it read is void, too"
+    );
+    // The copy has none; its revision was given out before.
+    holder.observed(now, None);
+    let (expected, again) = write(holder.next(now));
+    assert_eq!(expected, 0);
+    assert!(again.fence > first.fence, "engines may have seen the first");
+}
+
+#[test]
+fn another_holder_in_the_copy_is_waited_out() {
+    let now = Instant::now();
+    let mut other = lease("n2");
+    other.observed(now, None);
+    let (_, others) = write(other.next(now));
+    let mut holder = lease("n1");
+    holder.forget();
+    holder.observed(now, Some(&as_read(3, &others)));
+    assert_eq!(holder.next(now + SECOND), LeaseAction::Wait);
+    let (expected, own) = write(holder.next(now + 2 * SECOND));
+    assert_eq!((expected, &*own.holder), (3, "n1"));
+}
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -21,6 +21,7 @@
 use rookferry_core::Round;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLimits;
+use rookferry_core::StoreVersion;
 
 pub const ROUND_MS: u64 = 150;
 pub const DELAY_MS: u64 = 1;
@@ -383,7 +384,7 @@
         sent_ms: 0,
         echo: None,
         config: None,
-        servers_version: 0,
+        servers_version: StoreVersion::default(),
         holder: None,
         loads: Vec::new(),
         domain_loads: None,
--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -25,6 +25,7 @@
     "attempt_failed",
     "caller_left",
     "config_adopted",
+    "config_older",
     "dependency_lost",
     "dependency_regained",
     "figures_unusable",
--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -23,7 +23,7 @@
 use super::message::PeerRequest;
 use crate::mutex::lock;
 use crate::relay::Relay;
-use crate::store::AsOf;
+use crate::tracked_store::Versioned;
 
 /// How long a question may take, the connect included.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -54,26 +54,27 @@
 
 async fn answer(relay: &Relay, mut stream: TcpStream) -> io::Result<()> {
     let question: PeerQuestion = receive(&mut stream).await?;
-    let (source, version, body): (_, _, fn(&Relay) -> PeerAnswer) = match question.request {
+    let from = question.from;
+    match question.request {
         PeerRequest::Config { newer_than } => {
             let version = relay.config_version();
             let newer = version.filter(|own| *own > newer_than);
-            (&relay.config_source, newer, config_answer)
+            let body = || config_answer(relay);
+            give(&mut stream, &relay.config_source, newer, from, body).await
         }
         PeerRequest::Servers { newer_than } => {
-            let version = relay.servers_version();
-            let newer = Some(version).filter(|own| *own > newer_than);
-            (&relay.servers_source, newer, servers_answer)
+            let newer = Some(relay.servers_version()).filter(|own| *own > newer_than);
+            let body = || servers_answer(relay);
+            give(&mut stream, &relay.servers_source, newer, from, body).await
         }
-    };
-    give(&mut stream, source, version, question.from, || body(relay)).await
+    }
 }
 
 /// Gives a body on, or sends the one that asks to others that have it.
-async fn give(
+async fn give<V: Copy + Default + PartialEq>(
     stream: &mut TcpStream,
-    source: &Mutex<BodySource>,
-    version: Option<u64>,
+    source: &Mutex<BodySource<V>>,
+    version: Option<V>,
     to: SocketAddr,
     body: impl FnOnce() -> PeerAnswer,
 ) -> io::Result<()> {
@@ -99,13 +100,13 @@
 }
 
 /// A body that is being sent, until it is dropped, also by a timeout.
-struct Sending<'a> {
-    source: &'a Mutex<BodySource>,
-    version: u64,
+struct Sending<'a, V: Copy + Default + PartialEq> {
+    source: &'a Mutex<BodySource<V>>,
+    version: V,
     received_by: Option<SocketAddr>,
 }
 
-impl Drop for Sending<'_> {
+impl<V: Copy + Default + PartialEq> Drop for Sending<'_, V> {
     fn drop(&mut self) {
         lock(self.source).ended(self.version, self.received_by);
     }
@@ -159,11 +160,10 @@
     let is_had = || relay.servers_version() > newer_than;
     let asked = ask_round(relay, from, request, is_had).await;
     if let Some((_, PeerAnswer::Servers { version, servers })) = asked {
-        relay.peer_servers.send_replace(Some(AsOf {
-            era: None,
-            revision: version,
-            value: servers,
-        }));
+        let value = servers;
+        relay
+            .peer_servers
+            .send_replace(Some(Versioned { version, value }));
     }
 }
 
--- a/crates/rookferry_relay/src/peers/fetch.rs
+++ b/crates/rookferry_relay/src/peers/fetch.rs
@@ -9,6 +9,7 @@
 
 use rookferry_core::Echo;
 use rookferry_core::Heartbeat;
+use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 
 use super::exchange;
@@ -24,18 +25,18 @@
 /// Fetches the configuration and the list of servers from peers.
 pub(super) struct ListFetch {
     relay: Arc<Relay>,
-    config: Arc<FetchGate>,
-    servers: Arc<FetchGate>,
+    config: Arc<FetchGate<u64>>,
+    servers: Arc<FetchGate<StoreVersion>>,
 }
 
 /// Lets a version be fetched once at a time, though many peers tell of it.
 #[derive(Debug, Default)]
-struct FetchGate {
-    begun: Mutex<Option<(u64, Instant)>>,
+struct FetchGate<V> {
+    begun: Mutex<Option<(V, Instant)>>,
 }
 
-impl FetchGate {
-    fn begin(&self, version: u64) -> bool {
+impl<V: Copy + Ord> FetchGate<V> {
+    fn begin(&self, version: V) -> bool {
         let mut begun = lock(&self.begun);
         let is_begun =
             begun.is_some_and(|(begun, at)| begun >= version && clock::since(at) < FETCH_AGAIN);
@@ -45,7 +46,7 @@
         !is_begun
     }
 
-    fn end(&self, version: u64) {
+    fn end(&self, version: V) {
         let mut begun = lock(&self.begun);
         if begun.is_some_and(|(begun, _)| begun == version) {
             *begun = None;
@@ -54,14 +55,14 @@
 }
 
 /// A fetch, counted until it ends.
-struct Fetching {
+struct Fetching<V: Copy + Ord> {
     relay: Arc<Relay>,
-    gate: Arc<FetchGate>,
-    version: u64,
+    gate: Arc<FetchGate<V>>,
+    version: V,
 }
 
-impl Fetching {
-    fn new(relay: &Arc<Relay>, gate: &Arc<FetchGate>, version: u64) -> Self {
+impl<V: Copy + Ord> Fetching<V> {
+    fn new(relay: &Arc<Relay>, gate: &Arc<FetchGate<V>>, version: V) -> Self {
         relay.fetches.fetch_add(1, Ordering::Relaxed);
         Self {
             relay: relay.clone(),
@@ -71,7 +72,7 @@
     }
 }
 
-impl Drop for Fetching {
+impl<V: Copy + Ord> Drop for Fetching<V> {
     fn drop(&mut self) {
         self.relay.fetches.fetch_sub(1, Ordering::Relaxed);
         self.gate.end(self.version);
@@ -90,12 +91,12 @@
     /// A peer has newer servers: they are asked for, unless the own watch
     /// brings them first.
     pub(super) fn take_servers(&self, beat: &Heartbeat, from: SocketAddr) {
-        let is_newer = |relay: &Relay| relay.servers_version() < beat.servers_version;
-        if !is_newer(&self.relay) || !self.servers.begin(beat.servers_version) {
+        let version = beat.servers_version;
+        let is_newer = self.relay.servers_version() < version;
+        if !is_newer || self.relay.store.is_denied(version.era) || !self.servers.begin(version) {
             return;
         }
         let relay = self.relay.clone();
-        let version = beat.servers_version;
         let fetching = Fetching::new(&relay, &self.servers, version);
         tokio::spawn(async move {
             let _fetching = fetching;
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -6,7 +6,7 @@
 use rookferry_core::PermitAnswer;
 use rookferry_core::PermitAsk;
 use rookferry_core::ServingConfig;
-use rookferry_wire::ObjectVersion;
+use rookferry_core::StoreVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -35,7 +35,7 @@
     /// The configuration, if it is newer than a version.
     Config { newer_than: u64 },
     /// The backend servers, if from a newer version of the store.
-    Servers { newer_than: ObjectVersion },
+    Servers { newer_than: StoreVersion },
 }
 
 /// Its answer.
@@ -49,7 +49,7 @@
     },
     /// Newer backend servers.
     Servers {
-        version: ObjectVersion,
+        version: StoreVersion,
         servers: Vec<BackendServer>,
     },
     /// Nothing newer.
--- a/crates/rookferry_relay/src/placement/lease_keeper.rs
+++ b/crates/rookferry_relay/src/placement/lease_keeper.rs
@@ -9,8 +9,10 @@
 use rookferry_core::Lease;
 use rookferry_core::LeaseAction;
 use rookferry_core::LeaseTiming;
+use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 use rookferry_wire::Incarnation;
+use rookferry_wire::StoreEra;
 use slog::info;
 
 use crate::event_log::Weight;
@@ -47,7 +49,12 @@
 pub(super) struct LeaseKeeper {
     relay: Arc<Relay>,
     lease: Lease,
+    /// The store's era that the lease is of.
+    era: StoreEra,
     read_at: Option<Instant>,
+    /// Whether the lease was held when the store was restored: it is read again
+    /// whoever reads the store for the domain.
+    is_to_reread: bool,
     /// Whether this instance held the lease when the store last answered.
     was_holder: bool,
     /// Since when the store hasn't answered about the lease.
@@ -63,8 +70,10 @@
         };
         Self {
             lease: Lease::new(relay.settings.instance.clone(), incarnation, timing),
+            era: 0,
             relay,
             read_at: None,
+            is_to_reread: false,
             was_holder: false,
             away_since: None,
             started_at: clock::now(),
@@ -104,6 +113,7 @@
     pub(super) async fn give_up(&mut self) {
         if let Some((expected, object)) = self.lease.release() {
             // If it fails, the lease runs out by itself.
+            let expected = StoreVersion::new(self.era, expected);
             let _ = self.relay.store.write_lease(expected, &object).await;
         }
         self.note_lease();
@@ -112,12 +122,14 @@
     /// Renews the lease, or takes it where it has run out. Tells whether it
     /// was won or lost.
     pub(super) async fn keep(&mut self) -> bool {
+        self.follow_era();
         let asked_at = clock::now();
         let is_heard = lock(&self.relay.peers).hears_holder(asked_at);
         let pause = if is_heard { QUIET_READS } else { RIVAL_READS };
         // Of the others one a domain is a rival, the one that asks the store.
+        let is_rival = self.is_to_reread || !self.relay.relies_on_peers();
         let is_due = !self.is_holder()
-            && !self.relay.relies_on_peers()
+            && is_rival
             && !self.relay.is_store_away.load(Ordering::Relaxed)
             && self
                 .read_at
@@ -125,9 +137,14 @@
         if is_due {
             self.read_at = Some(asked_at);
             match self.relay.store.lease().await {
-                Ok(current) => {
-                    self.lease.observed(asked_at, current.as_ref());
-                    self.store_answered();
+                Ok(read) => {
+                    self.follow_era();
+                    self.read_at = Some(asked_at);
+                    if read.version.era == self.era {
+                        self.lease.observed(asked_at, read.value.as_ref());
+                        self.is_to_reread = false;
+                        self.store_answered();
+                    }
                 }
                 // It shows as a lost dependency where the servers are read.
                 Err(_) => {
@@ -140,9 +157,10 @@
         if may_write && let LeaseAction::Write { expected, object } = self.lease.next(clock::now())
         {
             let sent_at = clock::now();
+            let expected = StoreVersion::new(self.era, expected);
             match self.relay.store.write_lease(expected, &object).await {
                 Ok(version) => {
-                    self.lease.written(sent_at, version, object);
+                    self.lease.written(sent_at, version.revision, object);
                     self.store_answered();
                     self.was_holder = true;
                 }
@@ -150,6 +168,8 @@
                     self.lease.observed(clock::now(), current.as_ref());
                     self.store_answered();
                 }
+                // It may have been written over another holder's.
+                Err(StoreError::Outdated) => self.read_at = None,
                 // Whether it was written is read back next time.
                 Err(_) => {
                     self.read_at = None;
@@ -160,6 +180,20 @@
         self.note_lease()
     }
 
+    /// In another era of the store nothing holds that was read or written of the
+    /// lease: another may hold it, or nobody.
+    fn follow_era(&mut self) {
+        let era = self.relay.store.era();
+        if era == self.era {
+            return;
+        }
+        self.is_to_reread |= self.was_holder;
+        self.era = era;
+        self.lease.forget();
+        self.was_holder = false;
+        self.read_at = None;
+    }
+
     fn store_answered(&mut self) {
         self.away_since = None;
         self.was_holder = self.is_holder();
--- a/crates/rookferry_relay/src/quarantine_keeper.rs
+++ b/crates/rookferry_relay/src/quarantine_keeper.rs
@@ -12,15 +12,15 @@
 
 use rookferry_core::QuarantineObject;
 use rookferry_core::RequestSignature;
+use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 use rookferry_wire::Object;
-use rookferry_wire::ObjectVersion;
 use slog::warn;
 
 use crate::event_log::Weight;
 use crate::relay::Relay;
-use crate::store::AsOf;
 use crate::store::StoreError;
+use crate::tracked_store::Versioned;
 
 /// How long a watch waits: three calls a minute and failure domain, a fortieth
 /// of those for the configuration.
@@ -38,7 +38,6 @@
     let mut keeper = QuarantineKeeper {
         relay: relay.clone(),
         stored: Stored::default(),
-        after: None,
     };
     loop {
         let may_lack = tokio::select! {
@@ -57,15 +56,17 @@
 /// The object as it was last seen.
 #[derive(Debug, Default)]
 struct Stored {
-    version: ObjectVersion,
+    /// The version of the store to watch from; `None` before the first read, and after
+    /// a restore.
+    after: Option<StoreVersion>,
+    /// The object's revision in the era that it was seen in.
+    version: StoreVersion,
     quarantine: QuarantineObject,
 }
 
 struct QuarantineKeeper {
     relay: Arc<Relay>,
     stored: Stored,
-    /// The version of the store to watch from; `None` before the first read.
-    after: Option<ObjectVersion>,
 }
 
 impl QuarantineKeeper {
@@ -80,29 +81,44 @@
             tokio::time::sleep(pause).await;
             return false;
         }
-        let store = &self.relay.store;
-        let read = match self.after {
-            None => store.quarantine().await,
-            Some(after) => store.watch_quarantine(after, WATCH_WAIT).await,
+        let read = match self.stored.after {
+            None => return self.read_anew().await,
+            Some(after) => self.relay.store.watch_quarantine(after, WATCH_WAIT).await,
         };
         match read {
-            Ok(AsOf {
-                revision, value, ..
-            }) => {
-                self.after = Some(revision);
+            Ok(Versioned { version, value }) => {
+                self.stored.after = Some(version);
                 if let Some(object) = value {
                     self.take(&object);
                 }
                 return true;
             }
-            Err(StoreError::Forgotten) => self.after = None,
+            Err(StoreError::Forgotten | StoreError::Outdated) => self.stored.after = None,
             // A store that is away shows as a lost dependency already.
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
         false
     }
 
-    /// Takes in what the store has.
+    /// Reads what the store has, in whichever era it is; tells whether it was read.
+    async fn read_anew(&mut self) -> bool {
+        let Ok(Versioned { version, value }) = self.relay.store.quarantine().await else {
+            // A store that is away shows as a lost dependency already.
+            tokio::time::sleep(PAUSE).await;
+            return false;
+        };
+        self.stored = Stored {
+            after: Some(version),
+            version: StoreVersion::new(version.era, 0),
+            quarantine: QuarantineObject::default(),
+        };
+        if let Some(object) = value {
+            self.take(&object);
+        }
+        true
+    }
+
+    /// Takes in what the store has in the era that was last read in.
     fn take(&mut self, object: &Object) {
         let quarantine = match serde_json::from_value(object.value.clone()) {
             Ok(quarantine) => quarantine,
@@ -111,10 +127,8 @@
                 QuarantineObject::default()
             }
         };
-        self.stored = Stored {
-            version: object.version,
-            quarantine,
-        };
+        self.stored.version.revision = object.version;
+        self.stored.quarantine = quarantine;
         let unix_now = clock::unix_now();
         for (signature, since) in self.stored.quarantine.requests() {
             self.relay
@@ -146,25 +160,21 @@
             let written = store.write_quarantine(self.stored.version, &quarantine);
             match written.await {
                 Ok(version) => {
-                    self.stored = Stored {
-                        version,
-                        quarantine,
-                    };
+                    self.stored.version = version;
+                    self.stored.quarantine = quarantine;
                     return;
                 }
                 Err(StoreError::Conflict {
                     current: Some(current),
                 }) => self.take(&current),
+                // It may have been written over what wasn't read.
+                Err(StoreError::Outdated) => {
+                    self.read_anew().await;
+                }
                 // Read it anew: it may have been written all the same.
                 Err(_) => {
                     tokio::time::sleep(PAUSE).await;
-                    if let Ok(AsOf {
-                        value: Some(object),
-                        ..
-                    }) = store.quarantine().await
-                    {
-                        self.take(&object);
-                    }
+                    self.read_anew().await;
                 }
             }
         }
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rookferry_core::StoreVersion;
 use rookferry_core::first_read_in_line;
 use rookferry_core::reliance_in_line;
 use rookferry_net::clock;
@@ -72,7 +73,8 @@
     pub(crate) fn relies_on_peers(&self) -> bool {
         let now = clock::now();
         let bound = reliance_in_line(RELY_ON_PEERS, self.rank(now));
-        let is_informed = self.config_age().is_fresh(now, bound) && self.servers_version() > 0;
+        let is_informed = self.config_age().is_fresh(now, bound)
+            && self.servers_version() > StoreVersion::default();
         is_informed && !lock(&self.peers).asks_store(now, RELY_ON_PEERS)
     }
 
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -19,8 +19,8 @@
 use rookferry_core::ServerKey;
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
+use rookferry_core::StoreVersion;
 use rookferry_net::clock;
-use rookferry_wire::ObjectVersion;
 use rookferry_wire::ServiceId;
 use slog::info;
 use slog::warn;
@@ -40,9 +40,9 @@
 use crate::restarts::Restarts;
 use crate::server_loss::ServerLoss;
 use crate::settings::RelaySettings;
-use crate::store::AsOf;
 use crate::store::SiteStore;
 use crate::tracked_store::TrackedStore;
+use crate::tracked_store::Versioned;
 use crate::view::ServerTable;
 use crate::view::SiteView;
 
@@ -74,14 +74,14 @@
     pub(crate) near_instances: AtomicUsize,
     pub(crate) peers: Mutex<PeerTable>,
     /// The newest list of servers that a peer gave.
-    pub(crate) peer_servers: watch::Sender<Option<AsOf<Vec<BackendServer>>>>,
+    pub(crate) peer_servers: watch::Sender<Option<Versioned<Vec<BackendServer>>>>,
     /// Engines that started again before their entries tell of it.
     pub(crate) restarts: Restarts,
     /// What this instance may send over the link between failure domains.
     pub(crate) link_pace: Mutex<LinkPace>,
     /// Who gets the configuration, and the servers, from this instance.
-    pub(crate) config_source: Mutex<BodySource>,
-    pub(crate) servers_source: Mutex<BodySource>,
+    pub(crate) config_source: Mutex<BodySource<u64>>,
+    pub(crate) servers_source: Mutex<BodySource<StoreVersion>>,
     /// Bodies that are being asked of peers.
     pub(crate) fetches: AtomicUsize,
     /// Whether this instance orders engines.
@@ -215,8 +215,9 @@
         self.view.load().config_version()
     }
 
-    /// The store's version that the servers in force are of; 0 while there are none.
-    pub(crate) fn servers_version(&self) -> ObjectVersion {
+    /// The store's version that the servers in force are of; the lowest while there
+    /// are none.
+    pub(crate) fn servers_version(&self) -> StoreVersion {
         self.view.load().servers_version()
     }
 
@@ -244,7 +245,7 @@
         let departed = servers.departed_since(before.servers.as_deref(), MAX_DEPARTED_NAMED);
         if let Some(log) = self.events.line(Weight::Notable) {
             info!(log, "directory: a list of servers is in force"; "event" => "servers_adopted",
-                "version" => servers.version(), "source" => source, "servers" => servers.all().len(),
+                "version" => %servers.version(), "source" => source, "servers" => servers.all().len(),
                 "leaving" => departed.leaving.join(","), "gone" => departed.gone.join(","));
         }
     }
--- a/crates/rookferry_relay/src/store.rs
+++ b/crates/rookferry_relay/src/store.rs
@@ -31,6 +31,10 @@
     /// Changes after the named version are forgotten; list again.
     #[snafu(display("the store has forgotten its changes since then"))]
     Forgotten,
+    /// The answer, or what was to be written over, is of an era of the store that is
+    /// over; read again.
+    #[snafu(display("the store has been restored from a copy since then"))]
+    Outdated,
     /// The object isn't what was expected.
     #[snafu(display("the object has changed"))]
     Conflict {
--- a/crates/rookferry_relay/src/sync.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -1,9 +1,5 @@
-//! Keeps configuration and backend servers as the platform's store has them.
-//!
-//! A watch that ends without news confirms what is known, as of when it was
-//! sent. So watches are short: they bound the age of a configuration.
+//! Keeps the list of backend servers.
 
-use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,143 +8,51 @@
 use rookferry_core::BackendServer;
 use rookferry_core::Directory;
 use rookferry_core::DirectoryChange;
-use rookferry_core::pause_in_line;
+use rookferry_core::ListDoubts;
+use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 use rookferry_wire::EngineId;
-use rookferry_wire::ObjectVersion;
+use rookferry_wire::StoreEra;
 use slog::info;
 use slog::warn;
 use tokio::sync::watch;
 
+use super::look_pause;
+use super::outage::Outage;
 use crate::event_log::Weight;
 use crate::relay::Relay;
-use crate::store::AsOf;
 use crate::store::StoreError;
+use crate::tracked_store::Versioned;
 use crate::view::ServerTable;
 
-/// How long a watch of the configuration waits. What it confirms is as old as
-/// its start, so the age goes from one wait to two; when the store goes away
-/// that much of the bound for removed keys is gone already.
-const CONFIG_WAIT: Duration = Duration::from_millis(600);
 /// How long a watch of the servers waits; bounds how long a connection that
 /// died silently hides changes.
 const SERVERS_WAIT: Duration = Duration::from_secs(2);
-/// The same while entries are missing whose time is running.
-const MISSING_WAIT: Duration = Duration::from_millis(300);
+/// The same while the time of some entries is running.
+const EXPIRING_WAIT: Duration = Duration::from_millis(300);
 /// Pause after news of servers, in which more of a burst gathers; a
 /// twentieth of the time in which leaving servers must be heard of.
 const BURST: Duration = Duration::from_millis(100);
-/// How often an instance that relies on peers looks whether it still may.
-const RELY_PAUSE: Duration = Duration::from_millis(150);
-/// How often an instance that has just started looks whether its peers have
-/// told it what they know.
-const START_PAUSE: Duration = Duration::from_millis(25);
 /// How long after an outage removals may be lapses; they show in the first
 /// answers, and a later removal is a server that left.
 const LAPSES_AFTER: Duration = Duration::from_millis(300);
-
-/// Calls that fail, and how long to wait before the next.
-struct Outage {
-    name: &'static str,
-    since: Option<Instant>,
-    /// Failed calls in a row.
-    failures: u32,
-}
-
-impl Outage {
-    const fn none(name: &'static str) -> Self {
-        Self {
-            name,
-            since: None,
-            failures: 0,
-        }
-    }
-
-    /// A call went well; tells whether that ends an outage.
-    fn ended(&mut self, relay: &Relay) -> bool {
-        self.failures = 0;
-        let Some(since) = self.since.take() else {
-            return false;
-        };
-        relay
-            .events
-            .dependency_regained(self.name, clock::since(since));
-        true
-    }
-
-    /// Counts as away, for a reason.
-    fn begin(&mut self, relay: &Relay, cause: &dyn Display) {
-        if self.since.is_none() {
-            self.since = Some(clock::now());
-            relay.events.dependency_lost(self.name, cause);
-        }
-    }
-
-    async fn failed(&mut self, relay: &Relay, error: &StoreError) {
-        self.begin(relay, error);
-        self.failures = self.failures.saturating_add(1);
-        let pause = pause_in_line(self.failures, relay.rank(clock::now()));
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// How long to leave the store alone before the next look.
-fn look_pause(relay: &Relay) -> Duration {
-    if relay.awaits_peers() {
-        START_PAUSE
-    } else {
-        RELY_PAUSE
-    }
-}
-
-/// Keeps the configuration.
-pub(crate) async fn keep_config(relay: Arc<Relay>) {
-    let mut after: Option<ObjectVersion> = None;
-    let mut outage = Outage::none("store: configuration");
-    loop {
-        if relay.leaves_store() {
-            tokio::time::sleep(look_pause(&relay)).await;
-            continue;
-        }
-        let asked_at = clock::now();
-        let read = match after {
-            None => relay.store.config().await,
-            Some(after) => relay.store.watch_config(after, CONFIG_WAIT).await,
-        };
-        match read {
-            Ok(AsOf {
-                revision, value, ..
-            }) => {
-                outage.ended(&relay);
-                relay.is_store_away.store(false, Ordering::Relaxed);
-                after = Some(revision);
-                if let Some(config) = value {
-                    relay.adopt_config(config, "store", asked_at);
-                } else if let Some(version) = relay.config_version() {
-                    relay.confirm_config(version, asked_at);
-                }
-            }
-            Err(StoreError::Forgotten) => after = None,
-            Err(error) => {
-                relay.is_store_away.store(true, Ordering::Relaxed);
-                outage.failed(&relay, &error).await;
-            }
-        }
-    }
-}
+/// Heartbeats of a server without which its entry goes, and one for the way.
+const HEARTBEATS_TO_LAPSE: u32 = 4;
 
 /// Keeps the backend servers.
 pub(crate) async fn keep_servers(relay: Arc<Relay>) {
-    let mut after: Option<ObjectVersion> = None;
+    let mut after: Option<StoreVersion> = None;
     let mut outage = Outage::none("store: servers");
     let mut directory = Directory::new();
-    let mut lapses_until: Option<Instant> = None;
+    let mut doubtful = DoubtfulTimes::default();
     // The configuration that says which entries are the site's.
     let mut judged_by: Option<u64> = None;
     let mut from_peers = relay.peer_servers.subscribe();
+    let lapse_grace = relay.settings.bounds.lapse_grace();
     loop {
-        let wait = if directory.has_missing() {
-            MISSING_WAIT
+        let is_expiring = directory.expires_at(lapse_grace).is_some();
+        let wait = if is_expiring {
+            EXPIRING_WAIT
         } else {
             SERVERS_WAIT
         };
@@ -165,23 +69,27 @@
         let is_changed = match read {
             Ok(read) => {
                 if read.is_from_store() && outage.ended(&relay) {
-                    lapses_until = Some(now + LAPSES_AFTER);
+                    doubtful.outage_ended(now);
+                }
+                if let Some(version) = read.version() {
+                    relay.store.hear_era(version.era);
+                    doubtful.listed(&relay, version.era, now);
+                    after = Some(version);
                 }
-                let may_have_lapsed = lapses_until.is_some_and(|until| now < until);
-                after = read.version().max(after);
-                take_in(&relay, &mut directory, read, may_have_lapsed, now)
+                take_in(&relay, &mut directory, read, &doubtful, now)
             }
-            Err(StoreError::Forgotten) => {
+            Err(StoreError::Forgotten | StoreError::Outdated) => {
                 after = None;
                 false
             }
             Err(error) => {
-                outage.failed(&relay, &error).await;
+                let pause = outage.failed(&relay, &error);
+                tokio::time::sleep(pause).await;
                 false
             }
         };
-        let expired = directory.expire(now, relay.settings.bounds.lapse_grace());
-        for id in &expired {
+        let expired = directory.expire(now, lapse_grace);
+        for id in &expired.gone {
             note_removed(&relay, id, "it did not come back after the outage");
         }
         let is_news = is_changed || !expired.is_empty();
@@ -189,7 +97,7 @@
             let view = relay.view.load_full();
             let is_usable = |server: &BackendServer| view.is_usable(server);
             let unusable = directory.unusable(is_usable).cloned().collect();
-            let version = after.unwrap_or(0);
+            let version = after.unwrap_or(view.servers_version());
             let table = ServerTable::new(version, directory.in_use(is_usable), unusable);
             judged_by = view.config_version();
             relay.adopt_servers(table, source);
@@ -201,11 +109,63 @@
     }
 }
 
+/// Times in which what the store shows of servers is doubtful.
+#[derive(Debug, Default)]
+struct DoubtfulTimes {
+    /// Until when removals may be lapses.
+    lapses_until: Option<Instant>,
+    /// The era that the list is of.
+    era: Option<StoreEra>,
+    /// Until when entries may be as they once were.
+    old_until: Option<Instant>,
+}
+
+impl DoubtfulTimes {
+    fn outage_ended(&mut self, now: Instant) {
+        self.lapses_until = Some(now + LAPSES_AFTER);
+    }
+
+    /// A list or changes of an era came.
+    fn listed(&mut self, relay: &Relay, era: StoreEra, now: Instant) {
+        let before = self.era.replace(era);
+        if before.is_some_and(|before| before != era) {
+            let heartbeat = Duration::from_millis(relay.settings.bounds.heartbeat_ms);
+            self.lapses_until = Some(now + LAPSES_AFTER);
+            self.old_until = Some(now + heartbeat * HEARTBEATS_TO_LAPSE);
+        }
+    }
+
+    /// Whether a server whose entry goes now may only have lapsed.
+    fn may_lapse(&self, now: Instant) -> bool {
+        self.lapses_until.is_some_and(|until| now < until)
+    }
+
+    /// What may be wrong with a list that the store gives.
+    fn of_stores_list(&self, now: Instant) -> ListDoubts {
+        ListDoubts {
+            may_lack: self.may_lapse(now),
+            ..self.of_peers_list(now)
+        }
+    }
+
+    /// What may be wrong with a list that a peer gives: what it lacks has been looked
+    /// into there.
+    fn of_peers_list(&self, now: Instant) -> ListDoubts {
+        let old_for = self
+            .old_until
+            .map(|until| until.saturating_duration_since(now));
+        ListDoubts {
+            may_lack: false,
+            may_be_old: old_for.filter(|old_for| !old_for.is_zero()),
+        }
+    }
+}
+
 /// The next newer list that a peer gives. Nothing is lost when this is
 /// dropped while it waits.
 async fn next_list(
     relay: &Relay,
-    from_peers: &mut watch::Receiver<Option<AsOf<Vec<BackendServer>>>>,
+    from_peers: &mut watch::Receiver<Option<Versioned<Vec<BackendServer>>>>,
 ) -> Read {
     loop {
         if from_peers.changed().await.is_err() {
@@ -214,7 +174,9 @@
         }
         let list = from_peers.borrow_and_update().clone();
         let own = relay.servers_version();
-        if let Some(list) = list.filter(|list| list.revision > own) {
+        if let Some(list) =
+            list.filter(|list| list.version > own && !relay.store.is_denied(list.version.era))
+        {
             return Read::Peer(list);
         }
     }
@@ -233,7 +195,7 @@
 
 async fn read_servers(
     relay: &Relay,
-    after: Option<ObjectVersion>,
+    after: Option<StoreVersion>,
     wait: Duration,
     outage: &mut Outage,
 ) -> Result<Read, StoreError> {
@@ -257,10 +219,10 @@
 }
 
 enum Read {
-    List(AsOf<Vec<BackendServer>>),
-    Changes(AsOf<Vec<DirectoryChange>>),
+    List(Versioned<Vec<BackendServer>>),
+    Changes(Versioned<Vec<DirectoryChange>>),
     /// A peer's list.
-    Peer(AsOf<Vec<BackendServer>>),
+    Peer(Versioned<Vec<BackendServer>>),
     /// Nothing new, but another configuration to judge entries by.
     OtherConfig,
     /// Servers whose new processes told of themselves.
@@ -269,10 +231,10 @@
 
 impl Read {
     /// The version of the store that it is from, if it is from there.
-    const fn version(&self) -> Option<ObjectVersion> {
+    const fn version(&self) -> Option<StoreVersion> {
         match self {
-            Self::List(list) | Self::Peer(list) => Some(list.revision),
-            Self::Changes(changes) => Some(changes.revision),
+            Self::List(list) | Self::Peer(list) => Some(list.version),
+            Self::Changes(changes) => Some(changes.version),
             Self::Restarted(_) | Self::OtherConfig => None,
         }
     }
@@ -297,16 +259,16 @@
     relay: &Relay,
     directory: &mut Directory,
     read: Read,
-    may_have_lapsed: bool,
+    doubtful: &DoubtfulTimes,
     now: Instant,
 ) -> bool {
     match read {
         Read::List(list) => {
-            directory.replace(list.value, may_have_lapsed, now);
+            directory.replace(list.value, doubtful.of_stores_list(now), now);
             true
         }
         Read::Peer(list) => {
-            directory.replace(list.value, false, now);
+            directory.replace(list.value, doubtful.of_peers_list(now), now);
             true
         }
         Read::OtherConfig => true,
@@ -319,7 +281,7 @@
         Read::Changes(changes) => {
             let is_changed = !changes.value.is_empty();
             for change in changes.value {
-                take_change(relay, directory, change, may_have_lapsed, now);
+                take_change(relay, directory, change, doubtful.may_lapse(now), now);
             }
             is_changed
         }
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -1,21 +1,30 @@
-//! The platform's store, with its calls counted and its era logged.
+//! The platform's store, with its calls counted and its restores noticed.
+//!
+//! What a caller of this has read holds within one era of the store: a watch of an
+//! era that is over ends as one whose history is forgotten, and a write under a
+//! condition of such an era isn't sent, or isn't reported as a success, since the
+//! revision that it names may be another object's by then.
 
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use metrics::counter;
 use metrics::histogram;
 use rookferry_core::BackendServer;
 use rookferry_core::DirectoryChange;
+use rookferry_core::EraTracker;
+use rookferry_core::EraVerdict;
 use rookferry_core::LeaseObject;
 use rookferry_core::QuarantineObject;
 use rookferry_core::ServingConfig;
+use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 use rookferry_wire::Object;
-use rookferry_wire::ObjectVersion;
 use rookferry_wire::StoreEra;
 use slog::warn;
+use tokio::sync::watch;
 
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
@@ -24,45 +33,141 @@
 use crate::store::SiteStore;
 use crate::store::StoreError;
 
-/// A store whose calls are counted.
+/// A value, as of a version of the store.
+#[derive(Clone, Debug)]
+pub(crate) struct Versioned<T> {
+    /// The version: the store's, or of the one object that was read or written.
+    pub(crate) version: StoreVersion,
+    pub(crate) value: T,
+}
+
+/// A store whose calls are counted, and whose restores are noticed.
 pub(crate) struct TrackedStore {
     inner: Arc<dyn SiteStore>,
     events: Arc<EventLog>,
-    /// The era that the last answer told.
-    era: Mutex<Option<StoreEra>>,
+    eras: Mutex<EraTracker>,
+    /// Raised with each change of the era.
+    era_changes: watch::Sender<u64>,
 }
 
 impl TrackedStore {
-    pub(crate) const fn new(inner: Arc<dyn SiteStore>, events: Arc<EventLog>) -> Self {
+    pub(crate) fn new(inner: Arc<dyn SiteStore>, events: Arc<EventLog>) -> Self {
         Self {
             inner,
             events,
-            era: Mutex::new(None),
+            eras: Mutex::new(EraTracker::new()),
+            era_changes: watch::Sender::new(0),
+        }
+    }
+
+    /// The store's era, as known.
+    pub(crate) fn era(&self) -> StoreEra {
+        lock(&self.eras).era()
+    }
+
+    /// Whether the store has said that there is no such era.
+    pub(crate) fn is_denied(&self, era: StoreEra) -> bool {
+        lock(&self.eras).is_denied(era)
+    }
+
+    /// Another instance knows of an era.
+    pub(crate) fn hear_era(&self, era: StoreEra) {
+        let before = self.era();
+        if lock(&self.eras).hear(era, clock::now()) {
+            self.note_era(era, Some(before), "peer");
+        }
+    }
+
+    /// Waits until the store is in another era.
+    pub(crate) async fn era_over(&self, era: StoreEra) {
+        let mut changes = self.era_changes.subscribe();
+        while self.era() == era {
+            if changes.changed().await.is_err() {
+                // The sender lives as long as the process.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    fn note_era(&self, era: StoreEra, before: Option<StoreEra>, source: &'static str) {
+        if let Some(log) = self.events.line(Weight::Notable) {
+            warn!(log, "store: it is in another era"; "event" => "store_era_changed",
+                "era" => era, "before" => before, "source" => source);
+        }
+        self.era_changes.send_modify(|changes| *changes += 1);
+    }
+
+    /// Takes an answer's era in.
+    fn versioned<T>(
+        &self,
+        answer: AsOf<T>,
+        asked_in: StoreEra,
+        asked_at: Instant,
+    ) -> Result<Versioned<T>, StoreError> {
+        let verdict = lock(&self.eras).observe(answer.era, asked_at, clock::now());
+        // An answer without an era is of the one that it was asked in.
+        let era = answer.era.unwrap_or(asked_in);
+        match verdict {
+            EraVerdict::Late => return Err(StoreError::Outdated),
+            EraVerdict::Current if era != self.era() => return Err(StoreError::Outdated),
+            EraVerdict::Current => {}
+            EraVerdict::Changed { before } => self.note_era(era, before, "store"),
         }
+        Ok(Versioned {
+            version: StoreVersion::new(era, answer.revision),
+            value: answer.value,
+        })
     }
 
-    async fn tracked<T>(
+    async fn read<T>(
         &self,
         call: &'static str,
         answer: impl Future<Output = Result<AsOf<T>, StoreError>>,
-    ) -> Result<AsOf<T>, StoreError> {
+    ) -> Result<Versioned<T>, StoreError> {
+        let (asked_in, asked_at) = (self.era(), clock::now());
         let answer = counted(call, answer).await;
-        match &answer {
-            Ok(AsOf { era: Some(era), .. }) => self.note_era(*era),
-            Err(StoreError::Forgotten) => self.note_forgotten(call),
-            _ => {}
+        if matches!(answer, Err(StoreError::Forgotten)) {
+            self.note_forgotten(call);
         }
-        answer
+        self.versioned(answer?, asked_in, asked_at)
     }
 
-    fn note_era(&self, era: StoreEra) {
-        let before = lock(&self.era).replace(era);
-        if before != Some(era)
-            && let Some(log) = self.events.line(Weight::Notable)
-        {
-            warn!(log, "store: its answers tell another era"; "event" => "store_era_changed",
-                "era" => era, "before" => before);
+    /// A watch that goes on from a version.
+    async fn watch<T>(
+        &self,
+        call: &'static str,
+        after: StoreVersion,
+        answer: impl Future<Output = Result<AsOf<T>, StoreError>>,
+    ) -> Result<Versioned<T>, StoreError> {
+        if after.era != self.era() {
+            return Err(StoreError::Forgotten);
+        }
+        let read = tokio::select! {
+            read = self.read(call, answer) => read?,
+            () = self.era_over(after.era) => return Err(StoreError::Forgotten),
+        };
+        // One that went back without a word has other changes below.
+        if read.version < after || read.version.era != after.era {
+            return Err(StoreError::Forgotten);
+        }
+        Ok(read)
+    }
+
+    /// A write that is to replace a version.
+    async fn write(
+        &self,
+        call: &'static str,
+        expected: StoreVersion,
+        answer: impl Future<Output = Result<AsOf<()>, StoreError>>,
+    ) -> Result<StoreVersion, StoreError> {
+        if expected.era != self.era() {
+            return Err(StoreError::Outdated);
+        }
+        let written = self.read(call, answer).await?.version;
+        if written.era != expected.era {
+            return Err(StoreError::Outdated);
         }
+        Ok(written)
     }
 
     /// The store doesn't have the revision that a watch was to go on from.
@@ -73,67 +178,65 @@
         }
     }
 
-    pub(crate) async fn config(&self) -> Result<AsOf<Option<ServingConfig>>, StoreError> {
-        self.tracked("config", self.inner.config()).await
+    pub(crate) async fn config(&self) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
+        self.read("config", self.inner.config()).await
     }
 
     pub(crate) async fn watch_config(
         &self,
-        after: ObjectVersion,
+        after: StoreVersion,
         wait: Duration,
-    ) -> Result<AsOf<Option<ServingConfig>>, StoreError> {
-        let answer = self.inner.watch_config(after, wait);
-        self.tracked("watch_config", answer).await
+    ) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
+        let answer = self.inner.watch_config(after.revision, wait);
+        self.watch("watch_config", after, answer).await
     }
 
-    pub(crate) async fn servers(&self) -> Result<AsOf<Vec<BackendServer>>, StoreError> {
-        self.tracked("servers", self.inner.servers()).await
+    pub(crate) async fn servers(&self) -> Result<Versioned<Vec<BackendServer>>, StoreError> {
+        self.read("servers", self.inner.servers()).await
     }
 
     pub(crate) async fn watch_servers(
         &self,
-        after: ObjectVersion,
+        after: StoreVersion,
         wait: Duration,
-    ) -> Result<AsOf<Vec<DirectoryChange>>, StoreError> {
-        let answer = self.inner.watch_servers(after, wait);
-        self.tracked("watch_servers", answer).await
+    ) -> Result<Versioned<Vec<DirectoryChange>>, StoreError> {
+        let answer = self.inner.watch_servers(after.revision, wait);
+        self.watch("watch_servers", after, answer).await
     }
 
-    pub(crate) async fn quarantine(&self) -> Result<AsOf<Option<Object>>, StoreError> {
-        self.tracked("quarantine", self.inner.quarantine()).await
+    pub(crate) async fn quarantine(&self) -> Result<Versioned<Option<Object>>, StoreError> {
+        self.read("quarantine", self.inner.quarantine()).await
     }
 
     pub(crate) async fn watch_quarantine(
         &self,
-        after: ObjectVersion,
+        after: StoreVersion,
         wait: Duration,
-    ) -> Result<AsOf<Option<Object>>, StoreError> {
-        let answer = self.inner.watch_quarantine(after, wait);
-        self.tracked("watch_quarantine", answer).await
+    ) -> Result<Versioned<Option<Object>>, StoreError> {
+        let answer = self.inner.watch_quarantine(after.revision, wait);
+        self.watch("watch_quarantine", after, answer).await
     }
 
     pub(crate) async fn write_quarantine(
         &self,
-        expected: ObjectVersion,
+        expected: StoreVersion,
         quarantine: &QuarantineObject,
-    ) -> Result<ObjectVersion, StoreError> {
-        let answer = self.inner.write_quarantine(expected, quarantine);
-        let written = self.tracked("write_quarantine", answer).await?;
-        Ok(written.revision)
+    ) -> Result<StoreVersion, StoreError> {
+        let answer = self.inner.write_quarantine(expected.revision, quarantine);
+        self.write("write_quarantine", expected, answer).await
     }
 
-    pub(crate) async fn lease(&self) -> Result<Option<Object>, StoreError> {
-        Ok(self.tracked("lease", self.inner.lease()).await?.value)
+    pub(crate) async fn lease(&self) -> Result<Versioned<Option<Object>>, StoreError> {
+        self.read("lease", self.inner.lease()).await
     }
 
     pub(crate) async fn write_lease(
         &self,
-        expected: ObjectVersion,
+        expected: StoreVersion,
         lease: &LeaseObject,
-    ) -> Result<ObjectVersion, StoreError> {
-        let answer = self.inner.write_lease(expected, lease);
-        let written = self.tracked("write_lease", answer).await?;
-        Ok(written.revision)
+    ) -> Result<StoreVersion, StoreError> {
+        let answer = self.inner.write_lease(expected.revision, lease);
+        self.write("write_lease", expected, answer).await
     }
 }
 
@@ -148,6 +251,7 @@
         Err(StoreError::Rejected { .. }) => "rejected",
         Err(StoreError::Lost { .. }) => "lost",
         Err(StoreError::Forgotten) => "forgotten",
+        Err(StoreError::Outdated) => "outdated",
         Err(StoreError::Conflict { .. }) => "conflict",
         Err(StoreError::Unreadable { .. }) => "unreadable",
     };
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -10,8 +10,8 @@
 use rookferry_core::ServerKey;
 use rookferry_core::ServingIndex;
 use rookferry_core::ServingService;
+use rookferry_core::StoreVersion;
 use rookferry_wire::EngineId;
-use rookferry_wire::ObjectVersion;
 use rookferry_wire::ServiceId;
 
 /// A snapshot of configuration and backend servers.
@@ -29,10 +29,10 @@
         self.index.as_ref().map(|index| index.config().version)
     }
 
-    /// The store's version that the servers are of; 0 while there are none.
-    pub(crate) fn servers_version(&self) -> ObjectVersion {
+    /// The store's version that the servers are of; the lowest while there are none.
+    pub(crate) fn servers_version(&self) -> StoreVersion {
         let servers = self.servers.as_ref();
-        servers.map_or(0, |servers| servers.version())
+        servers.map(|servers| servers.version()).unwrap_or_default()
     }
 
     /// A server, if that start of it is in use.
@@ -80,7 +80,7 @@
 pub(crate) struct ServerTable {
     /// The store's version that it is of. One who asks gets both or neither: an old
     /// list under a new version would never be asked for again.
-    version: ObjectVersion,
+    version: StoreVersion,
     servers: Vec<BackendServer>,
     /// Entries that this instance has no use for, to tell others.
     unusable: Vec<BackendServer>,
@@ -93,7 +93,7 @@
     /// A table of servers, one an address, and of entries without use, as of a version
     /// of the store.
     pub(crate) fn new(
-        version: ObjectVersion,
+        version: StoreVersion,
         servers: Vec<BackendServer>,
         unusable: Vec<BackendServer>,
     ) -> Self {
@@ -119,7 +119,7 @@
     }
 
     /// The store's version that it is of.
-    pub(crate) const fn version(&self) -> ObjectVersion {
+    pub(crate) const fn version(&self) -> StoreVersion {
         self.version
     }
 
