fix(relay): the keeper of the servers hears all news while it waits for the store

The call to the store, with the pause before it, is now one future beside the other news; a watch goes on while they are taken in and isn't sent anew. Entries whose time runs out wake it by a timer in place of a short watch.

--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -204,6 +204,7 @@
 pub use serving::HeldRequest;
 pub use serving::LinkPace;
 pub use serving::ListDoubts;
+pub use serving::ListVersion;
 pub use serving::Overload;
 pub use serving::Overloaded;
 pub use serving::Quarantine;
--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -11,8 +11,8 @@
 use super::LoadEntry;
 use crate::limits::LimitSeen;
 use crate::serving::ClosedSeen;
+use crate::serving::ListVersion;
 use crate::serving::ServerKey;
-use crate::serving::StoreVersion;
 use crate::serving::SuspectSeen;
 
 /// A heartbeat; one datagram.
@@ -31,8 +31,8 @@
     pub echo: Option<Echo>,
     /// The configuration that the sender has in force.
     pub config: Option<ConfigState>,
-    /// The store's version that the sender's servers are from.
-    pub servers_version: StoreVersion,
+    /// The version of the sender's list of servers.
+    pub servers_version: ListVersion,
     /// The holder that the sender heard of, itself or by others.
     pub holder: Option<HolderSeen>,
     /// What is under way at servers by the sender's own requests; told in its
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -16,12 +16,12 @@
 use rookferry_core::DoubtedUse;
 use rookferry_core::Fanout;
 use rookferry_core::Heartbeat;
+use rookferry_core::ListVersion;
 use rookferry_core::LoadEntry;
 use rookferry_core::PeerTable;
 use rookferry_core::Round;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLimits;
-use rookferry_core::StoreVersion;
 
 pub const ROUND_MS: u64 = 150;
 pub const DELAY_MS: u64 = 1;
@@ -384,7 +384,7 @@
         sent_ms: 0,
         echo: None,
         config: None,
-        servers_version: StoreVersion::default(),
+        servers_version: ListVersion::default(),
         holder: None,
         loads: Vec::new(),
         domain_loads: None,
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -258,7 +258,7 @@
         gauge!("rookferry_config_age_seconds").set(age.as_secs_f64());
     }
     let servers = figures.relay.servers_version();
-    gauge!("rookferry_servers_revision").set(servers.revision as f64);
+    gauge!("rookferry_servers_revision").set(servers.store.revision as f64);
     gauge!("rookferry_store_era").set(figures.relay.store.era() as f64);
     gauge!("rookferry_build_info", "version" => env!("CARGO_PKG_VERSION")).set(1.0);
     gauge!("rookferry_uptime_seconds").set(clock::since(figures.started_at).as_secs_f64());
--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -23,7 +23,7 @@
 use super::message::PeerRequest;
 use crate::mutex::lock;
 use crate::relay::Relay;
-use crate::tracked_store::Versioned;
+use crate::sync::PeerList;
 
 /// How long a question may take, the connect included.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -160,10 +160,9 @@
     let is_had = || relay.servers_version() > newer_than;
     let asked = ask_round(relay, from, request, is_had).await;
     if let Some((_, PeerAnswer::Servers { version, servers })) = asked {
-        let value = servers;
         relay
             .peer_servers
-            .send_replace(Some(Versioned { version, value }));
+            .send_replace(Some(PeerList { version, servers }));
     }
 }
 
--- a/crates/rookferry_relay/src/peers/fetch.rs
+++ b/crates/rookferry_relay/src/peers/fetch.rs
@@ -9,7 +9,7 @@
 
 use rookferry_core::Echo;
 use rookferry_core::Heartbeat;
-use rookferry_core::StoreVersion;
+use rookferry_core::ListVersion;
 use rookferry_net::clock;
 
 use super::exchange;
@@ -26,7 +26,7 @@
 pub(super) struct ListFetch {
     relay: Arc<Relay>,
     config: Arc<FetchGate<u64>>,
-    servers: Arc<FetchGate<StoreVersion>>,
+    servers: Arc<FetchGate<ListVersion>>,
 }
 
 /// Lets a version be fetched once at a time, though many peers tell of it.
@@ -93,7 +93,10 @@
     pub(super) fn take_servers(&self, beat: &Heartbeat, from: SocketAddr) {
         let version = beat.servers_version;
         let is_newer = self.relay.servers_version() < version;
-        if !is_newer || self.relay.store.is_denied(version.era) || !self.servers.begin(version) {
+        if !is_newer
+            || self.relay.store.is_denied(version.store.era)
+            || !self.servers.begin(version)
+        {
             return;
         }
         let relay = self.relay.clone();
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use rookferry_core::BackendServer;
+use rookferry_core::ListVersion;
 use rookferry_core::PermitAnswer;
 use rookferry_core::PermitAsk;
 use rookferry_core::ServingConfig;
-use rookferry_core::StoreVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -34,8 +34,8 @@
 pub(crate) enum PeerRequest {
     /// The configuration, if it is newer than a version.
     Config { newer_than: u64 },
-    /// The backend servers, if from a newer version of the store.
-    Servers { newer_than: StoreVersion },
+    /// The backend servers, if their list is newer than a version.
+    Servers { newer_than: ListVersion },
 }
 
 /// Its answer.
@@ -49,7 +49,7 @@
     },
     /// Newer backend servers.
     Servers {
-        version: StoreVersion,
+        version: ListVersion,
         servers: Vec<BackendServer>,
     },
     /// Nothing newer.
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rookferry_core::StoreVersion;
+use rookferry_core::ListVersion;
 use rookferry_core::first_read_in_line;
 use rookferry_core::reliance_in_line;
 use rookferry_net::clock;
@@ -74,7 +74,7 @@
         let now = clock::now();
         let bound = reliance_in_line(RELY_ON_PEERS, self.rank(now));
         let is_informed = self.config_age().is_fresh(now, bound)
-            && self.servers_version() > StoreVersion::default();
+            && self.servers_version() > ListVersion::default();
         is_informed && !lock(&self.peers).asks_store(now, RELY_ON_PEERS)
     }
 
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -14,12 +14,12 @@
 use rookferry_core::BodySource;
 use rookferry_core::ConfigAge;
 use rookferry_core::LinkPace;
+use rookferry_core::ListVersion;
 use rookferry_core::PeerTable;
 use rookferry_core::RetryWindow;
 use rookferry_core::ServerKey;
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
-use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 use rookferry_wire::ServiceId;
 use slog::info;
@@ -41,8 +41,8 @@
 use crate::server_loss::ServerLoss;
 use crate::settings::RelaySettings;
 use crate::store::SiteStore;
+use crate::sync::PeerList;
 use crate::tracked_store::TrackedStore;
-use crate::tracked_store::Versioned;
 use crate::view::ServerTable;
 use crate::view::SiteView;
 
@@ -74,14 +74,14 @@
     pub(crate) near_instances: AtomicUsize,
     pub(crate) peers: Mutex<PeerTable>,
     /// The newest list of servers that a peer gave.
-    pub(crate) peer_servers: watch::Sender<Option<Versioned<Vec<BackendServer>>>>,
+    pub(crate) peer_servers: watch::Sender<Option<PeerList>>,
     /// Engines that started again before their entries tell of it.
     pub(crate) restarts: Restarts,
     /// What this instance may send over the link between failure domains.
     pub(crate) link_pace: Mutex<LinkPace>,
     /// Who gets the configuration, and the servers, from this instance.
     pub(crate) config_source: Mutex<BodySource<u64>>,
-    pub(crate) servers_source: Mutex<BodySource<StoreVersion>>,
+    pub(crate) servers_source: Mutex<BodySource<ListVersion>>,
     /// Bodies that are being asked of peers.
     pub(crate) fetches: AtomicUsize,
     /// Whether this instance orders engines.
@@ -215,9 +215,8 @@
         self.view.load().config_version()
     }
 
-    /// The store's version that the servers in force are of; the lowest while there
-    /// are none.
-    pub(crate) fn servers_version(&self) -> StoreVersion {
+    /// The version of the list of servers in force; the lowest while there is none.
+    pub(crate) fn servers_version(&self) -> ListVersion {
         self.view.load().servers_version()
     }
 
--- a/crates/rookferry_relay/src/sync/mod.rs
+++ b/crates/rookferry_relay/src/sync/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 pub(crate) use config::keep_config;
+pub(crate) use servers::PeerList;
 pub(crate) use servers::keep_servers;
 
 use crate::relay::Relay;
--- a/crates/rookferry_relay/src/sync/outage.rs
+++ b/crates/rookferry_relay/src/sync/outage.rs
@@ -39,6 +39,11 @@
         true
     }
 
+    /// Whether it counts as away.
+    pub(super) const fn is_begun(&self) -> bool {
+        self.since.is_some()
+    }
+
     /// Counts as away, for a reason.
     pub(super) fn begin(&mut self, relay: &Relay, cause: &dyn Display) {
         if self.since.is_none() {
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -9,6 +9,7 @@
 use rookferry_core::Directory;
 use rookferry_core::DirectoryChange;
 use rookferry_core::ListDoubts;
+use rookferry_core::ListVersion;
 use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 use rookferry_wire::EngineId;
@@ -28,8 +29,9 @@
 /// How long a watch of the servers waits; bounds how long a connection that
 /// died silently hides changes.
 const SERVERS_WAIT: Duration = Duration::from_secs(2);
-/// The same while the time of some entries is running.
-const EXPIRING_WAIT: Duration = Duration::from_millis(300);
+/// Pause before a list after a watch that was refused, so that a store which refuses
+/// each doesn't get them without a break.
+const LIST_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after news of servers, in which more of a burst gathers; a
 /// twentieth of the time in which leaving servers must be heard of.
 const BURST: Duration = Duration::from_millis(100);
@@ -39,73 +41,173 @@
 /// Heartbeats of a server without which its entry goes, and one for the way.
 const HEARTBEATS_TO_LAPSE: u32 = 4;
 
+/// A list that a peer gives.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerList {
+    pub(crate) version: ListVersion,
+    pub(crate) servers: Vec<BackendServer>,
+}
+
 /// Keeps the backend servers.
+///
+/// The store is read beside everything else: while a call is awaited, and in the
+/// pauses between calls, peers' lists and all other news are taken in.
 pub(crate) async fn keep_servers(relay: Arc<Relay>) {
-    let mut after: Option<StoreVersion> = None;
-    let mut outage = Outage::none("store: servers");
-    let mut directory = Directory::new();
-    let mut doubtful = DoubtfulTimes::default();
-    // The configuration that says which entries are the site's.
-    let mut judged_by: Option<u64> = None;
+    let mut keeper = ServersKeeper::new(relay.clone());
     let mut from_peers = relay.peer_servers.subscribe();
-    let lapse_grace = relay.settings.bounds.lapse_grace();
+    let mut reading = Box::pin(keeper.next_read());
     loop {
-        let is_expiring = directory.expires_at(lapse_grace).is_some();
-        let wait = if is_expiring {
-            EXPIRING_WAIT
-        } else {
-            SERVERS_WAIT
-        };
-        let read = tokio::select! {
+        let before = keeper.after;
+        let has_read = tokio::select! {
             // A store that refuses at once must not keep peers' lists out.
             biased;
-            read = next_list(&relay, &mut from_peers) => Ok(read),
-            servers = relay.restarts.next() => Ok(Read::Restarted(servers)),
-            () = other_config(&relay, judged_by), if after.is_some() => Ok(Read::OtherConfig),
-            read = read_servers(&relay, after, wait, &mut outage) => read,
+            read = next_list(&relay, &mut from_peers) => {
+                keeper.take(Ok(read));
+                false
+            }
+            servers = relay.restarts.next() => {
+                keeper.take(Ok(Read::Restarted(servers)));
+                false
+            }
+            () = other_config(&relay, keeper.judged_by), if keeper.after.is_some() => {
+                keeper.take(Ok(Read::OtherConfig));
+                false
+            }
+            () = until(keeper.expires_at()) => {
+                keeper.take(Ok(Read::Expiring));
+                false
+            }
+            read = &mut reading => {
+                keeper.take(read);
+                true
+            }
         };
+        if has_read || keeper.after != before {
+            reading = Box::pin(keeper.next_read());
+        }
+    }
+}
+
+/// Waits for a moment, or for ever.
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => clock::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// What an instance knows of the backend servers.
+struct ServersKeeper {
+    relay: Arc<Relay>,
+    directory: Directory,
+    /// The version of the store to watch from; `None` if all is to be listed.
+    after: Option<StoreVersion>,
+    /// The version of the list.
+    version: ListVersion,
+    /// When the store may be read next.
+    read_at: Instant,
+    outage: Outage,
+    doubtful: DoubtfulTimes,
+    /// The configuration that says which entries are the site's.
+    judged_by: Option<u64>,
+}
+
+impl ServersKeeper {
+    fn new(relay: Arc<Relay>) -> Self {
+        Self {
+            relay,
+            directory: Directory::new(),
+            after: None,
+            version: ListVersion::default(),
+            read_at: clock::now(),
+            outage: Outage::none("store: servers"),
+            doubtful: DoubtfulTimes::default(),
+            judged_by: None,
+        }
+    }
+
+    /// The next call to the store.
+    fn next_read(&self) -> impl Future<Output = Result<Read, StoreError>> + use<> {
+        let (relay, after, read_at) = (self.relay.clone(), self.after, self.read_at);
+        let counts_as_away = self.outage.is_begun();
+        async move {
+            clock::sleep_until(read_at).await;
+            read_servers(&relay, after, counts_as_away).await
+        }
+    }
+
+    /// When entries' time is over, if it is running for some.
+    fn expires_at(&self) -> Option<Instant> {
+        let grace = self.relay.settings.bounds.lapse_grace();
+        self.directory.expires_at(grace)
+    }
+
+    /// Takes news in, and puts a new list in force if anything changed.
+    fn take(&mut self, read: Result<Read, StoreError>) {
         let now = clock::now();
         let source = read.as_ref().map_or("store", Read::source);
         let is_changed = match read {
-            Ok(read) => {
-                if read.is_from_store() && outage.ended(&relay) {
-                    doubtful.outage_ended(now);
-                }
-                if let Some(version) = read.version() {
-                    relay.store.hear_era(version.era);
-                    doubtful.listed(&relay, version.era, now);
-                    after = Some(version);
-                }
-                take_in(&relay, &mut directory, read, &doubtful, now)
+            Ok(Read::StoreAway) => {
+                let cause = "the configuration can't be read either";
+                self.outage.begin(&self.relay, &cause);
+                false
             }
+            Ok(read) => self.take_read(read, now),
             Err(StoreError::Forgotten | StoreError::Outdated) => {
-                after = None;
+                self.after = None;
+                self.read_at = now + LIST_PAUSE;
                 false
             }
             Err(error) => {
-                let pause = outage.failed(&relay, &error);
-                tokio::time::sleep(pause).await;
+                self.read_at = now + self.outage.failed(&self.relay, &error);
                 false
             }
         };
-        let expired = directory.expire(now, lapse_grace);
+        let grace = self.relay.settings.bounds.lapse_grace();
+        let expired = self.directory.expire(now, grace);
         for id in &expired.gone {
-            note_removed(&relay, id, "it did not come back after the outage");
+            note_removed(&self.relay, id, "it did not come back after the outage");
         }
-        let is_news = is_changed || !expired.is_empty();
-        if is_news {
-            let view = relay.view.load_full();
-            let is_usable = |server: &BackendServer| view.is_usable(server);
-            let unusable = directory.unusable(is_usable).cloned().collect();
-            let version = after.unwrap_or(view.servers_version());
-            let table = ServerTable::new(version, directory.in_use(is_usable), unusable);
-            judged_by = view.config_version();
-            relay.adopt_servers(table, source);
+        if is_changed || !expired.is_empty() {
+            self.put_in_force(source);
         }
-        if is_news {
+    }
+
+    /// Takes news in; tells whether anything changed.
+    fn take_read(&mut self, read: Read, now: Instant) -> bool {
+        let is_from_store = read.is_from_store();
+        if is_from_store {
+            self.read_at = now;
+            if self.outage.ended(&self.relay) {
+                self.doubtful.outage_ended(now);
+            }
+        }
+        let version = read.version();
+        if let Some(version) = version {
+            let store = version.store;
+            self.relay.store.hear_era(store.era);
+            self.doubtful.listed(&self.relay, store.era, now);
+            self.after = Some(store);
+        }
+        let is_changed = take_in(&self.relay, &mut self.directory, read, &self.doubtful, now);
+        if let Some(version) = version.filter(|_| is_changed) {
+            self.version = version;
+        }
+        if is_changed && is_from_store {
             // Entries change in bursts; one call brings those that follow.
-            tokio::time::sleep(BURST).await;
+            self.read_at = now + BURST;
         }
+        is_changed
+    }
+
+    fn put_in_force(&mut self, source: &'static str) {
+        let view = self.relay.view.load_full();
+        let is_usable = |server: &BackendServer| view.is_usable(server);
+        let unusable = self.directory.unusable(is_usable).cloned().collect();
+        let servers = self.directory.in_use(is_usable);
+        let table = ServerTable::new(self.version, servers, unusable);
+        self.judged_by = view.config_version();
+        self.relay.adopt_servers(table, source);
     }
 }
 
@@ -163,10 +265,7 @@
 
 /// The next newer list that a peer gives. Nothing is lost when this is
 /// dropped while it waits.
-async fn next_list(
-    relay: &Relay,
-    from_peers: &mut watch::Receiver<Option<Versioned<Vec<BackendServer>>>>,
-) -> Read {
+async fn next_list(relay: &Relay, from_peers: &mut watch::Receiver<Option<PeerList>>) -> Read {
     loop {
         if from_peers.changed().await.is_err() {
             // The sender lives as long as the process.
@@ -175,7 +274,7 @@
         let list = from_peers.borrow_and_update().clone();
         let own = relay.servers_version();
         if let Some(list) =
-            list.filter(|list| list.version > own && !relay.store.is_denied(list.version.era))
+            list.filter(|list| list.version > own && !relay.store.is_denied(list.version.store.era))
         {
             return Read::Peer(list);
         }
@@ -193,18 +292,20 @@
     }
 }
 
+/// Reads the store once it is this instance's to read.
 async fn read_servers(
     relay: &Relay,
     after: Option<StoreVersion>,
-    wait: Duration,
-    outage: &mut Outage,
+    counts_as_away: bool,
 ) -> Result<Read, StoreError> {
     loop {
         if !relay.leaves_store() {
             if !relay.is_store_away.load(Ordering::Relaxed) {
                 break;
             }
-            outage.begin(relay, &"the configuration can't be read either");
+            if !counts_as_away {
+                return Ok(Read::StoreAway);
+            }
         }
         tokio::time::sleep(look_pause(relay)).await;
     }
@@ -212,7 +313,7 @@
         None => relay.store.servers().await.map(Read::List),
         Some(after) => relay
             .store
-            .watch_servers(after, wait)
+            .watch_servers(after, SERVERS_WAIT)
             .await
             .map(Read::Changes),
     }
@@ -222,30 +323,36 @@
     List(Versioned<Vec<BackendServer>>),
     Changes(Versioned<Vec<DirectoryChange>>),
     /// A peer's list.
-    Peer(Versioned<Vec<BackendServer>>),
+    Peer(PeerList),
     /// Nothing new, but another configuration to judge entries by.
     OtherConfig,
     /// Servers whose new processes told of themselves.
     Restarted(Vec<BackendServer>),
+    /// The time of some entries is over.
+    Expiring,
+    /// The store isn't read, as the configuration can't be read either.
+    StoreAway,
 }
 
 impl Read {
-    /// The version of the store that it is from, if it is from there.
-    const fn version(&self) -> Option<StoreVersion> {
+    /// The version of the list that it makes.
+    const fn version(&self) -> Option<ListVersion> {
         match self {
-            Self::List(list) | Self::Peer(list) => Some(list.version),
-            Self::Changes(changes) => Some(changes.version),
-            Self::Restarted(_) | Self::OtherConfig => None,
+            Self::List(list) => Some(ListVersion::of(list.version)),
+            Self::Changes(changes) => Some(ListVersion::of(changes.version)),
+            Self::Peer(list) => Some(list.version),
+            Self::Restarted(_) | Self::OtherConfig | Self::Expiring | Self::StoreAway => None,
         }
     }
 
     /// Where it is from, as logged.
     const fn source(&self) -> &'static str {
         match self {
-            Self::List(_) | Self::Changes(_) => "store",
+            Self::List(_) | Self::Changes(_) | Self::StoreAway => "store",
             Self::Peer(_) => "peer",
             Self::OtherConfig => "configuration",
             Self::Restarted(_) => "report",
+            Self::Expiring => "time",
         }
     }
 
@@ -268,10 +375,11 @@
             true
         }
         Read::Peer(list) => {
-            directory.replace(list.value, doubtful.of_peers_list(now), now);
+            directory.replace(list.servers, doubtful.of_peers_list(now), now);
             true
         }
         Read::OtherConfig => true,
+        Read::Expiring | Read::StoreAway => false,
         Read::Restarted(servers) => {
             for server in servers {
                 directory.apply(DirectoryChange::Updated(server), now);
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 
 use rookferry_core::BackendServer;
+use rookferry_core::ListVersion;
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
 use rookferry_core::ServerKey;
 use rookferry_core::ServingIndex;
 use rookferry_core::ServingService;
-use rookferry_core::StoreVersion;
 use rookferry_wire::EngineId;
 use rookferry_wire::ServiceId;
 
@@ -29,8 +29,8 @@
         self.index.as_ref().map(|index| index.config().version)
     }
 
-    /// The store's version that the servers are of; the lowest while there are none.
-    pub(crate) fn servers_version(&self) -> StoreVersion {
+    /// The version of the list of servers; the lowest while there are none.
+    pub(crate) fn servers_version(&self) -> ListVersion {
         let servers = self.servers.as_ref();
         servers.map(|servers| servers.version()).unwrap_or_default()
     }
@@ -78,9 +78,9 @@
 /// The backend servers with their look-ups.
 #[derive(Debug, Default)]
 pub(crate) struct ServerTable {
-    /// The store's version that it is of. One who asks gets both or neither: an old
+    /// Its version. One who asks gets both or neither: an old
     /// list under a new version would never be asked for again.
-    version: StoreVersion,
+    version: ListVersion,
     servers: Vec<BackendServer>,
     /// Entries that this instance has no use for, to tell others.
     unusable: Vec<BackendServer>,
@@ -90,10 +90,9 @@
 }
 
 impl ServerTable {
-    /// A table of servers, one an address, and of entries without use, as of a version
-    /// of the store.
+    /// A version of the table: servers, one an address, and entries without use.
     pub(crate) fn new(
-        version: StoreVersion,
+        version: ListVersion,
         servers: Vec<BackendServer>,
         unusable: Vec<BackendServer>,
     ) -> Self {
@@ -118,8 +117,8 @@
         }
     }
 
-    /// The store's version that it is of.
-    pub(crate) const fn version(&self) -> StoreVersion {
+    /// Its version.
+    pub(crate) const fn version(&self) -> ListVersion {
         self.version
     }
 
