fix(relay): a server that lapsed for good leaves the lists of all instances

Callers saw: after an outage of the store requests went on to a server whose entry had gone during it, through all instances but the one that reads the store, until some other entry changed. Cause: an entry that lapsed counts until its time to come back is over; then it was dropped by time alone, and the list kept the version of the store that the others had already, so that none asked for it. Evidence: the new test failed before (requests for the 20 s that it waits), and so did once, for the same reason, the test of a server whose entry goes across a restore. Now a list that changes by time has a higher edition under the same version of the store, and is asked for like any other.

--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -168,6 +168,9 @@
         for id in &expired.gone {
             note_removed(&self.relay, id, "it did not come back after the outage");
         }
+        if !expired.is_empty() {
+            self.version = self.version.changed();
+        }
         if is_changed || !expired.is_empty() {
             self.put_in_force(source);
         }
