fix(relay): the waits for the store's news are parts of the site's bound

Nobody could tell: who reads the store for a domain went by the configuration's age only, so a reader whose watch of the servers was silent kept all others from reading. Class: beliefs with a version and no age; waits that are chosen one by one.

bounds.drain_ms is a setting now. NewsBudget has each wait as a part of it, with a test that adds up the ways for 2 to 5 s. An overdue watch is answered by another call beside it, over a connection of its own, and the domain's next instance reads.

reliance_in_line is NewsBudget::line; its test stands beside the budget's, as strict.

--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -31,8 +31,11 @@
     pub echo: Option<Echo>,
     /// The configuration that the sender has in force.
     pub config: Option<ConfigState>,
-    /// The version of the sender's list of servers.
-    pub servers_version: ListVersion,
+    /// The list of servers that the sender has in force.
+    pub servers: ListState,
+    /// How long ago the sender knew what the store has, itself or by others of its
+    /// domain, in milliseconds; none if it is in doubt of that.
+    pub store_age_ms: Option<u64>,
     /// The holder that the sender heard of, itself or by others.
     pub holder: Option<HolderSeen>,
     /// What is under way at servers by the sender's own requests; told in its
@@ -105,6 +108,15 @@
     pub held_ms: u64,
 }
 
+/// The list of servers that a sender has in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListState {
+    /// Its version; the lowest while there is none.
+    pub version: ListVersion,
+    /// How long ago it was known to be the newest, in milliseconds, if ever.
+    pub age_ms: Option<u64>,
+}
+
 /// The configuration that a sender has in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigState {
--- a/crates/rookferry_core/src/peers/mod.rs
+++ b/crates/rookferry_core/src/peers/mod.rs
@@ -39,6 +39,7 @@
 pub use message::Echo;
 pub use message::Heartbeat;
 pub use message::HolderSeen;
+pub use message::ListState;
 pub use message::MemberSeen;
 pub use message::MembersOf;
 pub use source::BodySource;
--- a/crates/rookferry_core/src/peers/peer.rs
+++ b/crates/rookferry_core/src/peers/peer.rs
@@ -24,8 +24,10 @@
     pub(super) seen_at: Instant,
     /// The peer's clock as last received, and when.
     pub(super) clock: Option<(u64, Instant)>,
-    /// When the peer's configuration was known to be the newest, by its word.
-    pub(super) config_at: Option<Instant>,
+    /// The version of the configuration that the peer has in force.
+    pub(super) config_version: Option<u64>,
+    /// When the peer knew what the store has, by its word.
+    pub(super) store_at: Option<Instant>,
     pub(super) loads: Vec<LoadEntry>,
     /// Servers that don't answer the peer, and since when it says so.
     pub(super) out: BTreeMap<ServerKey, Instant>,
@@ -42,7 +44,8 @@
             heard_at: None,
             seen_at: now,
             clock: None,
-            config_at: None,
+            config_version: None,
+            store_at: None,
             loads: Vec::new(),
             out: BTreeMap::new(),
             sums: None,
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -118,9 +118,10 @@
         peer.heard_at = Some(now);
         peer.seen_at = now;
         peer.clock = Some((beat.sent_ms, now));
-        peer.config_at = beat
-            .config
-            .and_then(|config| now.checked_sub(Duration::from_millis(config.age_ms)));
+        peer.config_version = beat.config.map(|config| config.version);
+        peer.store_at = beat
+            .store_age_ms
+            .and_then(|age_ms| now.checked_sub(Duration::from_millis(age_ms)));
         if is_near {
             peer.loads.clone_from(&beat.loads);
             if let Some(sums) = &beat.domain_loads {
@@ -301,12 +302,19 @@
         is_within(self.holder_at(), now, HOLDER_KEPT)
     }
 
-    /// Whether this instance asks the store for its domain: the first of those
-    /// whose configuration was confirmed within `bound`.
+    /// Whether this instance reads the store for its domain: the first of those that
+    /// were heard within `kept`, and knew what the store has within `bound`.
     #[must_use]
-    pub fn asks_store(&self, now: Instant, bound: Duration) -> bool {
+    pub fn reads_store(&self, now: Instant, bound: Duration, kept: Duration) -> bool {
         let mut before = self.heard_before(now);
-        before.all(|(_, peer)| !is_within(peer.config_at, now, bound))
+        before.all(|(_, peer)| !(peer.is_heard(now, kept) && is_within(peer.store_at, now, bound)))
+    }
+
+    /// Whether a member of the domain has a newer configuration than a version.
+    #[must_use]
+    pub fn has_newer_config(&self, version: u64, now: Instant) -> bool {
+        let mut near = self.heard_near(now);
+        near.any(|(_, peer)| peer.config_version > Some(version))
     }
 
     /// How many of the domain's instances stand before this one: those that it
--- a/crates/rookferry_core/src/serving/age.rs
+++ b/crates/rookferry_core/src/serving/age.rs
@@ -1,34 +1,38 @@
-//! How long ago a configuration was known to be the newest.
+//! How long ago something was known to be the newest of its kind.
 
 use std::time::Duration;
 use std::time::Instant;
 
-/// The time at which a configuration was last confirmed, and its version.
+use super::ListVersion;
+
+/// The age of a configuration.
+pub type ConfigAge = VersionAge<u64>;
+/// The age of a list of servers.
+pub type ServersAge = VersionAge<ListVersion>;
+
+/// The time at which a version was last confirmed to be the newest.
 ///
 /// It counts from before the call that confirmed it was sent, so that a pause of
 /// the process, or of the network, only makes it look older than it is. Its
 /// instants must be of a clock that goes on while the machine is suspended.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ConfigAge {
-    version: u64,
+pub struct VersionAge<V> {
+    version: V,
     confirmed_at: Option<Instant>,
 }
 
-impl ConfigAge {
+impl<V: Copy + Default + Ord> VersionAge<V> {
     /// Nothing is confirmed.
     #[must_use]
-    pub const fn new() -> Self {
-        Self {
-            version: 0,
-            confirmed_at: None,
-        }
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// A version was the newest at some time.
     ///
     /// The time never goes back: what an older version was confirmed for, all
     /// that was acknowledged before, is in a newer version too.
-    pub fn confirm(&mut self, version: u64, at: Instant) {
+    pub fn confirm(&mut self, version: V, at: Instant) {
         if version < self.version {
             return;
         }
@@ -38,7 +42,7 @@
 
     /// The newest confirmed version.
     #[must_use]
-    pub const fn version(&self) -> u64 {
+    pub const fn version(&self) -> V {
         self.version
     }
 
@@ -49,7 +53,7 @@
         Some(now.saturating_duration_since(confirmed_at))
     }
 
-    /// Whether requests may be sent under it.
+    /// Whether it was confirmed within a time.
     #[must_use]
     pub fn is_fresh(&self, now: Instant, bound: Duration) -> bool {
         self.age(now).is_some_and(|age| age < bound)
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -3,8 +3,9 @@
 //! [`ServingConfig`] is what the operator wants: routes, services and client
 //! accounts. [`Directory`] is what is known of the backend servers, and
 //! [`ServerKey`] one start of one of them.
-//! [`StoreVersion`] orders what the store shows over its restores, and [`EraTracker`]
-//! notices them.
+//! [`StoreVersion`] orders what the store shows over its restores, [`EraTracker`]
+//! notices them, [`StoreContact`] says as of when the store is known, and
+//! [`NewsBudget`] how long its news may take.
 //! [`ConfigAge`] bounds how old a configuration may be when a request is sent,
 //! [`RetryWindow`] what may be sent twice, and [`ServerHealth`] whom to avoid.
 //! [`RoomQueue`] says who waits for room and how long, [`Overload`] when those
@@ -27,6 +28,7 @@
 mod health;
 mod link_pace;
 mod list_version;
+mod news_budget;
 mod notices;
 mod overload;
 mod quarantine;
@@ -35,10 +37,13 @@
 mod retry_window;
 mod room_queue;
 mod server_key;
+mod store_contact;
 mod store_pace;
 mod store_version;
 
 pub use age::ConfigAge;
+pub use age::ServersAge;
+pub use age::VersionAge;
 pub use backend_server::BackendServer;
 pub use backoffs::Backoffs;
 pub use broken_runs::BrokenRun;
@@ -63,6 +68,8 @@
 pub use health::ServerHealth;
 pub use link_pace::LinkPace;
 pub use list_version::ListVersion;
+pub use news_budget::NewsBudget;
+pub use news_budget::NewsWay;
 pub use notices::ServerNotices;
 pub use overload::Overload;
 pub use overload::Overloaded;
@@ -83,7 +90,7 @@
 pub use room_queue::RoomTicket;
 pub use room_queue::Urgency;
 pub use server_key::ServerKey;
+pub use store_contact::StoreContact;
 pub use store_pace::first_read_in_line;
 pub use store_pace::pause_in_line;
-pub use store_pace::reliance_in_line;
 pub use store_version::StoreVersion;
--- a/crates/rookferry_core/src/serving/news_budget.rs
+++ b/crates/rookferry_core/src/serving/news_budget.rs
@@ -14,7 +14,7 @@
 //! | [`NewsBudget::look`] | between two looks whether to read the store |
 //! | [`NewsBudget::reader_kept`] | a silent reader of the store counts as one |
 //! | [`NewsBudget::line`] | the last in line waits for those before it |
-//! | [`NewsBudget::pause`] | the longest pause after failed calls |
+//! | [`NewsBudget::pause`] | the first in line pauses after failed calls |
 //! | [`NewsBudget::spread`] | from one instance of a domain to all of them |
 
 use std::time::Duration;
@@ -27,7 +27,7 @@
 const LOOK: u32 = 50;
 const READER_KEPT: u32 = 375;
 const LINE: u32 = 80;
-const PAUSE: u32 = 400;
+const PAUSE: u32 = 125;
 const SPREAD: u32 = 250;
 /// Places in line that are told apart.
 const LINE_PLACES: u32 = 4;
@@ -45,7 +45,7 @@
     ReaderCutOff,
     /// What the reader told last has grown old.
     OldWord,
-    /// Calls to the store failed before.
+    /// Calls to the store failed before; the first in line reads it first.
     AfterFailures,
 }
 
@@ -128,7 +128,8 @@
         self.part(LINE) * places / LINE_PLACES
     }
 
-    /// The longest pause after failed calls.
+    /// The longest pause of the first in line after failed calls; once it has read, the
+    /// others take its word.
     #[must_use]
     pub fn pause(&self) -> Duration {
         self.part(PAUSE)
@@ -147,12 +148,10 @@
             NewsWay::Watch => Duration::ZERO,
             NewsWay::SilentWatch => self.watch_wait() + self.overdue(),
             NewsWay::ReaderGone => self.reader_kept() + self.look(),
-            NewsWay::ReaderCutOff => {
-                self.watch_wait() + self.overdue() + self.tell() + self.look()
-            }
+            NewsWay::ReaderCutOff => self.watch_wait() + self.overdue() + self.tell() + self.look(),
             // What was confirmed last is a wait old when the reader falls silent.
             NewsWay::OldWord => {
-                self.rely() - self.watch_wait() + self.line(usize::MAX) + self.look()
+                self.rely().saturating_sub(self.watch_wait()) + self.line(usize::MAX) + self.look()
             }
             NewsWay::AfterFailures => self.pause(),
         };
--- a/crates/rookferry_core/src/serving/store_pace.rs
+++ b/crates/rookferry_core/src/serving/store_pace.rs
@@ -18,12 +18,6 @@
 /// Longest pause of all others: under the time for which a configuration may
 /// go without being confirmed, 4.9 s today.
 const LONGEST_RANKED_PAUSE: Duration = Duration::from_secs(3);
-/// How much longer than the one in front of it an instance relies on its
-/// peers; covers an answer of the store and a heartbeat from half the line.
-const RELY_STEP: Duration = Duration::from_millis(60);
-/// Places in line that are told apart there.
-const RELY_STEPS: u32 = 10;
-
 /// How long an instance that restarts leaves the store alone where no peer
 /// offers what it needs: peers that are there answer within a few
 /// milliseconds, and after a loss of power there are none. Where each start reads
@@ -55,14 +49,6 @@
         .min(LONGEST_RANKED_PAUSE)
 }
 
-/// How long an instance that stands behind `rank` others goes without its
-/// peers' confirmation before it asks the store itself.
-#[must_use]
-pub fn reliance_in_line(bound: Duration, rank: usize) -> Duration {
-    let steps = u32::try_from(rank).unwrap_or(RELY_STEPS).min(RELY_STEPS);
-    bound + RELY_STEP * steps
-}
-
 /// How long an instance that has just started leaves the store alone, for its
 /// peers to tell it what they know; it stands behind `rank` others.
 ///
--- /dev/null
+++ b/crates/rookferry_core/tests/news_budget.rs
@@ -0,0 +1,96 @@
+//! The waits on the way of the store's news, against the bounds that sites set.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::NewsBudget;
+use rookferry_core::NewsWay;
+use rookferry_core::StoreContact;
+use rookferry_core::pause_in_line;
+use rstest::rstest;
+
+#[rstest]
+fn all_waits_on_each_way_add_up_to_less_than_the_bound(#[values(2, 3, 4, 5)] bound_s: u64) {
+    let bound = Duration::from_secs(bound_s);
+    let budget = NewsBudget::new(bound);
+    for way in NewsWay::ALL {
+        let longest = budget.longest(way);
+        // A twentieth is left for a slow machine.
+        assert!(longest <= bound * 19 / 20, "{way:?}: {longest:?}");
+    }
+}
+
+#[rstest]
+fn the_first_in_line_pauses_no_longer_than_planned(#[values(2, 3, 4)] bound_s: u64) {
+    let budget = NewsBudget::new(Duration::from_secs(bound_s));
+    assert!(pause_in_line(20, 0) <= budget.pause());
+}
+
+#[rstest]
+fn a_word_that_a_sound_reader_tells_is_relied_on(#[values(2, 3, 4)] bound_s: u64) {
+    let budget = NewsBudget::new(Duration::from_secs(bound_s));
+    // It is confirmed by the watch before the one that waits, and told.
+    let oldest = 2 * budget.watch_wait() + budget.tell();
+    assert!(oldest < budget.rely());
+}
+
+#[rstest]
+fn instances_stop_relying_on_their_peers_one_after_the_other(#[values(2, 3, 4)] bound_s: u64) {
+    let bound = Duration::from_secs(bound_s);
+    let budget = NewsBudget::new(bound);
+    assert_eq!(budget.line(0), Duration::ZERO);
+    assert!(budget.line(1) > budget.line(0));
+    let last = budget.rely() + budget.line(1_000);
+    assert!(last < bound, "{last:?}");
+}
+
+#[test]
+fn the_store_is_known_as_of_the_older_of_both_reads() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut contact = StoreContact::new();
+    contact.read_config(at(100));
+    assert_eq!(contact.age(at(500)), None, "the servers weren't read");
+    contact.read_servers(at(300));
+    assert_eq!(contact.age(at(500)), Some(Duration::from_millis(400)));
+    contact.read_config(at(450));
+    assert_eq!(contact.age(at(500)), Some(Duration::from_millis(200)));
+    contact.hear(at(400));
+    assert_eq!(contact.age(at(500)), Some(Duration::from_millis(100)));
+}
+
+/// Others take over at once, not only when the word has grown old.
+#[test]
+fn a_reader_whose_watch_is_overdue_is_not_relied_on() {
+    let start = Instant::now();
+    let mut contact = StoreContact::new();
+    contact.read_config(start);
+    contact.read_servers(start);
+    contact.hear(start);
+    contact.watch_overdue();
+    assert_eq!(contact.told_age(start), None);
+    assert!(
+        contact.age(start).is_some(),
+        "it serves on by what it knows"
+    );
+    contact.read_servers(start);
+    assert!(contact.told_age(start).is_some());
+}
+
+#[test]
+fn a_slow_store_is_waited_for_longer() {
+    let planned = Duration::from_millis(200);
+    let mut contact = StoreContact::new();
+    assert_eq!(contact.overdue_after(planned), planned);
+    contact.note_delay(Duration::from_millis(4));
+    assert_eq!(contact.overdue_after(planned), planned);
+    contact.note_delay(Duration::from_millis(240));
+    assert!(contact.overdue_after(planned) >= Duration::from_millis(480));
+    contact.note_delay(Duration::from_secs(20));
+    let longest = contact.overdue_after(planned);
+    assert!(longest < Duration::from_secs(1), "{longest:?}");
+    for _ in 0..60 {
+        contact.note_delay(Duration::from_millis(4));
+    }
+    assert_eq!(contact.overdue_after(planned), planned);
+}
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -21,7 +21,6 @@
 use rookferry_core::ServingRoute;
 use rookferry_core::first_read_in_line;
 use rookferry_core::pause_in_line;
-use rookferry_core::reliance_in_line;
 use rstest::rstest;
 
 /// A list with all that was acknowledged.
@@ -308,15 +307,6 @@
     assert!(calls_per_s < without / 2.0, "{calls_per_s} of {without}");
 }
 
-#[test]
-fn instances_stop_relying_on_their_peers_one_after_the_other() {
-    let bound = Duration::from_secs(2);
-    assert_eq!(reliance_in_line(bound, 0), bound);
-    assert!(reliance_in_line(bound, 1) > bound);
-    let last = reliance_in_line(bound, 1_000);
-    assert!(last < Duration::from_secs(3), "{last:?}");
-}
-
 #[test]
 fn of_hundreds_that_start_together_few_read_the_store_before_the_first_has_told() {
     // The first tells the others within a step of its own read.
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -16,7 +16,7 @@
 use rookferry_core::DoubtedUse;
 use rookferry_core::Fanout;
 use rookferry_core::Heartbeat;
-use rookferry_core::ListVersion;
+use rookferry_core::ListState;
 use rookferry_core::LoadEntry;
 use rookferry_core::PeerTable;
 use rookferry_core::Round;
@@ -384,7 +384,8 @@
         sent_ms: 0,
         echo: None,
         config: None,
-        servers_version: ListVersion::default(),
+        servers: ListState::default(),
+        store_age_ms: None,
         holder: None,
         loads: Vec::new(),
         domain_loads: None,
--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -152,11 +152,21 @@
     /// that turns out to be closed: whoever sends decides about repeats.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_idle_connections(IDLE_PER_HOST)
+    }
+
+    /// A client that opens a connection for each request.
+    #[must_use]
+    pub fn without_pool() -> Self {
+        Self::with_idle_connections(0)
+    }
+
+    fn with_idle_connections(most: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let inner = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(IDLE_PER_HOST)
+            .pool_max_idle_per_host(most)
             .retry_canceled_requests(false)
             .build(connector);
         Self { inner }
--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -72,6 +72,7 @@
     "store_era_changed",
     "store_era_unreadable",
     "store_forgot",
+    "store_watch_overdue",
     "stopped",
     "stopping",
     "stream_cut",
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -259,6 +259,9 @@
     }
     let servers = figures.relay.servers_version();
     gauge!("rookferry_servers_revision").set(servers.store.revision as f64);
+    if let Some(age) = figures.relay.servers_age(clock::now()) {
+        gauge!("rookferry_servers_age_seconds").set(age.as_secs_f64());
+    }
     gauge!("rookferry_store_era").set(figures.relay.store.era() as f64);
     gauge!("rookferry_build_info", "version" => env!("CARGO_PKG_VERSION")).set(1.0);
     gauge!("rookferry_uptime_seconds").set(clock::since(figures.started_at).as_secs_f64());
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -9,6 +9,7 @@
 use rookferry_core::DomainSums;
 use rookferry_core::Heartbeat;
 use rookferry_core::HolderSeen;
+use rookferry_core::ListState;
 use rookferry_core::LoadEntry;
 use rookferry_core::PeerTable;
 use rookferry_core::ReportSeen;
@@ -49,6 +50,12 @@
 /// may be the only one.
 const JOINING: Duration = Duration::from_secs(3);
 
+/// An age as others are told it, rounded up: rounded down, a word that is passed on
+/// within a millisecond would never age.
+fn told_ms(age: Duration) -> u64 {
+    millis(age).saturating_add(1)
+}
+
 /// Puts heartbeats together.
 pub(super) struct Composer {
     relay: Arc<Relay>,
@@ -98,7 +105,11 @@
             sent_ms: millis(now.saturating_duration_since(self.epoch)),
             echo: None,
             config,
-            servers_version: self.relay.servers_version(),
+            servers: ListState {
+                version: self.relay.servers_version(),
+                age_ms: self.relay.servers_age(now).map(told_ms),
+            },
+            store_age_ms: self.relay.store.contact().told_age(now).map(told_ms),
             holder: self.holder(now),
             loads: self.load_entries(self.relay.beliefs.loads.snapshot(), now),
             domain_loads: None,
--- a/crates/rookferry_relay/src/peers/fetch.rs
+++ b/crates/rookferry_relay/src/peers/fetch.rs
@@ -91,7 +91,7 @@
     /// A peer has newer servers: they are asked for, unless the own watch
     /// brings them first.
     pub(super) fn take_servers(&self, beat: &Heartbeat, from: SocketAddr) {
-        let version = beat.servers_version;
+        let version = beat.servers.version;
         let is_newer = self.relay.servers_version() < version;
         if !is_newer
             || self.relay.store.is_denied(version.store.era)
@@ -141,20 +141,37 @@
         if own != Some(config.version) {
             return;
         }
-        let Some(echo) = beat.echo else {
-            return;
-        };
-        if let Some(at) = confirmed_at(echo, config.age_ms, epoch) {
-            self.relay
-                .confirm_config(config.version, at.min(clock::now()));
+        if let Some(at) = confirmed_at(beat.echo, config.age_ms, epoch) {
+            self.relay.confirm_config(config.version, at);
+        }
+    }
+
+    /// A peer's word on when its list of servers was the newest, and on when what the
+    /// store has was known; the latter counts within the domain, which reads the store
+    /// for itself.
+    pub(super) fn take_ages(&self, beat: &Heartbeat, epoch: Instant) {
+        let servers = beat.servers;
+        let list_at = servers
+            .age_ms
+            .and_then(|age_ms| confirmed_at(beat.echo, age_ms, epoch));
+        if let Some(at) = list_at {
+            self.relay.confirm_servers(servers.version, at);
+        }
+        let is_near = beat.domain == self.relay.settings.domain;
+        let store_age_ms = beat.store_age_ms.filter(|_| is_near);
+        let store_at = store_age_ms.and_then(|age_ms| confirmed_at(beat.echo, age_ms, epoch));
+        if let Some(at) = store_at {
+            self.relay.store.hear_contact(at);
         }
     }
 }
 
-/// When a peer knew its configuration to be the newest, by this instance's
-/// clock; nothing if its figures can't be so.
-fn confirmed_at(echo: Echo, age_ms: u64, epoch: Instant) -> Option<Instant> {
+/// When a peer knew something of an age, by this instance's clock, which it sends
+/// back; nothing if its figures can't be so.
+fn confirmed_at(echo: Option<Echo>, age_ms: u64, epoch: Instant) -> Option<Instant> {
+    let echo = echo?;
     let sent_back_ms = echo.sent_ms.checked_add(echo.held_ms)?;
     let since_epoch_ms = sent_back_ms.checked_sub(age_ms)?;
-    epoch.checked_add(Duration::from_millis(since_epoch_ms))
+    let at = epoch.checked_add(Duration::from_millis(since_epoch_ms))?;
+    Some(at.min(clock::now()))
 }
--- a/crates/rookferry_relay/src/peers/intake.rs
+++ b/crates/rookferry_relay/src/peers/intake.rs
@@ -45,7 +45,7 @@
             let newly_out = table.newly_out(from, &beat.out, now);
             (is_new, newly_out)
         };
-        self.relay.store.hear_era(beat.servers_version.store.era);
+        self.relay.store.hear_era(beat.servers.version.store.era);
         self.take_count(beat.instances);
         self.take_signs(&beat.loads, now);
         if let Some(told) = &beat.domain_loads {
@@ -64,6 +64,7 @@
         }
         self.fetch.take_config(beat, from, epoch);
         self.fetch.take_servers(beat, from);
+        self.fetch.take_ages(beat, epoch);
     }
 
     /// Another instance has trouble with servers.
--- a/crates/rookferry_relay/src/quarantine_keeper.rs
+++ b/crates/rookferry_relay/src/quarantine_keeper.rs
@@ -86,7 +86,7 @@
             Some(after) => self.relay.store.watch_quarantine(after, WATCH_WAIT).await,
         };
         match read {
-            Ok(Versioned { version, value }) => {
+            Ok(Versioned { version, value, .. }) => {
                 self.stored.after = Some(version);
                 if let Some(object) = value {
                     self.take(&object);
@@ -102,7 +102,7 @@
 
     /// Reads what the store has, in whichever era it is; tells whether it was read.
     async fn read_anew(&mut self) -> bool {
-        let Ok(Versioned { version, value }) = self.relay.store.quarantine().await else {
+        let Ok(Versioned { version, value, .. }) = self.relay.store.quarantine().await else {
             // A store that is away shows as a lost dependency already.
             tokio::time::sleep(PAUSE).await;
             return false;
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rookferry_core::ListVersion;
 use rookferry_core::first_read_in_line;
-use rookferry_core::reliance_in_line;
 use rookferry_net::clock;
 
 use crate::event_log::millis;
@@ -17,10 +15,6 @@
 /// How long an instance counts as starting while it doesn't know the site. A
 /// configuration of 1,400 routes takes 0.25 s to come over a link of 20 Mbit/s.
 const STARTING: Duration = Duration::from_millis(1_500);
-/// How old a configuration that peers confirm may grow before an instance asks
-/// the store itself. With the one that asks it is up to 1.2 s old, and
-/// heartbeats take 0.3 s there and back; the rest is for lost ones.
-const RELY_ON_PEERS: Duration = Duration::from_secs(2);
 
 impl Relay {
     /// Whether requests can be served.
@@ -66,16 +60,34 @@
         Some(millis(age) + 1)
     }
 
-    /// Whether this instance asks the store, or hears from one that does.
+    /// How long ago the list of servers in force was known to be the newest.
+    pub(crate) fn servers_age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.servers_age).age(now)
+    }
+
+    /// Whether this instance hears what the store has from one that reads it.
     ///
-    /// One instance a failure domain asks; the others take its word, which
-    /// heartbeats bring with its age, and ask themselves when that grows old.
+    /// One instance a failure domain reads the store; the others take its word, which
+    /// heartbeats bring with its age, and read themselves when that grows old, or what
+    /// they have in force does.
     pub(crate) fn relies_on_peers(&self) -> bool {
         let now = clock::now();
-        let bound = reliance_in_line(RELY_ON_PEERS, self.rank(now));
-        let is_informed = self.config_age().is_fresh(now, bound)
-            && self.servers_version() > ListVersion::default();
-        is_informed && !lock(&self.peers).asks_store(now, RELY_ON_PEERS)
+        let budget = self.settings.bounds.news_budget();
+        let bound = budget.rely() + budget.line(self.rank(now));
+        let is_informed = self.store.contact().is_fresh(now, bound)
+            && self.servers_age(now).is_some_and(|age| age < bound)
+            && self.has_newest_config(now, bound);
+        let reads = || lock(&self.peers).reads_store(now, budget.rely(), budget.reader_kept());
+        is_informed && !reads()
+    }
+
+    /// Whether no newer configuration is known of. One that nobody confirms, since the
+    /// store was restored from before it, is the newest all the same.
+    fn has_newest_config(&self, now: Instant, bound: Duration) -> bool {
+        let Some(version) = self.config_version() else {
+            return false;
+        };
+        self.config_age().is_fresh(now, bound) || !lock(&self.peers).has_newer_config(version, now)
     }
 
     /// Whether this instance has just started, and its peers are yet to tell
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -18,6 +18,7 @@
 use rookferry_core::PeerTable;
 use rookferry_core::RetryWindow;
 use rookferry_core::ServerKey;
+use rookferry_core::ServersAge;
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
 use rookferry_net::clock;
@@ -92,6 +93,7 @@
     pub(crate) started_at: Instant,
     leaving_since: OnceLock<Instant>,
     pub(crate) config_age: Mutex<ConfigAge>,
+    pub(crate) servers_age: Mutex<ServersAge>,
     pub(crate) retries: Mutex<HashMap<ServiceId, RetryWindow>>,
 }
 
@@ -103,11 +105,12 @@
         events: EventLog,
     ) -> Self {
         let events = Arc::new(events);
+        let budget = settings.bounds.news_budget();
         let peers = PeerTable::new(settings.listen.peers, settings.domain.clone());
         Self {
             settings,
             protocol,
-            store: TrackedStore::new(store, events.clone()),
+            store: TrackedStore::new(store, events.clone(), budget),
             pool: UpstreamPool::new(),
             view: ArcSwap::default(),
             beliefs: ServerBeliefs::new(rand::random()),
@@ -130,7 +133,8 @@
             is_store_away: AtomicBool::new(false),
             started_at: clock::now(),
             leaving_since: OnceLock::new(),
-            config_age: Mutex::new(ConfigAge::new()),
+            config_age: Mutex::default(),
+            servers_age: Mutex::default(),
             retries: Mutex::new(HashMap::new()),
         }
     }
@@ -164,6 +168,21 @@
         lock(&self.config_age).confirm(version, at);
     }
 
+    /// The list of servers in force was the newest at some time: it is of that version,
+    /// or of a later one.
+    pub(crate) fn confirm_servers(&self, version: ListVersion, at: Instant) {
+        let in_force = self.servers_version();
+        if version.store.era != in_force.store.era || version > in_force {
+            return;
+        }
+        let mut age = lock(&self.servers_age);
+        if age.version() > in_force {
+            // It was of an era that the store denies.
+            *age = ServersAge::new();
+        }
+        age.confirm(in_force, at);
+    }
+
     /// Puts a newer configuration in force.
     pub(crate) fn adopt_config(&self, config: ServingConfig, source: &'static str, at: Instant) {
         let version = config.version;
--- a/crates/rookferry_relay/src/settings.rs
+++ b/crates/rookferry_relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rookferry_core::NewsBudget;
 use rookferry_wire::DomainId;
 use rookferry_wire::InstanceId;
 use serde::Deserialize;
@@ -29,6 +30,8 @@
 pub struct BoundSettings {
     /// A removed key must not be served this long after its removal.
     pub revoke_ms: u64,
+    /// A server must get no request this long after the store knows that it leaves.
+    pub drain_ms: u64,
     /// Time from the word to stop until the process is killed.
     pub grace_s: f64,
     /// Repeats allowed as a share of fresh requests, over all instances.
@@ -114,6 +117,9 @@
         if bounds.revoke_ms == 0 {
             faults.push("bounds.revoke_ms: 0 refuses every request; give milliseconds".to_owned());
         }
+        if bounds.drain_ms == 0 {
+            faults.push("bounds.drain_ms: 0 can't be kept; give milliseconds".to_owned());
+        }
         let positive = [
             ("bounds.grace_s", bounds.grace_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
@@ -147,6 +153,12 @@
         Duration::from_millis(self.revoke_ms * 49 / 50)
     }
 
+    /// How long each step of the store's news may take.
+    #[must_use]
+    pub const fn news_budget(&self) -> NewsBudget {
+        NewsBudget::new(Duration::from_millis(self.drain_ms))
+    }
+
     /// Time from the word to stop until the process is killed.
     #[must_use]
     pub fn grace(&self) -> Duration {
--- a/crates/rookferry_relay/src/store.rs
+++ b/crates/rookferry_relay/src/store.rs
@@ -88,6 +88,10 @@
         wait: Duration,
     ) -> StoreAnswer<'_, Option<ServingConfig>>;
 
+    /// The newest configuration after a revision, if there is one so far; over a
+    /// connection of its own, as one that was kept may be dead.
+    fn config_since(&self, after: ObjectVersion) -> StoreAnswer<'_, Option<ServingConfig>>;
+
     /// The backend servers.
     fn servers(&self) -> StoreAnswer<'_, Vec<BackendServer>>;
 
@@ -98,6 +102,10 @@
         wait: Duration,
     ) -> StoreAnswer<'_, Vec<DirectoryChange>>;
 
+    /// The changes of the backend servers after a revision so far; over a connection
+    /// of its own, as one that was kept may be dead.
+    fn servers_since(&self, after: ObjectVersion) -> StoreAnswer<'_, Vec<DirectoryChange>>;
+
     /// The held requests; `None` if none ever were.
     fn quarantine(&self) -> StoreAnswer<'_, Option<Object>>;
 
--- a/crates/rookferry_relay/src/sync/config.rs
+++ b/crates/rookferry_relay/src/sync/config.rs
@@ -8,11 +8,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use rookferry_core::ServingConfig;
 use rookferry_core::StoreVersion;
-use rookferry_net::clock;
 use slog::warn;
 
 use super::look_pause;
@@ -36,7 +34,6 @@
             tokio::time::sleep(look_pause(&relay)).await;
             continue;
         }
-        let asked_at = clock::now();
         let read = match stored.after {
             None => relay.store.config().await,
             Some(after) => relay.store.watch_config(after, CONFIG_WAIT).await,
@@ -45,7 +42,7 @@
             Ok(read) => {
                 outage.ended(&relay);
                 relay.is_store_away.store(false, Ordering::Relaxed);
-                stored.take(&relay, read, asked_at);
+                stored.take(&relay, read);
             }
             Err(StoreError::Forgotten | StoreError::Outdated) => stored.after = None,
             Err(error) => {
@@ -68,8 +65,12 @@
 
 impl StoredConfig {
     /// Takes an answer in, and confirms what it confirms.
-    fn take(&mut self, relay: &Relay, read: Versioned<Option<ServingConfig>>, asked_at: Instant) {
-        let Versioned { version, value } = read;
+    fn take(&mut self, relay: &Relay, read: Versioned<Option<ServingConfig>>) {
+        let Versioned {
+            version,
+            value,
+            asked_at,
+        } = read;
         self.after = Some(version);
         if let Some(config) = value {
             self.shown = Some((version, config.version));
--- a/crates/rookferry_relay/src/sync/mod.rs
+++ b/crates/rookferry_relay/src/sync/mod.rs
@@ -15,8 +15,6 @@
 
 use crate::relay::Relay;
 
-/// How often an instance that relies on peers looks whether it still may.
-const RELY_PAUSE: Duration = Duration::from_millis(150);
 /// How often an instance that has just started looks whether its peers have
 /// told it what they know.
 const START_PAUSE: Duration = Duration::from_millis(25);
@@ -26,6 +24,6 @@
     if relay.awaits_peers() {
         START_PAUSE
     } else {
-        RELY_PAUSE
+        relay.settings.bounds.news_budget().look()
     }
 }
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -26,9 +26,6 @@
 use crate::tracked_store::Versioned;
 use crate::view::ServerTable;
 
-/// How long a watch of the servers waits; bounds how long a connection that
-/// died silently hides changes.
-const SERVERS_WAIT: Duration = Duration::from_secs(2);
 /// Pause before a list after a watch that was refused, so that a store which refuses
 /// each doesn't get them without a break.
 const LIST_PAUSE: Duration = Duration::from_millis(20);
@@ -146,6 +143,7 @@
     fn take(&mut self, read: Result<Read, StoreError>) {
         let now = clock::now();
         let source = read.as_ref().map_or("store", Read::source);
+        let asked_at = read.as_ref().ok().and_then(Read::asked_at);
         let is_changed = match read {
             Ok(Read::StoreAway) => {
                 let cause = "the configuration can't be read either";
@@ -174,6 +172,9 @@
         if is_changed || !expired.is_empty() {
             self.put_in_force(source);
         }
+        if let Some(asked_at) = asked_at {
+            self.relay.confirm_servers(self.version, asked_at);
+        }
     }
 
     /// Takes news in; tells whether anything changed.
@@ -312,13 +313,13 @@
         }
         tokio::time::sleep(look_pause(relay)).await;
     }
+    let wait = relay.settings.bounds.news_budget().watch_wait();
     match after {
         None => relay.store.servers().await.map(Read::List),
-        Some(after) => relay
-            .store
-            .watch_servers(after, SERVERS_WAIT)
-            .await
-            .map(Read::Changes),
+        Some(after) => {
+            let changes = relay.store.watch_servers(after, wait).await;
+            changes.map(Read::Changes)
+        }
     }
 }
 
@@ -359,6 +360,15 @@
         }
     }
 
+    /// When the store was asked for it.
+    const fn asked_at(&self) -> Option<Instant> {
+        match self {
+            Self::List(list) => Some(list.asked_at),
+            Self::Changes(changes) => Some(changes.asked_at),
+            _ => None,
+        }
+    }
+
     const fn is_from_store(&self) -> bool {
         matches!(self, Self::List(_) | Self::Changes(_))
     }
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -17,8 +17,10 @@
 use rookferry_core::EraTracker;
 use rookferry_core::EraVerdict;
 use rookferry_core::LeaseObject;
+use rookferry_core::NewsBudget;
 use rookferry_core::QuarantineObject;
 use rookferry_core::ServingConfig;
+use rookferry_core::StoreContact;
 use rookferry_core::StoreVersion;
 use rookferry_net::clock;
 use rookferry_wire::Object;
@@ -28,6 +30,7 @@
 
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
+use crate::event_log::millis;
 use crate::mutex::lock;
 use crate::store::AsOf;
 use crate::store::SiteStore;
@@ -39,23 +42,33 @@
     /// The version: the store's, or of the one object that was read or written.
     pub(crate) version: StoreVersion,
     pub(crate) value: T,
+    /// When the call that it answers was sent.
+    pub(crate) asked_at: Instant,
 }
 
 /// A store whose calls are counted, and whose restores are noticed.
 pub(crate) struct TrackedStore {
     inner: Arc<dyn SiteStore>,
     events: Arc<EventLog>,
+    budget: NewsBudget,
     eras: Mutex<EraTracker>,
+    contact: Mutex<StoreContact>,
     /// Raised with each change of the era.
     era_changes: watch::Sender<u64>,
 }
 
 impl TrackedStore {
-    pub(crate) fn new(inner: Arc<dyn SiteStore>, events: Arc<EventLog>) -> Self {
+    pub(crate) fn new(
+        inner: Arc<dyn SiteStore>,
+        events: Arc<EventLog>,
+        budget: NewsBudget,
+    ) -> Self {
         Self {
             inner,
             events,
+            budget,
             eras: Mutex::new(EraTracker::new()),
+            contact: Mutex::default(),
             era_changes: watch::Sender::new(0),
         }
     }
@@ -78,6 +91,16 @@
         }
     }
 
+    /// As of when what the store has is known.
+    pub(crate) fn contact(&self) -> StoreContact {
+        *lock(&self.contact)
+    }
+
+    /// Another instance of the domain has its word as of a time.
+    pub(crate) fn hear_contact(&self, at: Instant) {
+        lock(&self.contact).hear(at);
+    }
+
     /// Waits until the store is in another era.
     pub(crate) async fn era_over(&self, era: StoreEra) {
         let mut changes = self.era_changes.subscribe();
@@ -116,6 +139,7 @@
         Ok(Versioned {
             version: StoreVersion::new(era, answer.revision),
             value: answer.value,
+            asked_at,
         })
     }
 
@@ -135,15 +159,14 @@
     /// A watch that goes on from a version.
     async fn watch<T>(
         &self,
-        call: &'static str,
         after: StoreVersion,
-        answer: impl Future<Output = Result<AsOf<T>, StoreError>>,
+        answer: impl Future<Output = Result<Versioned<T>, StoreError>>,
     ) -> Result<Versioned<T>, StoreError> {
         if after.era != self.era() {
             return Err(StoreError::Forgotten);
         }
         let read = tokio::select! {
-            read = self.read(call, answer) => read?,
+            read = answer => read?,
             () = self.era_over(after.era) => return Err(StoreError::Forgotten),
         };
         // One that went back without a word has other changes below.
@@ -153,6 +176,44 @@
         Ok(read)
     }
 
+    /// The answer of a watch that should end within a time, or of a call that is sent
+    /// beside it once it is overdue: its connection may have died without a word.
+    async fn first_answer<T>(
+        &self,
+        wait: Duration,
+        watch: impl Future<Output = Result<Versioned<T>, StoreError>>,
+        beside: impl Future<Output = Result<Versioned<T>, StoreError>>,
+    ) -> Result<Versioned<T>, StoreError> {
+        let sent_at = clock::now();
+        let overdue_after = self.contact().overdue_after(self.budget.overdue());
+        tokio::pin!(watch, beside);
+        let in_time = clock::timeout_at(sent_at + wait + overdue_after, &mut watch).await;
+        if let Some(answer) = in_time {
+            let delay = clock::since(sent_at).saturating_sub(wait);
+            lock(&self.contact).note_delay(delay);
+            return answer;
+        }
+        lock(&self.contact).watch_overdue();
+        if let Some(log) = self.events.line(Weight::Notable) {
+            warn!(log, "store: a watch is overdue"; "event" => "store_watch_overdue",
+                "waited_ms" => millis(clock::since(sent_at)),
+                "wait_ms" => millis(wait));
+        }
+        let (answer, is_watch) = tokio::select! {
+            answer = &mut watch => (answer, true),
+            answer = &mut beside => (answer, false),
+        };
+        if is_watch {
+            let delay = clock::since(sent_at).saturating_sub(wait);
+            lock(&self.contact).note_delay(delay);
+        }
+        match answer {
+            Ok(answer) => Ok(answer),
+            Err(_) if is_watch => beside.await,
+            Err(_) => watch.await,
+        }
+    }
+
     /// A write that is to replace a version.
     async fn write(
         &self,
@@ -179,7 +240,9 @@
     }
 
     pub(crate) async fn config(&self) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
-        self.read("config", self.inner.config()).await
+        let read = self.read("config", self.inner.config()).await?;
+        lock(&self.contact).read_config(read.asked_at);
+        Ok(read)
     }
 
     pub(crate) async fn watch_config(
@@ -187,12 +250,19 @@
         after: StoreVersion,
         wait: Duration,
     ) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
-        let answer = self.inner.watch_config(after.revision, wait);
-        self.watch("watch_config", after, answer).await
+        let inner = &self.inner;
+        let watch = self.read("watch_config", inner.watch_config(after.revision, wait));
+        let beside = self.read("config_since", inner.config_since(after.revision));
+        let answer = self.first_answer(wait, watch, beside);
+        let read = self.watch(after, answer).await?;
+        lock(&self.contact).read_config(read.asked_at);
+        Ok(read)
     }
 
     pub(crate) async fn servers(&self) -> Result<Versioned<Vec<BackendServer>>, StoreError> {
-        self.read("servers", self.inner.servers()).await
+        let read = self.read("servers", self.inner.servers()).await?;
+        lock(&self.contact).read_servers(read.asked_at);
+        Ok(read)
     }
 
     pub(crate) async fn watch_servers(
@@ -200,8 +270,13 @@
         after: StoreVersion,
         wait: Duration,
     ) -> Result<Versioned<Vec<DirectoryChange>>, StoreError> {
-        let answer = self.inner.watch_servers(after.revision, wait);
-        self.watch("watch_servers", after, answer).await
+        let inner = &self.inner;
+        let watch = self.read("watch_servers", inner.watch_servers(after.revision, wait));
+        let beside = self.read("servers_since", inner.servers_since(after.revision));
+        let answer = self.first_answer(wait, watch, beside);
+        let read = self.watch(after, answer).await?;
+        lock(&self.contact).read_servers(read.asked_at);
+        Ok(read)
     }
 
     pub(crate) async fn quarantine(&self) -> Result<Versioned<Option<Object>>, StoreError> {
@@ -214,7 +289,8 @@
         wait: Duration,
     ) -> Result<Versioned<Option<Object>>, StoreError> {
         let answer = self.inner.watch_quarantine(after.revision, wait);
-        self.watch("watch_quarantine", after, answer).await
+        self.watch(after, self.read("watch_quarantine", answer))
+            .await
     }
 
     pub(crate) async fn write_quarantine(
--- a/crates/rookferry_relay/tests/settings.rs
+++ b/crates/rookferry_relay/tests/settings.rs
@@ -11,7 +11,7 @@
         "listen": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
             "metrics": "127.0.0.1:3", "peers": "127.0.0.1:4"},
         "store": "127.0.0.1:5", "seeds": ["127.0.0.1:6"],
-        "bounds": {"revoke_ms": 5000, "grace_s": 8.0, "retry_ratio": 0.2, "retry_slack": 200,
+        "bounds": {"revoke_ms": 5000, "drain_ms": 2000, "grace_s": 8.0, "retry_ratio": 0.2, "retry_slack": 200,
             "retry_window_s": 10, "heartbeat_ms": 1200, "lapse_grace_ms": 2000},
     })
 }
@@ -27,6 +27,7 @@
 #[case::no_name("/instance", json!(""), "instance")]
 #[case::no_domain("/domain", json!(""), "domain")]
 #[case::no_bound("/bounds/revoke_ms", json!(0), "bounds.revoke_ms")]
+#[case::no_drain("/bounds/drain_ms", json!(0), "bounds.drain_ms")]
 #[case::no_grace("/bounds/grace_s", json!(0.0), "bounds.grace_s")]
 #[case::no_window("/bounds/retry_window_s", json!(-1.0), "bounds.retry_window_s")]
 #[case::below_zero("/bounds/retry_ratio", json!(-0.1), "bounds.retry_ratio")]
