feat(relay): that a server leaves is told between instances as a fact of its start

Until now the news came as a whole list from one reader of the store, and any list with a higher version could take it back: an older one that looks newer, an entry written late. What a server's own answers said was told to nobody. Now each instance keeps who leaves by start (DepartedServers) and tells it in heartbeats for ten seconds, also to other domains, with its age; no list has to be fetched first and the fastest of several ways counts. That an entry went is told with the version of the list that lacks it, and holds until a list of that version is in force. It is looked at for every server that a request passes, also behind the first of a path, right before the first byte leaves.

--- a/crates/rookferry_core/src/peers/fanout.rs
+++ b/crates/rookferry_core/src/peers/fanout.rs
@@ -97,7 +97,7 @@
         let speaks = round.may_speak && !round.is_joining && table.is_first(now);
         if speaks && round.number.is_multiple_of(SPEAKER_ROUNDS) {
             targets.far_with_loads = self.next_far(&far);
-        } else if round.is_joining {
+        } else if round.is_joining || (speaks && round.has_news) {
             targets.far = far.sample(rng, FAR_MEMBERS).copied().collect();
         } else if !speaks && round.number.is_multiple_of(FAR_ROUNDS) {
             let most = if is_mesh {
--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -11,6 +11,7 @@
 use super::LoadEntry;
 use crate::limits::LimitSeen;
 use crate::serving::ClosedSeen;
+use crate::serving::DepartureSeen;
 use crate::serving::ListVersion;
 use crate::serving::ServerKey;
 use crate::serving::SuspectSeen;
@@ -51,6 +52,8 @@
     pub suspects: Vec<SuspectSeen>,
     /// The last words on servers that named a limit.
     pub limits: Vec<LimitSeen>,
+    /// Servers that leave, as known to the sender.
+    pub departed: Vec<DepartureSeen>,
     /// Some of the members that the sender knows.
     pub members: Vec<MembersOf>,
     /// How many instances the sender knows, itself included.
--- a/crates/rookferry_core/src/serving/backoffs.rs
+++ b/crates/rookferry_core/src/serving/backoffs.rs
@@ -1,4 +1,10 @@
 //! Backoffs that backend servers asked for, by whatever tells the servers apart.
+//!
+//! Load pattern: a server that is short of room refuses with a time, and each
+//! request that comes in it costs the server work and the caller a retry. Where
+//! the others of its service fail requests too, it looks the best of them again
+//! before the time is over. A time is between a server and whoever it told, so it
+//! isn't passed on: others may go on sending.
 
 use std::collections::HashMap;
 use std::hash::Hash;
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`ServingConfig`] is what the operator wants: routes, services and client
 //! accounts. [`Directory`] is what is known of the backend servers, and
-//! [`ServerKey`] one start of one of them.
+//! [`ServerKey`] one start of one of them; [`DepartedServers`] which of them leave.
 //! [`StoreVersion`] orders what the store shows over its restores, [`EraTracker`]
 //! notices them, [`StoreContact`] says as of when the store is known, and
 //! [`NewsBudget`] how long its news may take.
@@ -10,8 +10,8 @@
 //! [`RetryWindow`] what may be sent twice, and [`ServerHealth`] whom to avoid.
 //! [`RoomQueue`] says who waits for room and how long, [`Overload`] when those
 //! that are turned away come back, [`LinkPace`] who may cross between domains,
-//! [`ClosedServers`] who takes no new work, [`ServerNotices`] which servers said
-//! that they want none. [`RequestSignature`] tells which requests are the same
+//! [`ClosedServers`] who takes no new work, [`Backoffs`] which servers asked for
+//! none for a time. [`RequestSignature`] tells which requests are the same
 //! one again, [`Quarantine`] which of them are kept from servers;
 //! [`BrokenRuns`] waits for what it counts. [`pause_in_line`] spares a store that
 //! doesn't answer.
@@ -22,6 +22,7 @@
 mod broken_runs;
 mod closed;
 mod config;
+mod departed;
 mod directory;
 mod era_tracker;
 mod finished_requests;
@@ -29,7 +30,6 @@
 mod link_pace;
 mod list_version;
 mod news_budget;
-mod notices;
 mod overload;
 mod quarantine;
 mod quarantine_object;
@@ -59,6 +59,9 @@
 pub use config::ServingIndex;
 pub use config::ServingRoute;
 pub use config::ServingService;
+pub use departed::DepartedServers;
+pub use departed::Departure;
+pub use departed::DepartureSeen;
 pub use directory::Directory;
 pub use directory::DirectoryChange;
 pub use directory::Expired;
@@ -70,7 +73,6 @@
 pub use list_version::ListVersion;
 pub use news_budget::NewsBudget;
 pub use news_budget::NewsWay;
-pub use notices::ServerNotices;
 pub use overload::Overload;
 pub use overload::Overloaded;
 pub use quarantine::EndSeen;
--- /dev/null
+++ b/crates/rookferry_core/tests/departed.rs
@@ -0,0 +1,98 @@
+//! That a server leaves is known by itself, whichever list is in force.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_core::DepartedServers;
+use rookferry_core::Departure;
+use rookferry_core::ListVersion;
+use rookferry_core::ServerKey;
+use rookferry_core::StoreVersion;
+
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_mins(1);
+
+fn start(born: u64) -> ServerKey {
+    let addr = SocketAddr::from(([10, 0, 0, 1], 8_000));
+    ServerKey::new(addr, "server", Some(born))
+}
+
+fn version(era: u64, revision: u64) -> ListVersion {
+    ListVersion::of(StoreVersion::new(era, revision))
+}
+
+#[test]
+fn what_one_start_said_says_nothing_of_another() {
+    let mut departed = DepartedServers::new();
+    let now = Instant::now();
+    assert!(departed.note(start(1), Departure::Leaving, now));
+    assert!(!departed.note(start(1), Departure::Leaving, now));
+    assert!(!departed.contains(start(2)));
+    assert!(departed.contains(start(1)));
+}
+
+#[test]
+fn that_a_server_leaves_outlasts_its_entry_for_a_time() {
+    let mut departed = DepartedServers::new();
+    let now = Instant::now();
+    departed.note(start(1), Departure::Leaving, now);
+    departed.listed(version(1, 1), now + 9 * MINUTE, |_| false);
+    assert!(departed.contains(start(1)));
+    departed.listed(version(1, 2), now + 20 * MINUTE, |_| true);
+    assert!(departed.contains(start(1)));
+    departed.listed(version(1, 3), now + 20 * MINUTE, |_| false);
+    assert!(departed.is_empty());
+}
+
+#[test]
+fn no_list_takes_it_back_that_a_server_leaves() {
+    let mut departed = DepartedServers::new();
+    let now = Instant::now();
+    departed.note(start(1), Departure::Leaving, now);
+    for listed in [version(1, 9), version(2, 1), version(1, 1)] {
+        departed.listed(listed, now, |_| true);
+        assert!(departed.contains(start(1)));
+    }
+}
+
+#[test]
+fn a_list_from_after_an_entry_went_goes_before_the_word_of_it() {
+    let mut departed = DepartedServers::new();
+    let now = Instant::now();
+    departed.listed(version(1, 5), now, |_| true);
+    assert!(departed.note(start(1), Departure::Gone(version(1, 7)), now));
+    assert!(departed.contains(start(1)));
+    departed.listed(version(1, 6), now, |_| true);
+    assert!(departed.contains(start(1)), "the list is from before");
+    departed.listed(version(1, 7), now, |_| true);
+    assert!(!departed.contains(start(1)), "it is there again");
+    // Late word of it is no news.
+    assert!(!departed.note(start(1), Departure::Gone(version(1, 7)), now));
+    // Nor is word from before a restore.
+    departed.listed(version(2, 1), now, |_| true);
+    assert!(!departed.note(start(2), Departure::Gone(version(1, 90)), now));
+    assert!(!departed.contains(start(2)));
+}
+
+#[test]
+fn others_are_told_with_an_age_for_a_time_and_the_latest_first() {
+    let mut departed = DepartedServers::new();
+    let now = Instant::now();
+    for born in 0..40 {
+        let since = now + Duration::from_millis(born);
+        departed.note(start(born), Departure::Leaving, since);
+    }
+    let told = departed.told(24, now + SECOND);
+    assert_eq!(told.len(), 24);
+    assert_eq!((told[0].server, told[0].age_ms), (start(39), 961));
+    let mut other = DepartedServers::new();
+    for seen in told {
+        assert!(other.hear(seen, now + SECOND));
+        assert!(!other.hear(seen, now + SECOND));
+    }
+    // The age goes on from the first who knew, so that it is told on no longer.
+    let again = other.told(1, now + 2 * SECOND);
+    assert!(again[0].age_ms >= 1_900, "{}", again[0].age_ms);
+    assert!(other.told(24, now + MINUTE).is_empty());
+}
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -393,6 +393,7 @@
         closed: Vec::new(),
         suspects: Vec::new(),
         limits: Vec::new(),
+        departed: Vec::new(),
         members: Vec::new(),
         instances: 2,
         is_joining: false,
--- a/crates/rookferry_relay/src/beliefs.rs
+++ b/crates/rookferry_relay/src/beliefs.rs
@@ -16,13 +16,16 @@
 use arc_swap::ArcSwap;
 use arc_swap::Guard;
 use rookferry_core::BackendServer;
+use rookferry_core::Backoffs;
 use rookferry_core::ClosedServers;
+use rookferry_core::DepartedServers;
+use rookferry_core::Departure;
+use rookferry_core::DepartureSeen;
 use rookferry_core::DoubtedServers;
 use rookferry_core::ServerHealth;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLimits;
 use rookferry_core::ServerLoad;
-use rookferry_core::ServerNotices;
 use rookferry_net::clock;
 
 use crate::broken_runs::BrokenRunTable;
@@ -40,8 +43,10 @@
     closed: Mutex<ClosedServers>,
     /// Those that others of the failure domain have trouble with.
     doubted: ArcSwap<DoubtedServers>,
-    /// What they said of themselves to this instance.
-    notices: ArcSwap<ServerNotices>,
+    /// The backoffs that they asked this instance for.
+    backoffs: ArcSwap<Backoffs<ServerKey>>,
+    /// Those that leave.
+    departed: ArcSwap<DepartedServers>,
     /// The requests a second that they take of all instances together.
     limits: ArcSwap<ServerLimits>,
     /// When each last gave a sign, and what it reported.
@@ -61,7 +66,8 @@
             health: Mutex::new(ServerHealth::new()),
             closed: Mutex::new(ClosedServers::new(chance)),
             doubted: ArcSwap::default(),
-            notices: ArcSwap::default(),
+            backoffs: ArcSwap::default(),
+            departed: ArcSwap::default(),
             limits: ArcSwap::default(),
             signs: Signs::new(),
             broken_runs: BrokenRunTable::default(),
@@ -82,31 +88,48 @@
         self.doubted.load_full()
     }
 
-    /// What servers said of themselves.
-    pub(crate) fn notices(&self) -> Guard<Arc<ServerNotices>> {
-        self.notices.load()
+    /// The backoffs that servers asked for.
+    pub(crate) fn backoffs(&self) -> Guard<Arc<Backoffs<ServerKey>>> {
+        self.backoffs.load()
+    }
+
+    /// The servers that leave.
+    pub(crate) fn departed(&self) -> Guard<Arc<DepartedServers>> {
+        self.departed.load()
     }
 
     /// A server asked for a backoff; tells how long it is.
     pub(crate) fn back_off(&self, server: ServerKey, asked: Duration) -> Duration {
-        self.update_notices(|notices| notices.back_off(server, asked, clock::now()))
+        update(&self.backoffs, |backoffs| {
+            backoffs.back_off(server, asked, clock::now())
+        })
     }
 
     /// How much longer to back off from a server, if at all.
     pub(crate) fn backoff_left(&self, server: ServerKey) -> Option<Duration> {
-        self.notices.load().backoff_left(server, clock::now())
+        self.backoffs.load().left(server, clock::now())
     }
 
     /// A server said that it leaves. Tells whether that is news.
     pub(crate) fn note_leaving(&self, server: ServerKey) -> bool {
         // Each of its answers says so.
-        !self.notices.load().is_leaving(server)
-            && self.update_notices(|notices| notices.note_leaving(server, clock::now()))
+        !self.departed.load().contains(server)
+            && update(&self.departed, |departed| {
+                departed.note(server, Departure::Leaving, clock::now())
+            })
+    }
+
+    /// Takes another instance's word on a server that leaves in. Tells whether that is
+    /// news.
+    pub(crate) fn hear_departure(&self, seen: DepartureSeen) -> bool {
+        // Each heartbeat tells the same again.
+        !self.departed.load().knows(&seen)
+            && update(&self.departed, |departed| departed.hear(seen, clock::now()))
     }
 
-    /// Whether a server leaves, by its entry or its own answers.
+    /// Whether a server leaves, by its entry, its own answers or others' word.
     pub(crate) fn is_leaving(&self, server: &BackendServer) -> bool {
-        server.is_leaving || self.notices.load().is_leaving(server.key)
+        server.is_leaving || self.departed.load().contains(server.key)
     }
 
     /// The limits that servers named.
@@ -116,23 +139,7 @@
 
     /// Takes a word on a server's limit in.
     pub(crate) fn update_limits<T: Default>(&self, take: impl Fn(&mut ServerLimits) -> T) -> T {
-        let mut outcome = T::default();
-        self.limits.rcu(|limits| {
-            let mut limits = ServerLimits::clone(limits);
-            outcome = take(&mut limits);
-            limits
-        });
-        outcome
-    }
-
-    fn update_notices<T: Default>(&self, change: impl Fn(&mut ServerNotices) -> T) -> T {
-        let mut outcome = T::default();
-        self.notices.rcu(|notices| {
-            let mut notices = ServerNotices::clone(notices);
-            outcome = change(&mut notices);
-            notices
-        });
-        outcome
+        update(&self.limits, take)
     }
 
     /// What other instances have under way at a server.
@@ -162,11 +169,47 @@
         drop(closed);
         self.health().retain(is_known);
         self.signs.retain(is_known);
-        if !self.notices.load().is_empty() {
-            self.update_notices(|notices| notices.retain(clock::now(), is_known));
+        if !self.backoffs.load().is_empty() {
+            update(&self.backoffs, |backoffs| backoffs.expire(clock::now()));
         }
+        update(&self.departed, |departed| {
+            note_departures(departed, before, servers);
+        });
         if !self.limits.load().is_unknown() {
             self.update_limits(|limits| limits.retain(clock::now(), is_known));
         }
     }
 }
+
+/// What a new list says of servers that leave.
+fn note_departures(
+    departed: &mut DepartedServers,
+    before: Option<&ServerTable>,
+    servers: &ServerTable,
+) {
+    let now = clock::now();
+    let version = servers.version();
+    departed.listed(version, now, |server| servers.get(server).is_some());
+    for server in servers.all().iter().filter(|server| server.is_leaving) {
+        departed.note(server.key, Departure::Leaving, now);
+    }
+    // The list is as it was where a newer configuration has no use for some.
+    let before = before.filter(|before| before.version() < version);
+    let before = before.map_or(&[][..], |before| before.all());
+    for server in before {
+        if !servers.lists(server.key) {
+            departed.note(server.key, Departure::Gone(version), now);
+        }
+    }
+}
+
+/// Changes a copy and puts it in the place of the value; the change may run again.
+fn update<V: Clone, T: Default>(value: &ArcSwap<V>, change: impl Fn(&mut V) -> T) -> T {
+    let mut outcome = T::default();
+    value.rcu(|value| {
+        let mut value = V::clone(value);
+        outcome = change(&mut value);
+        value
+    });
+    outcome
+}
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -10,6 +10,8 @@
 
 use arc_swap::Guard;
 use rookferry_core::BackendServer;
+use rookferry_core::Backoffs;
+use rookferry_core::DepartedServers;
 use rookferry_core::DoubtedServers;
 use rookferry_core::DoubtedUse;
 use rookferry_core::ModelShape;
@@ -20,7 +22,6 @@
 use rookferry_core::ServerHealth;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLoad;
-use rookferry_core::ServerNotices;
 use rookferry_core::ServingService;
 use rookferry_core::Urgency;
 use rookferry_net::clock;
@@ -152,11 +153,11 @@
         urgency: Urgency,
         now: Instant,
     ) -> WaitEnds {
-        let notices = self.beliefs.notices();
+        let backoffs = self.beliefs.backoffs();
         let book = self.permits.book();
         let mut wait = WaitEnds::default();
         for server in table.of(&service.name) {
-            wait.ends.extend(notices.backoff_until(server.key, now));
+            wait.ends.extend(backoffs.until(server.key, now));
             let Some(until) = book.refused_until(server.key, urgency, now) else {
                 continue;
             };
@@ -172,7 +173,8 @@
     pub(crate) fn server_filter(&self, urgency: Urgency) -> ServerFilter<'_> {
         ServerFilter {
             health: self.beliefs.health(),
-            notices: self.beliefs.notices(),
+            backoffs: self.beliefs.backoffs(),
+            departed: self.beliefs.departed(),
             book: self.permits.book(),
             urgency,
         }
@@ -297,7 +299,8 @@
 /// there, by their own word, and by the permits that were refused.
 pub(crate) struct ServerFilter<'a> {
     pub(crate) health: MutexGuard<'a, ServerHealth>,
-    notices: Guard<Arc<ServerNotices>>,
+    backoffs: Guard<Arc<Backoffs<ServerKey>>>,
+    departed: Guard<Arc<DepartedServers>>,
     book: MutexGuard<'a, PermitBook>,
     urgency: Urgency,
 }
@@ -308,7 +311,8 @@
         let refused = self.book.refused_until(server.key, self.urgency, at);
         !server.is_leaving
             && !self.health.is_out(server.key)
-            && self.notices.allow(server.key, at)
+            && !self.departed.contains(server.key)
+            && self.backoffs.until(server.key, at).is_none()
             && refused.is_none()
     }
 }
--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -225,9 +225,10 @@
         }
         if let Some(log) = self.events.line(Weight::Notable) {
             info!(log, "health: a server says that it leaves"; "event" => "server_leaving",
-                "server" => %server.addr);
+                "server" => %server.addr, "source" => "own");
         }
         self.note_fleet_change();
+        self.versions.send_modify(|changes| *changes += 1);
     }
 
     fn note_unreadable(&self, server: ServerKey, error: &dyn std::error::Error) {
--- a/crates/rookferry_relay/src/opener/mod.rs
+++ b/crates/rookferry_relay/src/opener/mod.rs
@@ -316,13 +316,15 @@
             return Opened::Failed(UpstreamError::Withdrawn);
         };
         let upstream = relay.upstream(first.server, &self.target.service);
+        let stages = keeper.path().stages().iter();
+        let servers: Vec<ServerKey> = stages.map(|stage| stage.server).collect();
         let has_run = self.runs > 0;
         let may_repeat = request.route.repeatability.may_repeat();
         let may_send = || {
             if has_run {
-                may_send_again(relay, request, &server)
+                may_send_again(relay, request, &servers)
             } else {
-                may_send(relay, request, &server)
+                may_send(relay, request, &servers)
             }
         };
         let purpose = Purpose::CallerRequest(permits);
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -39,6 +39,8 @@
 /// Most words on servers' limits in one heartbeat, at up to 25 bytes; the newest go
 /// first.
 const MAX_LIMITS: usize = 32;
+/// Most servers told in one heartbeat that leave, at up to 40 bytes; the latest go first.
+const MAX_DEPARTED: usize = 24;
 /// Members in one heartbeat, at 9 bytes; all are told in turn, 300 within
 /// 1.4 s.
 pub(super) const MEMBERS_TOLD: usize = 32;
@@ -117,6 +119,7 @@
             closed,
             suspects: self.relay.quarantine.next_told(MAX_SUSPECTS, now),
             limits: self.relay.beliefs.limits().told(MAX_LIMITS, now),
+            departed: self.relay.beliefs.departed().told(MAX_DEPARTED, now),
             members,
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
             is_joining,
--- a/crates/rookferry_relay/src/peers/intake.rs
+++ b/crates/rookferry_relay/src/peers/intake.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use metrics::histogram;
 use rookferry_core::ClosedSeen;
+use rookferry_core::Departure;
 use rookferry_core::Heartbeat;
 use rookferry_core::LoadEntry;
 use rookferry_core::ServerKey;
@@ -53,6 +55,7 @@
         }
         self.take_closed(beat, now);
         self.take_limits(beat, now);
+        self.take_departed(beat);
         self.relay
             .learn_suspects(&beat.suspects, &beat.instance, now);
         if !newly_out.is_empty() {
@@ -133,6 +136,27 @@
         }
     }
 
+    /// Takes in which servers leave.
+    fn take_departed(&self, beat: &Heartbeat) {
+        let mut has_news = false;
+        for seen in &beat.departed {
+            if !self.relay.beliefs.hear_departure(*seen) {
+                continue;
+            }
+            has_news = true;
+            let age = Duration::from_millis(seen.age_ms);
+            histogram!("rookferry_departure_news_seconds").record(age.as_secs_f64());
+            if let Some(log) = self.relay.events.line(Weight::Notable) {
+                info!(log, "peers: a server leaves"; "event" => "server_leaving",
+                    "server" => %seen.server.addr, "source" => &*beat.instance,
+                    "age_ms" => seen.age_ms, "says_so" => seen.departure == Departure::Leaving);
+            }
+        }
+        if has_news {
+            self.relay.note_fleet_change();
+        }
+    }
+
     /// Takes in which servers refused work that they had room for.
     fn take_closed(&self, beat: &Heartbeat, now: Instant) {
         let news: Vec<&ClosedSeen> = {
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -217,7 +217,7 @@
         .enter(vec![(server.key, request.tokens())]);
     let outbound = request.to_server(names, &server.id, None);
     let upstream = relay.upstream(server.key, service);
-    let may_send = || may_send(relay, request, server);
+    let may_send = || may_send(relay, request, &[server.key]);
     let exchange = async {
         let purpose = Purpose::CallerRequest(permits);
         let answer = relay.send(upstream, outbound, purpose, may_send).await?;
@@ -247,15 +247,16 @@
     }
 }
 
-/// Whether what was decided still holds, right before the first byte leaves.
-pub(crate) fn may_send(relay: &Relay, request: &CallerRequest, server: &BackendServer) -> bool {
+/// Whether what was decided still holds, right before the first byte leaves for one of
+/// the servers.
+pub(crate) fn may_send(relay: &Relay, request: &CallerRequest, servers: &[ServerKey]) -> bool {
     let view = relay.view.load();
     let Some(index) = &view.index else {
         return false;
     };
     relay.is_config_fresh()
         && request.is_allowed_by(index)
-        && stays(relay, &view, server)
+        && stay(relay, &view, servers)
         && !relay.is_held(request)
 }
 
@@ -264,14 +265,17 @@
 pub(crate) fn may_send_again(
     relay: &Relay,
     request: &CallerRequest,
-    server: &BackendServer,
+    servers: &[ServerKey],
 ) -> bool {
-    stays(relay, &relay.view.load(), server) && !relay.is_held(request)
+    stay(relay, &relay.view.load(), servers) && !relay.is_held(request)
 }
 
-fn stays(relay: &Relay, view: &SiteView, server: &BackendServer) -> bool {
-    let known = view.server(server.key);
-    known.is_some_and(|known| !relay.beliefs.is_leaving(known))
+/// Whether none of the servers that a request passes leaves.
+fn stay(relay: &Relay, view: &SiteView, servers: &[ServerKey]) -> bool {
+    servers.iter().all(|server| {
+        let known = view.server(*server);
+        known.is_some_and(|known| !relay.beliefs.is_leaving(known))
+    })
 }
 
 fn answered(
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -67,7 +67,8 @@
     pub(crate) events: Arc<EventLog>,
     /// Raised whenever paths may have to be looked at again.
     pub(crate) fleet_changes: watch::Sender<u64>,
-    /// Raised whenever there is a newer configuration or list of servers.
+    /// Raised whenever others are to be told of something at once: a newer configuration
+    /// or list of servers, or a server that leaves.
     pub(crate) versions: watch::Sender<u64>,
     /// Instances that share the site's budgets, this one included.
     pub(crate) instances: AtomicUsize,
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Whether a start of a server is in the list, of use here or not.
+    pub(crate) fn lists(&self, server: ServerKey) -> bool {
+        let mut unusable = self.unusable.iter();
+        self.get(server).is_some() || unusable.any(|entry| entry.key == server)
+    }
+
     /// A server, if that start of it is in use.
     pub(crate) fn get(&self, server: ServerKey) -> Option<&BackendServer> {
         self.at(server.addr).filter(|entry| entry.key == server)
