--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -13,6 +13,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rookferry_core::DepartedServers;
 use rookferry_core::DoubtedUse;
 use rookferry_core::Fanout;
 use rookferry_core::Heartbeat;
@@ -22,9 +23,14 @@
 use rookferry_core::Round;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLimits;
+use rookferry_core::StoreContact;
 
 pub const ROUND_MS: u64 = 150;
 pub const DELAY_MS: u64 = 1;
+/// Pause before a round that news bring forward.
+pub const NEWS_PAUSE_MS: u64 = 30;
+/// How late a slow instance takes in what reaches it.
+pub const SLOW_MS: u64 = 200;
 /// The share of datagrams that are lost.
 pub const LOSS: f64 = 0.01;
 pub const SEEDS: usize = 3;
@@ -48,6 +54,10 @@
     pub sent: u64,
     /// The limits of servers, as it knows them.
     pub limits: ServerLimits,
+    /// Servers that leave, as it knows them.
+    pub departed: DepartedServers,
+    /// As of when it knows what the store has.
+    pub contact: StoreContact,
 }
 
 impl Instance {
@@ -76,6 +86,8 @@
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     Tick(usize),
+    /// A round that news bring forward.
+    News(usize),
     Arrival(usize, usize, u64),
 }
 
@@ -93,6 +105,10 @@
     pub apart: BTreeSet<usize>,
     /// Servers that answer nobody.
     pub dead: Vec<ServerKey>,
+    /// Instances that take in late what reaches them.
+    pub slow: BTreeSet<usize>,
+    /// The share of datagrams that are lost.
+    pub loss: f64,
     pub rng: StdRng,
 }
 
@@ -126,6 +142,8 @@
             cut: None,
             apart: BTreeSet::new(),
             dead: Vec::new(),
+            slow: BTreeSet::new(),
+            loss: LOSS,
             rng: StdRng::seed_from_u64(seed),
         };
         for place in 0..domains * per_domain {
@@ -147,6 +165,8 @@
                 asked: 0,
                 sent: 0,
                 limits: ServerLimits::new(),
+                departed: DepartedServers::new(),
+                contact: StoreContact::new(),
             });
             let at_ms = site.rng.random_range(0..300);
             site.start_at(place, at_ms);
@@ -163,6 +183,8 @@
         instance.table = PeerTable::new(instance.addr, domain_name(instance.domain).into());
         instance.fanout = Fanout::new();
         instance.limits = ServerLimits::new();
+        instance.departed = DepartedServers::new();
+        instance.contact = StoreContact::new();
         instance.is_up = true;
     }
 
@@ -182,13 +204,32 @@
             self.now_ms = at_ms;
             match due {
                 Due::Tick(place) => self.tick(place),
+                Due::News(place) => self.send_round(place, true),
                 Due::Arrival(from, to, message) => self.arrive(from, to, message),
             }
         }
         self.now_ms = until_ms;
     }
 
+    /// Has an instance tell others of something soon.
+    pub fn tell_soon(&mut self, place: usize) {
+        let due = Due::News(place);
+        self.due
+            .push(std::cmp::Reverse((self.now_ms + NEWS_PAUSE_MS, due)));
+    }
+
     pub fn tick(&mut self, place: usize) {
+        if !self.instances[place].is_up {
+            return;
+        }
+        self.send_round(place, false);
+        self.due.push(std::cmp::Reverse((
+            self.now_ms + ROUND_MS,
+            Due::Tick(place),
+        )));
+    }
+
+    fn send_round(&mut self, place: usize, has_news: bool) {
         let now = self.now();
         let seeds: Vec<_> = (0..SEEDS).map(|seed| self.instances[seed].addr).collect();
         let instance = &mut self.instances[place];
@@ -202,7 +243,7 @@
         instance.round += 1;
         let round = Round {
             number: instance.round,
-            has_news: false,
+            has_news,
             may_speak: self.now_ms >= instance.started_ms + 400,
             is_joining: instance.is_joining(now),
         };
@@ -255,10 +296,6 @@
         for (to, beat) in outgoing {
             self.send(place, to, beat);
         }
-        self.due.push(std::cmp::Reverse((
-            self.now_ms + ROUND_MS,
-            Due::Tick(place),
-        )));
     }
 
     pub fn send(&mut self, from: usize, to: SocketAddr, beat: Heartbeat) {
@@ -267,12 +304,13 @@
         let Some(to) = self.places.get(&to).copied() else {
             return;
         };
-        if self.rng.random_bool(LOSS) {
+        if self.rng.random_bool(self.loss) {
             return;
         }
         let message = self.sent;
         self.messages.insert(message, beat);
-        let at_ms = self.now_ms + DELAY_MS;
+        let late_ms = if self.slow.contains(&to) { SLOW_MS } else { 0 };
+        let at_ms = self.now_ms + DELAY_MS + late_ms;
         self.due
             .push(std::cmp::Reverse((at_ms, Due::Arrival(from, to, message))));
     }
@@ -292,6 +330,15 @@
         for seen in &beat.limits {
             receiver.limits.hear(*seen, now);
         }
+        for seen in &beat.departed {
+            receiver.departed.hear(*seen, now);
+        }
+        if from_domain == receiver.domain
+            && let Some(age_ms) = beat.store_age_ms
+            && let Some(at) = now.checked_sub(Duration::from_millis(age_ms + DELAY_MS))
+        {
+            receiver.contact.hear(at);
+        }
         receiver.table.heard(from_addr, &beat, now);
         for server in receiver.table.newly_out(from_addr, &beat.out, now) {
             receiver.look_into(server, &self.dead, now);
@@ -412,6 +459,8 @@
         loads: vec![entry(instance.domain, instance.requests)],
         out: instance.out.clone(),
         limits: instance.limits.told(32, now),
+        departed: instance.departed.told(24, now),
+        store_age_ms: told_ms(&instance.contact, now),
         members: table.members(members_from, members, now),
         instances: u32::try_from(table.instances()).unwrap(),
         is_joining: instance.is_joining(now),
@@ -419,6 +468,12 @@
     }
 }
 
+/// The age of what is known of the store, as others are told.
+fn told_ms(contact: &StoreContact, now: Instant) -> Option<u64> {
+    let age = contact.told_age(now)?;
+    u64::try_from(age.as_millis()).ok()
+}
+
 pub fn entry(domain: usize, requests: u32) -> LoadEntry {
     LoadEntry {
         server: engine_key(domain),
