fix(relay): an instance that becomes the reader of the store reads it at once

Found by looking for the same class elsewhere (beliefs without an age, deaf waits). That the store is away was believed from a failed call until the next read, however long ago that was: an instance that relied on its peers since then, and became the reader, read the servers only after a whole watch of the configuration. And a pause after a failed call was fixed by the place in line at that moment, up to 3 s, also once the instance had become the first. Now the flag ends when the store is left to peers, and the pause goes by the place as it is.

--- a/crates/rookferry_relay/src/sync/config.rs
+++ b/crates/rookferry_relay/src/sync/config.rs
@@ -31,6 +31,8 @@
     let mut outage = Outage::none("store: configuration");
     loop {
         if relay.leaves_store() {
+            // What a call showed before says nothing by the time of the next.
+            relay.is_store_away.store(false, Ordering::Relaxed);
             tokio::time::sleep(look_pause(&relay)).await;
             continue;
         }
@@ -47,8 +49,8 @@
             Err(StoreError::Forgotten | StoreError::Outdated) => stored.after = None,
             Err(error) => {
                 relay.is_store_away.store(true, Ordering::Relaxed);
-                let pause = outage.failed(&relay, &error);
-                tokio::time::sleep(pause).await;
+                outage.failed(&relay, &error);
+                outage.failures().wait_in_line(&relay).await;
             }
         }
     }
--- a/crates/rookferry_relay/src/sync/outage.rs
+++ b/crates/rookferry_relay/src/sync/outage.rs
@@ -1,7 +1,6 @@
 //! Calls to the store that fail.
 
 use std::fmt::Display;
-use std::time::Duration;
 use std::time::Instant;
 
 use rookferry_core::pause_in_line;
@@ -10,26 +9,59 @@
 use crate::relay::Relay;
 use crate::store::StoreError;
 
-/// Calls that fail, and how long to wait before the next.
+/// Calls that fail.
 pub(super) struct Outage {
     name: &'static str,
     since: Option<Instant>,
-    /// Failed calls in a row.
-    failures: u32,
+    failed: Failures,
+}
+
+/// Failed calls in a row.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Failures {
+    count: u32,
+    last_at: Instant,
+}
+
+impl Failures {
+    /// Waits until it is this instance's turn in line to try again. The line may have
+    /// become shorter meanwhile.
+    pub(super) async fn wait_in_line(self, relay: &Relay) {
+        if self.count == 0 {
+            return;
+        }
+        loop {
+            let pause = pause_in_line(self.count, relay.rank(clock::now()));
+            let left = pause.saturating_sub(clock::since(self.last_at));
+            if left.is_zero() {
+                return;
+            }
+            let look = relay.settings.bounds.news_budget().look();
+            tokio::time::sleep(left.min(look)).await;
+        }
+    }
 }
 
 impl Outage {
-    pub(super) const fn none(name: &'static str) -> Self {
+    pub(super) fn none(name: &'static str) -> Self {
         Self {
             name,
             since: None,
-            failures: 0,
+            failed: Failures {
+                count: 0,
+                last_at: clock::now(),
+            },
         }
     }
 
+    /// The calls that failed in a row.
+    pub(super) const fn failures(&self) -> Failures {
+        self.failed
+    }
+
     /// A call went well; tells whether that ends an outage.
     pub(super) fn ended(&mut self, relay: &Relay) -> bool {
-        self.failures = 0;
+        self.failed.count = 0;
         let Some(since) = self.since.take() else {
             return false;
         };
@@ -52,10 +84,12 @@
         }
     }
 
-    /// A call failed; tells how long to wait before the next.
-    pub(super) fn failed(&mut self, relay: &Relay, error: &StoreError) -> Duration {
+    /// A call failed.
+    pub(super) fn failed(&mut self, relay: &Relay, error: &StoreError) {
         self.begin(relay, error);
-        self.failures = self.failures.saturating_add(1);
-        pause_in_line(self.failures, relay.rank(clock::now()))
+        self.failed = Failures {
+            count: self.failed.count.saturating_add(1),
+            last_at: clock::now(),
+        };
     }
 }
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -126,9 +126,10 @@
     /// The next call to the store.
     fn next_read(&self) -> impl Future<Output = Result<Read, StoreError>> + use<> {
         let (relay, after, read_at) = (self.relay.clone(), self.after, self.read_at);
-        let counts_as_away = self.outage.is_begun();
+        let (counts_as_away, failures) = (self.outage.is_begun(), self.outage.failures());
         async move {
             clock::sleep_until(read_at).await;
+            failures.wait_in_line(&relay).await;
             read_servers(&relay, after, counts_as_away).await
         }
     }
@@ -157,7 +158,7 @@
                 false
             }
             Err(error) => {
-                self.read_at = now + self.outage.failed(&self.relay, &error);
+                self.outage.failed(&self.relay, &error);
                 false
             }
         };
