--- a/crates/rookferry_ctl/src/trace/line.rs
+++ b/crates/rookferry_ctl/src/trace/line.rs
@@ -11,15 +11,20 @@
 /// beyond it.
 const HEAD_FIELDS: [&str; 7] = ["ts", "instance", "event", "msg", "level", "request", "part"];
 /// Events that change what an instance believes of its surroundings.
-const SURROUNDINGS: [&str; 8] = [
+const SURROUNDINGS: [&str; 13] = [
     "config_adopted",
+    "config_older",
     "dependency_lost",
     "dependency_regained",
     "lease_held",
     "lease_lost",
     "lines_dropped",
     "peer_lost",
+    "servers_adopted",
     "stopping",
+    "store_era_changed",
+    "store_forgot",
+    "store_watch_overdue",
 ];
 /// Fields that name servers.
 const SERVER_FIELDS: [&str; 4] = ["server", "addr", "path", "lost"];
--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -223,9 +223,12 @@
         if !self.beliefs.note_leaving(server) {
             return;
         }
+        let view = self.view.load();
+        let entry = view.server(server);
         if let Some(log) = self.events.line(Weight::Notable) {
             info!(log, "health: a server says that it leaves"; "event" => "server_leaving",
-                "server" => %server.addr, "source" => "own");
+                "server" => entry.map(|entry| entry.id.to_string()),
+                "addr" => %server.addr, "source" => "own");
         }
         self.note_fleet_change();
         self.versions.send_modify(|changes| *changes += 1);
--- a/crates/rookferry_relay/src/peers/intake.rs
+++ b/crates/rookferry_relay/src/peers/intake.rs
@@ -146,9 +146,12 @@
             has_news = true;
             let age = Duration::from_millis(seen.age_ms);
             histogram!("rookferry_departure_news_seconds").record(age.as_secs_f64());
+            let view = self.relay.view.load();
+            let entry = view.server(seen.server);
             if let Some(log) = self.relay.events.line(Weight::Notable) {
                 info!(log, "peers: a server leaves"; "event" => "server_leaving",
-                    "server" => %seen.server.addr, "source" => &*beat.instance,
+                    "server" => entry.map(|entry| entry.id.to_string()),
+                    "addr" => %seen.server.addr, "source" => &*beat.instance,
                     "age_ms" => seen.age_ms, "says_so" => seen.departure == Departure::Leaving);
             }
         }
