fix(relay): a list from a peer has the age that the peer knows of it

Found by reading the new code: an instance that starts takes its peers' list, and until the next heartbeat confirmed it had no age for it, so that it read the store itself. Peers give the age with the list, as they do with a configuration.

--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use super::compose::told_ms;
 use super::message::PeerAnswer;
 use super::message::PeerQuestion;
 use super::message::PeerRequest;
@@ -132,6 +133,7 @@
     PeerAnswer::Servers {
         version: table.version(),
         servers: table.listed().cloned().collect(),
+        age_ms: relay.servers_age(clock::now()).map(told_ms),
     }
 }
 
@@ -159,10 +161,24 @@
     let request = PeerRequest::Servers { newer_than };
     let is_had = || relay.servers_version() > newer_than;
     let asked = ask_round(relay, from, request, is_had).await;
-    if let Some((_, PeerAnswer::Servers { version, servers })) = asked {
-        relay
-            .peer_servers
-            .send_replace(Some(PeerList { version, servers }));
+    let Some((asked_at, answer)) = asked else {
+        return;
+    };
+    if let PeerAnswer::Servers {
+        version,
+        servers,
+        age_ms,
+    } = answer
+    {
+        // The peer has looked after it was asked, so its age counts from then.
+        let newest_at =
+            age_ms.and_then(|age_ms| asked_at.checked_sub(Duration::from_millis(age_ms)));
+        let list = PeerList {
+            version,
+            servers,
+            newest_at,
+        };
+        relay.peer_servers.send_replace(Some(list));
     }
 }
 
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -51,6 +51,8 @@
     Servers {
         version: ListVersion,
         servers: Vec<BackendServer>,
+        /// How long ago they were known to be the newest.
+        age_ms: Option<u64>,
     },
     /// Nothing newer.
     NothingNewer,
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -43,6 +43,8 @@
 pub(crate) struct PeerList {
     pub(crate) version: ListVersion,
     pub(crate) servers: Vec<BackendServer>,
+    /// When it was known to be the newest, if ever.
+    pub(crate) newest_at: Option<Instant>,
 }
 
 /// Keeps the backend servers.
@@ -144,7 +146,7 @@
     fn take(&mut self, read: Result<Read, StoreError>) {
         let now = clock::now();
         let source = read.as_ref().map_or("store", Read::source);
-        let asked_at = read.as_ref().ok().and_then(Read::asked_at);
+        let newest_at = read.as_ref().ok().and_then(Read::newest_at);
         let is_changed = match read {
             Ok(Read::StoreAway) => {
                 let cause = "the configuration can't be read either";
@@ -173,8 +175,8 @@
         if is_changed || !expired.is_empty() {
             self.put_in_force(source);
         }
-        if let Some(asked_at) = asked_at {
-            self.relay.confirm_servers(self.version, asked_at);
+        if let Some(newest_at) = newest_at {
+            self.relay.confirm_servers(self.version, newest_at);
         }
     }
 
@@ -361,11 +363,12 @@
         }
     }
 
-    /// When the store was asked for it.
-    const fn asked_at(&self) -> Option<Instant> {
+    /// When the list that it makes was known to be the newest.
+    const fn newest_at(&self) -> Option<Instant> {
         match self {
             Self::List(list) => Some(list.asked_at),
             Self::Changes(changes) => Some(changes.asked_at),
+            Self::Peer(list) => list.newest_at,
             _ => None,
         }
     }
