fix(peers): what instances of another site say is passed over

Instances of another site had been killed, their ports were given to this site's, and their peers went on writing there for 30 s. A setting names the site, heartbeats carry it; without one all is as before.

--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -5,6 +5,7 @@
 use rookferry_wire::DomainId;
 use rookferry_wire::Incarnation;
 use rookferry_wire::InstanceId;
+use rookferry_wire::SiteId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -19,6 +20,8 @@
 /// A heartbeat; one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
+    /// The sender's site; others' heartbeats may come where they had an instance.
+    pub site: SiteId,
     /// The sender.
     pub instance: InstanceId,
     /// Its run.
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -425,6 +425,7 @@
 /// A heartbeat that tells nothing but whose it is.
 pub fn bare_heartbeat(from: SocketAddr, domain: usize) -> Heartbeat {
     Heartbeat {
+        site: "site".into(),
         instance: from.to_string().into(),
         incarnation: 1,
         domain: domain_name(domain).into(),
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -101,6 +101,7 @@
             (members, table.instances(), self.is_joining(&table, now))
         };
         Heartbeat {
+            site: self.relay.settings.site.clone(),
             instance: self.relay.settings.instance.clone(),
             incarnation: self.incarnation,
             domain: self.relay.settings.domain.clone(),
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -219,6 +219,10 @@
     }
 
     fn take_heartbeat(&self, mut beat: Heartbeat, from: SocketAddr) {
+        if beat.site != self.relay.settings.site {
+            counter!("rookferry_heartbeats_of_others_total").increment(1);
+            return;
+        }
         // Members tell this instance's own address too.
         let own = &self.relay.settings.instance;
         if beat.instance == *own && beat.incarnation == self.incarnation {
--- a/crates/rookferry_relay/src/settings.rs
+++ b/crates/rookferry_relay/src/settings.rs
@@ -6,6 +6,7 @@
 use rookferry_core::NewsBudget;
 use rookferry_wire::DomainId;
 use rookferry_wire::InstanceId;
+use rookferry_wire::SiteId;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::Snafu;
@@ -50,6 +51,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RelaySettings {
+    /// The name of its site, the same for all of its instances; what instances of others
+    /// say is passed over.
+    #[serde(default = "unnamed_site")]
+    pub site: SiteId,
     /// Its name.
     pub instance: InstanceId,
     /// Its failure domain.
@@ -85,6 +90,10 @@
     },
 }
 
+fn unnamed_site() -> SiteId {
+    SiteId::from("")
+}
+
 impl RelaySettings {
     /// Reads and checks settings.
     ///
--- a/crates/rookferry_relay/src/sync/config.rs
+++ b/crates/rookferry_relay/src/sync/config.rs
@@ -43,10 +43,17 @@
         match read {
             Ok(read) => {
                 outage.ended(&relay);
+                if stored.after.is_some() {
+                    outage.watch_went_on();
+                }
                 relay.is_store_away.store(false, Ordering::Relaxed);
                 stored.take(&relay, read);
             }
-            Err(StoreError::Forgotten | StoreError::Outdated) => stored.after = None,
+            Err(StoreError::Forgotten | StoreError::Outdated) => {
+                stored.after = None;
+                outage.watch_refused();
+                outage.failures().wait_in_line(&relay).await;
+            }
             Err(error) => {
                 relay.is_store_away.store(true, Ordering::Relaxed);
                 outage.failed(&relay, &error);
--- a/crates/rookferry_relay/src/sync/outage.rs
+++ b/crates/rookferry_relay/src/sync/outage.rs
@@ -14,6 +14,8 @@
     name: &'static str,
     since: Option<Instant>,
     failed: Failures,
+    /// Watches that were refused in a row.
+    refused: Failures,
 }
 
 /// Failed calls in a row.
@@ -24,6 +26,13 @@
 }
 
 impl Failures {
+    fn none() -> Self {
+        Self {
+            count: 0,
+            last_at: clock::now(),
+        }
+    }
+
     /// Waits until it is this instance's turn in line to try again. The line may have
     /// become shorter meanwhile.
     pub(super) async fn wait_in_line(self, relay: &Relay) {
@@ -47,16 +56,21 @@
         Self {
             name,
             since: None,
-            failed: Failures {
-                count: 0,
-                last_at: clock::now(),
-            },
+            failed: Failures::none(),
+            refused: Failures::none(),
         }
     }
 
-    /// The calls that failed in a row.
+    /// What is to be waited for before the next call.
     pub(super) const fn failures(&self) -> Failures {
-        self.failed
+        if self.failed.count > 0 {
+            return self.failed;
+        }
+        // The first refusal says only that there is something to list.
+        Failures {
+            count: self.refused.count.saturating_sub(1),
+            last_at: self.refused.last_at,
+        }
     }
 
     /// A call went well; tells whether that ends an outage.
@@ -71,6 +85,20 @@
         true
     }
 
+    /// The store doesn't have what a watch goes on from; a list follows. Where that fails
+    /// the same way again and again, the calls are spaced as failed ones are.
+    pub(super) fn watch_refused(&mut self) {
+        self.refused = Failures {
+            count: self.refused.count.saturating_add(1),
+            last_at: clock::now(),
+        };
+    }
+
+    /// A watch went on.
+    pub(super) const fn watch_went_on(&mut self) {
+        self.refused.count = 0;
+    }
+
     /// Whether it counts as away.
     pub(super) const fn is_begun(&self) -> bool {
         self.since.is_some()
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -26,9 +26,6 @@
 use crate::tracked_store::Versioned;
 use crate::view::ServerTable;
 
-/// Pause before a list after a watch that was refused, so that a store which refuses
-/// each doesn't get them without a break.
-const LIST_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after news of servers, in which more of a burst gathers; a
 /// twentieth of the time in which leaving servers must be heard of.
 const BURST: Duration = Duration::from_millis(100);
@@ -156,7 +153,7 @@
             Ok(read) => self.take_read(read, now),
             Err(StoreError::Forgotten | StoreError::Outdated) => {
                 self.after = None;
-                self.read_at = now + LIST_PAUSE;
+                self.outage.watch_refused();
                 false
             }
             Err(error) => {
@@ -188,6 +185,9 @@
             if self.outage.ended(&self.relay) {
                 self.doubtful.outage_ended(now);
             }
+            if matches!(read, Read::Changes(_)) {
+                self.outage.watch_went_on();
+            }
         }
         let version = read.version();
         if let Some(version) = version {
--- a/crates/rookferry_wire/src/id.rs
+++ b/crates/rookferry_wire/src/id.rs
@@ -29,6 +29,8 @@
 pub type RequestId = Arc<str>;
 /// Name of a plain service.
 pub type ServiceId = Arc<str>;
+/// Name of a site.
+pub type SiteId = Arc<str>;
 /// How often the platform's store has come back from a copy. Its revisions go on
 /// from the copy's and are given out again, so they only compare within an era.
 pub type StoreEra = u64;
--- a/crates/rookferry_wire/src/lib.rs
+++ b/crates/rookferry_wire/src/lib.rs
@@ -49,6 +49,7 @@
 pub use id::Position;
 pub use id::RequestId;
 pub use id::ServiceId;
+pub use id::SiteId;
 pub use id::StoreEra;
 pub use id::StreamId;
 pub use peer::CONFIG_KIND;
