fix(relay): a server that left before an instance started stays out of use after a restore

What it had of the restored list it could not compare with a start it had never seen. Now an entry that the list before the restore lacked counts once it outlasts the time for entries to go, or is written again.

--- a/crates/rookferry_core/src/serving/directory.rs
+++ b/crates/rookferry_core/src/serving/directory.rs
@@ -49,6 +49,9 @@
     /// entry is believed if it stands for this time, in which the entry of one that
     /// has ended goes.
     pub may_be_old: Option<Duration>,
+    /// So may be servers that the list before lacked: they may have gone before this
+    /// instance knew of any.
+    pub may_have_gone_unseen: bool,
 }
 
 /// An entry, and the order in which its start was first seen.
@@ -183,6 +186,11 @@
     /// stay until [`Directory::expire`] finds their time over.
     pub fn replace(&mut self, list: Vec<BackendServer>, doubts: ListDoubts, now: Instant) {
         self.reads += 1;
+        let doubts = ListDoubts {
+            // Without a list before, none is unheard of.
+            may_have_gone_unseen: doubts.may_have_gone_unseen && !self.entries.is_empty(),
+            ..doubts
+        };
         let listed: BTreeSet<EngineId> = list.iter().map(|server| server.id.clone()).collect();
         self.restored.clear();
         for server in list {
@@ -219,7 +227,11 @@
             return;
         }
         let former = self.former.get(&server.id);
-        if former.is_some_and(|former| former.listed.server.key == server.key) {
+        let had_gone = former.is_some_and(|former| former.listed.server.key == server.key);
+        let is_unheard_of = doubts.may_have_gone_unseen
+            && former.is_none()
+            && !self.entries.contains_key(&server.id);
+        if had_gone || is_unheard_of {
             let believed_at = now + stands_for;
             let restored = Restored {
                 server,
--- a/crates/rookferry_core/tests/server_starts.rs
+++ b/crates/rookferry_core/tests/server_starts.rs
@@ -23,11 +23,13 @@
 const COMPLETE: ListDoubts = ListDoubts {
     may_lack: false,
     may_be_old: None,
+    may_have_gone_unseen: false,
 };
 /// A list from right after an outage.
 const AFTER_OUTAGE: ListDoubts = ListDoubts {
     may_lack: true,
     may_be_old: None,
+    may_have_gone_unseen: false,
 };
 
 fn addr(port: u16) -> SocketAddr {
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -27,12 +27,14 @@
 const COMPLETE: ListDoubts = ListDoubts {
     may_lack: false,
     may_be_old: None,
+    may_have_gone_unseen: false,
 };
 
 /// A list from right after an outage.
 const AFTER_OUTAGE: ListDoubts = ListDoubts {
     may_lack: true,
     may_be_old: None,
+    may_have_gone_unseen: false,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> ServingRoute {
--- a/crates/rookferry_core/tests/store_era.rs
+++ b/crates/rookferry_core/tests/store_era.rs
@@ -27,10 +27,12 @@
 const RESTORED: ListDoubts = ListDoubts {
     may_lack: true,
     may_be_old: Some(STANDS_FOR),
+    may_have_gone_unseen: true,
 };
 const COMPLETE: ListDoubts = ListDoubts {
     may_lack: false,
     may_be_old: None,
+    may_have_gone_unseen: false,
 };
 
 #[test]
@@ -157,6 +159,28 @@
     assert_eq!(used(&directory), ["a"]);
 }
 
+/// An instance that started right before the restore had a list from its peers, in which
+/// the server was gone, and then read the copy, in which it stands.
+#[test]
+fn a_server_that_left_before_an_instance_started_stays_out_of_use_after_a_restore() {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    directory.replace(vec![server("a", 3, false)], COMPLETE, now);
+    let copy = ["a", "b"].map(|id| server(id, 2, false));
+    directory.replace(copy.to_vec(), RESTORED, now);
+    assert_eq!(used(&directory), ["a"]);
+    // One that is new writes again, or outlasts the time for entries to go.
+    directory.apply(DirectoryChange::Updated(server("b", 4, false)), now);
+    assert_eq!(used(&directory), ["a", "b"]);
+}
+
+#[test]
+fn an_instance_that_knows_no_list_takes_the_copys() {
+    let mut directory = Directory::new();
+    directory.replace(vec![server("a", 2, false)], RESTORED, Instant::now());
+    assert_eq!(used(&directory), ["a"]);
+}
+
 #[test]
 fn a_server_that_the_copy_lacks_has_not_left() {
     let now = Instant::now();
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -251,9 +251,11 @@
 
     /// What may be wrong with a list that the store gives.
     fn of_stores_list(&self, now: Instant) -> ListDoubts {
+        let doubts = self.of_peers_list(now);
         ListDoubts {
             may_lack: self.may_lapse(now),
-            ..self.of_peers_list(now)
+            may_have_gone_unseen: doubts.may_be_old.is_some(),
+            ..doubts
         }
     }
 
@@ -266,6 +268,7 @@
         ListDoubts {
             may_lack: false,
             may_be_old: old_for.filter(|old_for| !old_for.is_zero()),
+            may_have_gone_unseen: false,
         }
     }
 }
