--- a/crates/rookferry_core/src/serving/directory.rs
+++ b/crates/rookferry_core/src/serving/directory.rs
@@ -71,7 +71,7 @@
     gone_at: Instant,
 }
 
-/// A former start whose entry is there again after a restore.
+/// A server that may have gone, and whose entry is there after a restore.
 #[derive(Clone, Debug)]
 struct Restored {
     server: BackendServer,
@@ -211,14 +211,18 @@
     }
 
     fn take_listed(&mut self, server: BackendServer, doubts: ListDoubts, now: Instant) {
-        let Some(stands_for) = doubts.may_be_old else {
-            if self.is_late_word(&server) {
-                self.missing_since.remove(&server.id);
-            } else {
-                self.insert(server);
-            }
-            return;
-        };
+        if let Some(stands_for) = doubts.may_be_old {
+            self.take_restored(server, doubts, now + stands_for);
+        } else if self.is_late_word(&server) {
+            self.missing_since.remove(&server.id);
+        } else {
+            self.insert(server);
+        }
+    }
+
+    /// Takes an entry that may be as it once was; one of a server that may have gone
+    /// counts from a time on, if it is still there.
+    fn take_restored(&mut self, server: BackendServer, doubts: ListDoubts, believed_at: Instant) {
         if let Some(known) = self.entries.get(&server.id)
             && known.server.key == server.key
             && (server.writes < known.server.writes || known.server.is_leaving)
@@ -232,7 +236,6 @@
             && former.is_none()
             && !self.entries.contains_key(&server.id);
         if had_gone || is_unheard_of {
-            let believed_at = now + stands_for;
             let restored = Restored {
                 server,
                 believed_at,
--- a/crates/rookferry_relay/src/quarantine_keeper.rs
+++ b/crates/rookferry_relay/src/quarantine_keeper.rs
@@ -28,7 +28,8 @@
 /// Pause after a failed call, and between looks whether the store is this
 /// instance's to ask.
 const PAUSE: Duration = Duration::from_secs(1);
-/// The same while the instance has just started and knows of none.
+/// The same while the instance has just started and knows of none, and after a watch that
+/// was refused.
 const START_PAUSE: Duration = Duration::from_millis(50);
 /// How often a write is tried against others' writes.
 const MAX_WRITES: usize = 4;
@@ -93,7 +94,11 @@
                 }
                 return true;
             }
-            Err(StoreError::Forgotten | StoreError::Outdated) => self.stored.after = None,
+            // It is read anew after a pause: a store may refuse each watch.
+            Err(StoreError::Forgotten | StoreError::Outdated) => {
+                self.stored.after = None;
+                tokio::time::sleep(START_PAUSE).await;
+            }
             // A store that is away shows as a lost dependency already.
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
