--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -19,6 +19,7 @@
 use super::peer::Peer;
 use super::peer::is_within;
 use crate::millis::millis;
+use crate::serving::NewsBudget;
 use crate::serving::ServerKey;
 
 /// How long a silent member's load counts. Several heartbeats to its own
@@ -303,13 +304,20 @@
     }
 
     /// Whether this instance reads the store for its domain: the first of those that
-    /// were heard within `kept`, and knew what the store has within `bound`.
+    /// were heard lately, and knew what the store has.
     #[must_use]
-    pub fn reads_store(&self, now: Instant, bound: Duration, kept: Duration) -> bool {
+    pub fn reads_store(&self, budget: NewsBudget, now: Instant) -> bool {
+        let (kept, bound) = (budget.reader_kept(), budget.rely());
         let mut before = self.heard_before(now);
         before.all(|(_, peer)| !(peer.is_heard(now, kept) && is_within(peer.store_at, now, bound)))
     }
 
+    /// How old what this instance knows may grow before it reads the store itself.
+    #[must_use]
+    pub fn reliance(&self, budget: NewsBudget, now: Instant) -> Duration {
+        budget.rely() + budget.line(self.rank(now))
+    }
+
     /// Whether a member of the domain has a newer configuration than a version.
     #[must_use]
     pub fn has_newer_config(&self, version: u64, now: Instant) -> bool {
--- a/crates/rookferry_core/src/serving/departed.rs
+++ b/crates/rookferry_core/src/serving/departed.rs
@@ -64,30 +64,28 @@
 
     /// A server leaves, as known since a time. Tells whether that is news.
     pub fn note(&mut self, server: ServerKey, departure: Departure, since: Instant) -> bool {
+        if self.knows(server, departure) {
+            return false;
+        }
         match departure {
             Departure::Leaving => {
-                let is_news = !self.leaving.contains_key(&server);
-                self.leaving.entry(server).or_insert(since);
-                is_news
+                self.leaving.insert(server, since);
+                true
             }
             Departure::Gone(version) => {
-                let known = self.gone.get(&server);
-                let is_news = known.is_none_or(|(known, _)| *known < version);
-                if is_news {
-                    self.gone.insert(server, (version, since));
-                }
-                is_news && version > self.list
+                self.gone.insert(server, (version, since));
+                version > self.list
             }
         }
     }
 
-    /// Whether another instance's word is known already, or later word is.
+    /// Whether that a server leaves is known already, or later word is.
     #[must_use]
-    pub fn knows(&self, seen: &DepartureSeen) -> bool {
-        match seen.departure {
-            Departure::Leaving => self.leaving.contains_key(&seen.server),
+    pub fn knows(&self, server: ServerKey, departure: Departure) -> bool {
+        match departure {
+            Departure::Leaving => self.leaving.contains_key(&server),
             Departure::Gone(version) => {
-                let known = self.gone.get(&seen.server);
+                let known = self.gone.get(&server);
                 known.is_some_and(|(known, _)| *known >= version)
             }
         }
--- a/crates/rookferry_core/src/serving/directory.rs
+++ b/crates/rookferry_core/src/serving/directory.rs
@@ -54,6 +54,20 @@
     pub may_have_gone_unseen: bool,
 }
 
+impl ListDoubts {
+    /// It has all that was acknowledged, and nothing else.
+    pub const NONE: Self = Self {
+        may_lack: false,
+        may_be_old: None,
+        may_have_gone_unseen: false,
+    };
+    /// It is from right after an outage.
+    pub const AFTER_OUTAGE: Self = Self {
+        may_lack: true,
+        ..Self::NONE
+    };
+}
+
 /// An entry, and the order in which its start was first seen.
 #[derive(Clone, Debug)]
 struct Listed {
--- a/crates/rookferry_core/tests/server_starts.rs
+++ b/crates/rookferry_core/tests/server_starts.rs
@@ -19,19 +19,6 @@
 use rookferry_wire::LayerRange;
 
 const GRACE: Duration = Duration::from_secs(2);
-/// A list with all that was acknowledged.
-const COMPLETE: ListDoubts = ListDoubts {
-    may_lack: false,
-    may_be_old: None,
-    may_have_gone_unseen: false,
-};
-/// A list from right after an outage.
-const AFTER_OUTAGE: ListDoubts = ListDoubts {
-    may_lack: true,
-    may_be_old: None,
-    may_have_gone_unseen: false,
-};
-
 fn addr(port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], port))
 }
@@ -84,7 +71,7 @@
     let mut directory = Directory::new();
     assert!(update(&mut directory, server("e", 1, Some(20), 1)));
     assert!(!update(&mut directory, server("e", 1, Some(10), 9)));
-    directory.replace(vec![server("e", 1, Some(10), 9)], COMPLETE, now);
+    directory.replace(vec![server("e", 1, Some(10), 9)], ListDoubts::NONE, now);
     assert_eq!(in_use(&directory), [("e".to_owned(), Some(20))]);
     // Nor after the later start's own entry has gone.
     directory.apply(DirectoryChange::Removed("e".into()), now);
@@ -111,11 +98,11 @@
 fn in_one_list_the_one_that_wrote_itself_less_often_is_later() {
     let mut directory = Directory::new();
     let list = vec![server("a", 1, None, 12), server("b", 1, None, 2)];
-    directory.replace(list, COMPLETE, Instant::now());
+    directory.replace(list, ListDoubts::NONE, Instant::now());
     assert_eq!(in_use(&directory), [("b".to_owned(), None)]);
     let mut directory = Directory::new();
     let list = vec![server("a", 1, Some(5), 1), server("b", 1, Some(6), 30)];
-    directory.replace(list, COMPLETE, Instant::now());
+    directory.replace(list, ListDoubts::NONE, Instant::now());
     assert_eq!(in_use(&directory), [("b".to_owned(), Some(6))]);
 }
 
@@ -232,13 +219,13 @@
                 }
                 News::List { start } => {
                     has_later |= start == 20;
-                    directory.replace(vec![server("e", 1, Some(start), 1)], COMPLETE, now);
+                    directory.replace(vec![server("e", 1, Some(start), 1)], ListDoubts::NONE, now);
                 }
                 News::Missing { may_have_lapsed } => {
                     let doubts = if may_have_lapsed {
-                        AFTER_OUTAGE
+                        ListDoubts::AFTER_OUTAGE
                     } else {
-                        COMPLETE
+                        ListDoubts::NONE
                     };
                     directory.replace(Vec::new(), doubts, now);
                 }
--- a/crates/rookferry_core/tests/serving.rs
+++ b/crates/rookferry_core/tests/serving.rs
@@ -23,20 +23,6 @@
 use rookferry_core::pause_in_line;
 use rstest::rstest;
 
-/// A list with all that was acknowledged.
-const COMPLETE: ListDoubts = ListDoubts {
-    may_lack: false,
-    may_be_old: None,
-    may_have_gone_unseen: false,
-};
-
-/// A list from right after an outage.
-const AFTER_OUTAGE: ListDoubts = ListDoubts {
-    may_lack: true,
-    may_be_old: None,
-    may_have_gone_unseen: false,
-};
-
 fn route(name: &str, host: &str, prefix: &str) -> ServingRoute {
     ServingRoute {
         name: name.into(),
@@ -181,8 +167,12 @@
     let grace = Duration::from_secs(2);
     let start = Instant::now();
     let mut directory = Directory::new();
-    directory.replace(vec![server("1"), server("2"), server("3")], COMPLETE, start);
-    directory.replace(vec![server("1")], AFTER_OUTAGE, start);
+    directory.replace(
+        vec![server("1"), server("2"), server("3")],
+        ListDoubts::NONE,
+        start,
+    );
+    directory.replace(vec![server("1")], ListDoubts::AFTER_OUTAGE, start);
     assert_eq!(ids(&directory), ["1", "2", "3"]);
     directory.apply(DirectoryChange::Updated(server("2")), start);
     assert!(directory.expire(start + grace / 2, grace).is_empty());
@@ -196,8 +186,8 @@
 fn a_list_without_an_outage_is_the_truth() {
     let mut directory = Directory::new();
     let now = Instant::now();
-    directory.replace(vec![server("1"), server("2")], COMPLETE, now);
-    directory.replace(vec![server("2")], COMPLETE, now);
+    directory.replace(vec![server("1"), server("2")], ListDoubts::NONE, now);
+    directory.replace(vec![server("2")], ListDoubts::NONE, now);
     assert_eq!(ids(&directory), ["2"]);
     directory.apply(DirectoryChange::Removed("2".into()), now);
     assert!(ids(&directory).is_empty());
--- a/crates/rookferry_core/tests/store_era.rs
+++ b/crates/rookferry_core/tests/store_era.rs
@@ -29,11 +29,6 @@
     may_be_old: Some(STANDS_FOR),
     may_have_gone_unseen: true,
 };
-const COMPLETE: ListDoubts = ListDoubts {
-    may_lack: false,
-    may_be_old: None,
-    may_have_gone_unseen: false,
-};
 
 #[test]
 fn a_version_of_a_later_era_is_newer_whatever_its_revision() {
@@ -126,7 +121,7 @@
     let now = Instant::now();
     let mut directory = Directory::new();
     let before = ["a", "b", "c"].map(|id| server(id, 3, false));
-    directory.replace(before.to_vec(), COMPLETE, now);
+    directory.replace(before.to_vec(), ListDoubts::NONE, now);
     directory.apply(DirectoryChange::Updated(server("a", 5, true)), now);
     directory.apply(DirectoryChange::Removed("b".into()), now);
     // The copy is from before, but for the entry's unseen writes.
@@ -145,7 +140,7 @@
 fn a_server_whose_entry_had_only_lapsed_is_back_after_a_restore(#[case] writes_again: bool) {
     let now = Instant::now();
     let mut directory = Directory::new();
-    directory.replace(vec![server("a", 3, false)], COMPLETE, now);
+    directory.replace(vec![server("a", 3, false)], ListDoubts::NONE, now);
     directory.apply(DirectoryChange::Removed("a".into()), now);
     directory.replace(vec![server("a", 2, false)], RESTORED, now);
     assert_eq!(used(&directory), Vec::<String>::new());
@@ -165,7 +160,7 @@
 fn a_server_that_left_before_an_instance_started_stays_out_of_use_after_a_restore() {
     let now = Instant::now();
     let mut directory = Directory::new();
-    directory.replace(vec![server("a", 3, false)], COMPLETE, now);
+    directory.replace(vec![server("a", 3, false)], ListDoubts::NONE, now);
     let copy = ["a", "b"].map(|id| server(id, 2, false));
     directory.replace(copy.to_vec(), RESTORED, now);
     assert_eq!(used(&directory), ["a"]);
@@ -185,7 +180,7 @@
 fn a_server_that_the_copy_lacks_has_not_left() {
     let now = Instant::now();
     let mut directory = Directory::new();
-    directory.replace(vec![server("a", 3, false)], COMPLETE, now);
+    directory.replace(vec![server("a", 3, false)], ListDoubts::NONE, now);
     directory.replace(Vec::new(), RESTORED, now);
     assert_eq!(used(&directory), ["a"]);
     let expired = directory.expire(now + GRACE, GRACE);
@@ -202,7 +197,7 @@
     };
     directory.apply(DirectoryChange::Updated(of_start(5, true)), now);
     assert!(!directory.apply(DirectoryChange::Updated(of_start(4, false)), now));
-    directory.replace(vec![of_start(4, false)], COMPLETE, now);
+    directory.replace(vec![of_start(4, false)], ListDoubts::NONE, now);
     assert_eq!(used(&directory), Vec::<String>::new());
 }
 
--- a/crates/rookferry_core/tests/support/news_site.rs
+++ b/crates/rookferry_core/tests/support/news_site.rs
@@ -227,10 +227,8 @@
     fn relies_on_peers(&self, place: usize) -> bool {
         let now = self.site.now();
         let instance = &self.site.instances[place];
-        let rely = self.budget.rely();
-        let bound = rely + self.budget.line(instance.table.rank(now));
-        let kept = self.budget.reader_kept();
-        instance.contact.is_fresh(now, bound) && !instance.table.reads_store(now, rely, kept)
+        let bound = instance.table.reliance(self.budget, now);
+        instance.contact.is_fresh(now, bound) && !instance.table.reads_store(self.budget, now)
     }
 
     fn at(&self, ms: u64) -> Instant {
--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -240,8 +240,8 @@
         path: &str,
         wait: Duration,
     ) -> Result<ClientAnswer, ClientError> {
-        let request = build(Method::GET, addr, path, Bytes::new())?;
-        self.exchange(addr, request, wait).await
+        self.call_answer(Method::GET, addr, path, None::<&()>, wait)
+            .await
     }
 
     /// Gets an answer as text.
--- a/crates/rookferry_relay/src/beliefs.rs
+++ b/crates/rookferry_relay/src/beliefs.rs
@@ -123,7 +123,7 @@
     /// news.
     pub(crate) fn hear_departure(&self, seen: DepartureSeen) -> bool {
         // Each heartbeat tells the same again.
-        !self.departed.load().knows(&seen)
+        !self.departed.load().knows(seen.server, seen.departure)
             && update(&self.departed, |departed| departed.hear(seen, clock::now()))
     }
 
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -54,7 +54,7 @@
 
 /// An age as others are told it, rounded up: rounded down, a word that is passed on
 /// within a millisecond would never age.
-pub(super) fn told_ms(age: Duration) -> u64 {
+pub(crate) fn told_ms(age: Duration) -> u64 {
     millis(age).saturating_add(1)
 }
 
--- a/crates/rookferry_relay/src/peers/mod.rs
+++ b/crates/rookferry_relay/src/peers/mod.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod message;
 
+pub(crate) use compose::told_ms;
 pub(crate) use exchange::answer_peers;
 pub(crate) use heartbeat::Heartbeats;
 pub(crate) use message::PeerDatagram;
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -7,8 +7,8 @@
 use rookferry_core::first_read_in_line;
 use rookferry_net::clock;
 
-use crate::event_log::millis;
 use crate::mutex::lock;
+use crate::peers::told_ms;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 
@@ -57,7 +57,7 @@
     pub(crate) fn config_age_ms(&self, version: u64, now: Instant) -> Option<u64> {
         let known = self.config_age();
         let age = known.age(now).filter(|_| known.version() == version)?;
-        Some(millis(age) + 1)
+        Some(told_ms(age))
     }
 
     /// How long ago the list of servers in force was known to be the newest.
@@ -73,12 +73,11 @@
     pub(crate) fn relies_on_peers(&self) -> bool {
         let now = clock::now();
         let budget = self.settings.bounds.news_budget();
-        let bound = budget.rely() + budget.line(self.rank(now));
+        let bound = lock(&self.peers).reliance(budget, now);
         let is_informed = self.store.contact().is_fresh(now, bound)
             && self.servers_age(now).is_some_and(|age| age < bound)
             && self.has_newest_config(now, bound);
-        let reads = || lock(&self.peers).reads_store(now, budget.rely(), budget.reader_kept());
-        is_informed && !reads()
+        is_informed && !lock(&self.peers).reads_store(budget, now)
     }
 
     /// Whether no newer configuration is known of. One that nobody confirms, since the
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -260,9 +260,9 @@
     /// Tells which list of servers is in force from now on, and whom it takes out of
     /// use.
     fn note_servers(&self, servers: &ServerTable, source: &'static str) {
-        let before = self.view.load();
-        let departed = servers.departed_since(before.servers.as_deref(), MAX_DEPARTED_NAMED);
         if let Some(log) = self.events.line(Weight::Notable) {
+            let before = self.view.load();
+            let departed = servers.departed_since(before.servers.as_deref(), MAX_DEPARTED_NAMED);
             info!(log, "directory: a list of servers is in force"; "event" => "servers_adopted",
                 "version" => %servers.version(), "source" => source, "servers" => servers.all().len(),
                 "leaving" => departed.leaving.join(","), "gone" => departed.gone.join(","));
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -189,8 +189,7 @@
         tokio::pin!(watch, beside);
         let in_time = clock::timeout_at(sent_at + wait + overdue_after, &mut watch).await;
         if let Some(answer) = in_time {
-            let delay = clock::since(sent_at).saturating_sub(wait);
-            lock(&self.contact).note_delay(delay);
+            self.note_delay(sent_at, wait);
             return answer;
         }
         lock(&self.contact).watch_overdue();
@@ -204,8 +203,7 @@
             answer = &mut beside => (answer, false),
         };
         if is_watch {
-            let delay = clock::since(sent_at).saturating_sub(wait);
-            lock(&self.contact).note_delay(delay);
+            self.note_delay(sent_at, wait);
         }
         match answer {
             Ok(answer) => Ok(answer),
@@ -214,6 +212,12 @@
         }
     }
 
+    /// A watch that was sent at a time, and should have ended within another, was answered.
+    fn note_delay(&self, sent_at: Instant, wait: Duration) {
+        let delay = clock::since(sent_at).saturating_sub(wait);
+        lock(&self.contact).note_delay(delay);
+    }
+
     /// A write that is to replace a version.
     async fn write(
         &self,
