fix(core): a former start at an address no longer hides the path over the living one

Cause: the search keeps the cheapest way to each position. Ruled out: a same start met twice, since a start's range is contiguous and the search reaches every later cut directly from its first.

--- a/crates/rookferry_core/src/pipeline/cover.rs
+++ b/crates/rookferry_core/src/pipeline/cover.rs
@@ -106,11 +106,11 @@
         range: LayerRange,
         home: &'a DomainId,
         crossing: CrossingCost,
-        is_usable: impl Fn(&PipelineEngine) -> bool,
+        is_usable: impl Fn(usize, &PipelineEngine) -> bool,
         cost: impl Fn(&PipelineEngine) -> EngineCost,
     ) -> Self {
         let usable: Vec<usize> = (0..engines.len())
-            .filter(|index| is_usable(engines[*index]))
+            .filter(|index| is_usable(*index, engines[*index]))
             .collect();
         let cuts = cuts(engines, range, &usable);
         let mut domains = BTreeSet::from([home]);
--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -15,6 +15,7 @@
 use super::cover::CrossingCost;
 use super::cover::EngineCost;
 use super::cover::Part;
+use super::distinct::StartChoice;
 
 /// Time of one more stage: handing on, and waiting for the engine's pass
 /// under way. Half a pass of a mid-sized stage at the published figures.
@@ -201,10 +202,19 @@
         tokens: f64,
         without: &[SocketAddr],
     ) -> Option<Vec<PathStage>> {
-        let is_usable = |engine: &PipelineEngine| !without.contains(&engine.addr());
-        let cost = |engine: &PipelineEngine| cost(engine, tokens);
-        let cover = Cover::new(&self.engines, range, home, CROSSING, is_usable, cost);
-        let parts = cover.cheapest()?;
+        let search = |choice: Option<&StartChoice>| {
+            let is_usable = |place: usize, engine: &PipelineEngine| {
+                let addr = engine.addr();
+                !without.contains(&addr) && choice.is_none_or(|choice| choice.admits(place, addr))
+            };
+            let cost = |engine: &PipelineEngine| cost(engine, tokens);
+            Cover::new(&self.engines, range, home, CROSSING, is_usable, cost).cheapest()
+        };
+        let parts = search(None).or_else(|| {
+            let first = StartChoice::first(&self.engines);
+            let mut choices = std::iter::successors(first, |choice| choice.clone().next());
+            choices.find_map(|choice| search(Some(&choice)))
+        })?;
         Some(self.stages(range.start, &parts))
     }
 
--- a/crates/rookferry_core/src/pipeline/mod.rs
+++ b/crates/rookferry_core/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 //! [`forecast`] expects of a chain of engines.
 
 mod cover;
+mod distinct;
 mod engine;
 mod finder;
 mod forecast;
--- a/crates/rookferry_core/tests/pipeline_paths.rs
+++ b/crates/rookferry_core/tests/pipeline_paths.rs
@@ -88,6 +88,27 @@
     assert_eq!(path.stages().len(), 2);
 }
 
+#[test]
+fn a_former_start_at_an_address_does_not_hide_the_path_over_the_living_one() {
+    let former = |index: usize, start: u16, end: u16| PipelineEngine {
+        server: ServerKey::new(addr(index), "former", None),
+        ..engine(index, "a", start, end)
+    };
+    let mut engines = vec![
+        engine(0, "a", 0, 12),
+        engine(1, "a", 5, 20),
+        former(1, 0, 7),
+        engine(2, "a", 0, 1),
+        former(2, 5, 12),
+    ];
+    engines[0].used_tokens = 3_000.0;
+    let path = PathFinder::new(LAYERS, &engines)
+        .find(&"a".into(), TOKENS)
+        .expect("a path");
+    let taken: Vec<_> = path.stages().iter().map(PathStage::addr).collect();
+    assert_eq!(taken, [addr(0), addr(1)]);
+}
+
 #[test]
 fn a_whole_path_elsewhere_goes_before_crossings() {
     let engines = [
