feat(core): the machines with the most capacity carry a domain's duties

Heads, speaker, reader of the store and holder of the lease were the lowest addresses, whatever the machine. On a site of a thousand most machines have an eighth of a core and 2.5 MB/s, and what those duties send grows with the domain: a head's sums are 8 MB/s for 200 members at a full table (docs/CAPACITY.md, worked out). Change: the settings tell a machine's cores and link; heartbeats, and the word on other members, tell the capacity in steps of two; the line is by capacity, then by address. A source of bodies sends as many at a time as its link carries, 2 to 32. Ruled out: a constant for a site or a size; where all are alike the order is as before.

--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -119,6 +119,7 @@
 pub use outcome::Unknown;
 pub use outcome::Verdict;
 pub use peers::BodySource;
+pub use peers::Capacity;
 pub use peers::ConfigState;
 pub use peers::DomainLoads;
 pub use peers::DomainSums;
--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Capacity;
 use super::LoadEntry;
 use crate::limits::LimitSeen;
 use crate::serving::ClosedSeen;
@@ -28,6 +29,8 @@
     pub incarnation: Incarnation,
     /// Its failure domain.
     pub domain: DomainId,
+    /// What the sender can carry of its domain's duties.
+    pub capacity: Capacity,
     /// The sender's steady clock in milliseconds, for the receiver to send
     /// back.
     pub sent_ms: u64,
@@ -71,7 +74,7 @@
     /// How many instances' loads are in it.
     pub instances: u32,
     /// How many of the domain's instances the sender hears before the
-    /// receiver, in the order of their addresses.
+    /// receiver, in line for its duties.
     pub rank: u32,
     /// The loads; to a member of the domain without its own.
     pub loads: Vec<LoadEntry>,
@@ -94,6 +97,9 @@
     /// Tenths of a second since it was heard, rounded up: rounded down, a word that
     /// is passed on within a tenth would never age.
     pub age_tenths_s: u16,
+    /// What it can carry of its domain's duties, as it said itself; the least while
+    /// that isn't known.
+    pub capacity: Capacity,
 }
 
 /// A holder of the lease for orders to engines.
--- a/crates/rookferry_core/src/peers/mod.rs
+++ b/crates/rookferry_core/src/peers/mod.rs
@@ -16,6 +16,7 @@
 //! so that two instances that can't hear each other both do, and no safety
 //! rests on who does.
 
+mod capacity;
 mod doubt;
 mod fanout;
 mod load;
@@ -26,6 +27,7 @@
 mod sums;
 mod table;
 
+pub use capacity::Capacity;
 pub use doubt::DoubtedServers;
 pub use doubt::DoubtedUse;
 pub use fanout::Fanout;
--- a/crates/rookferry_core/src/peers/peer.rs
+++ b/crates/rookferry_core/src/peers/peer.rs
@@ -9,6 +9,7 @@
 use rookferry_wire::Incarnation;
 use rookferry_wire::InstanceId;
 
+use super::Capacity;
 use super::DomainLoads;
 use super::LoadEntry;
 use super::MemberSeen;
@@ -19,6 +20,8 @@
     pub(super) domain: Option<DomainId>,
     pub(super) instance: Option<InstanceId>,
     pub(super) incarnation: Incarnation,
+    /// What it can carry of its domain's duties; the least while that isn't known.
+    pub(super) capacity: Capacity,
     pub(super) heard_at: Option<Instant>,
     /// When it was last heard by any instance, or learnt of.
     pub(super) seen_at: Instant,
@@ -41,6 +44,7 @@
             domain: None,
             instance: None,
             incarnation: 0,
+            capacity: Capacity::LEAST,
             heard_at: None,
             seen_at: now,
             clock: None,
@@ -58,6 +62,7 @@
         MemberSeen {
             addr,
             age_tenths_s: u16::try_from(age.as_millis().div_ceil(100)).unwrap_or(u16::MAX),
+            capacity: self.capacity,
         }
     }
 
--- a/crates/rookferry_core/src/peers/source.rs
+++ b/crates/rookferry_core/src/peers/source.rs
@@ -7,9 +7,13 @@
 
 use std::net::SocketAddr;
 
-/// Bodies that a source sends at a time. Over a link of 20 Mbit/s, 200 KB take
-/// 80 ms each alone; more at a time only make each of them later.
-const BODIES_AT_ONCE: usize = 2;
+/// Bodies that a source with a slow or unknown link sends at a time; more only make
+/// each of them later.
+const LEAST_AT_ONCE: usize = 2;
+/// The bandwidth that a source leaves to each body: what a slow receiver takes.
+const BODY_MBPS: f64 = 10.0;
+/// Most bodies that a source sends at a time, for its memory's sake.
+const MOST_AT_ONCE: usize = 32;
 /// Receivers that are told to those sent elsewhere; newer ones are asked less
 /// often so far.
 const TOLD_RECEIVERS: usize = 8;
@@ -24,18 +28,38 @@
 }
 
 /// Gives one kind of body on; its versions tell bodies apart.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct BodySource<V> {
     version: V,
+    at_once: usize,
     under_way: usize,
     receivers: Vec<SocketAddr>,
 }
 
+impl<V: Copy + Default + PartialEq> Default for BodySource<V> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl<V: Copy + Default + PartialEq> BodySource<V> {
-    /// Nothing sent so far.
+    /// Nothing sent so far, over a link whose bandwidth isn't known.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            version: V::default(),
+            at_once: LEAST_AT_ONCE,
+            under_way: 0,
+            receivers: Vec::new(),
+        }
+    }
+
+    /// The bandwidth of the source's link.
+    #[must_use]
+    pub fn link_mbps(mut self, link_mbps: f64) -> Self {
+        let beside = (1..=MOST_AT_ONCE).take_while(|count| *count as f64 * BODY_MBPS <= link_mbps);
+        self.at_once = beside.count().max(LEAST_AT_ONCE);
+        self
     }
 
     /// Answers one that asks for a version.
@@ -44,7 +68,7 @@
             self.version = version;
             self.receivers.clear();
         }
-        if self.under_way < BODIES_AT_ONCE {
+        if self.under_way < self.at_once {
             self.under_way += 1;
             return Offer::Body;
         }
--- a/crates/rookferry_core/src/peers/sums.rs
+++ b/crates/rookferry_core/src/peers/sums.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::Capacity;
 use super::DomainLoads;
 use super::LoadEntry;
 use super::PeerTable;
 use super::ServerLoad;
+use super::capacity::Standing;
 use super::peer::is_within;
 use crate::serving::ServerKey;
 
@@ -32,8 +34,8 @@
 /// all its members.
 #[derive(Clone, Debug)]
 pub struct DomainSums {
-    /// The members whose loads are in it, in order.
-    heard: Vec<SocketAddr>,
+    /// The members whose loads are in it, in line.
+    heard: Vec<Standing>,
     entries: Vec<LoadEntry>,
 }
 
@@ -106,17 +108,21 @@
     /// the domain has under way, this instance included.
     #[must_use]
     pub fn domain_sums(&self, entries: Vec<LoadEntry>, now: Instant) -> DomainSums {
-        DomainSums {
-            heard: self.heard_near(now).map(|(addr, _)| addr).collect(),
-            entries,
-        }
+        let heard = self.heard_near(now);
+        let mut heard: Vec<Standing> = heard
+            .map(|(addr, peer)| Standing::new(peer.capacity, addr))
+            .collect();
+        heard.sort_unstable();
+        DomainSums { heard, entries }
     }
 
     /// What a member of the domain is told of it: all less its own.
     #[must_use]
     pub fn sums_for(&self, to: SocketAddr, sums: &DomainSums) -> DomainLoads {
-        let place = sums.heard.binary_search(&to);
-        let member = self.peers.get(&to).filter(|_| place.is_ok());
+        let known = self.peers.get(&to);
+        let standing = Standing::new(known.map_or(Capacity::LEAST, |peer| peer.capacity), to);
+        let place = sums.heard.binary_search(&standing);
+        let member = known.filter(|_| place.is_ok());
         let mut own: BTreeMap<ServerKey, ServerLoad> = BTreeMap::new();
         add_loads(&mut own, member.map_or(&[], |member| &member.loads));
         let others = sums.entries.iter().map(|entry| {
@@ -124,7 +130,7 @@
             entry.with_load(entry.load() - own)
         });
         let (Ok(before) | Err(before)) = place;
-        let rank = before + usize::from(self.own < to);
+        let rank = before + usize::from(self.standing() < standing);
         let instances = sums.heard.len() + 1 - usize::from(member.is_some());
         DomainLoads {
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -8,6 +8,7 @@
 use rookferry_wire::DomainId;
 use rookferry_wire::InstanceId;
 
+use super::Capacity;
 use super::DoubtedServers;
 use super::Echo;
 use super::Heartbeat;
@@ -16,6 +17,7 @@
 use super::MemberSeen;
 use super::MembersOf;
 use super::ServerLoad;
+use super::capacity::Standing;
 use super::peer::Peer;
 use super::peer::is_within;
 use crate::millis::millis;
@@ -43,6 +45,8 @@
 #[derive(Clone, Debug)]
 pub struct PeerTable {
     pub(super) own: SocketAddr,
+    /// What this instance can carry of its domain's duties.
+    capacity: Capacity,
     pub(super) home: DomainId,
     pub(super) peers: BTreeMap<SocketAddr, Peer>,
     /// The holder of the lease and when it was last known to hold it.
@@ -61,6 +65,7 @@
     pub const fn new(own: SocketAddr, home: DomainId) -> Self {
         Self {
             own,
+            capacity: Capacity::LEAST,
             home,
             peers: BTreeMap::new(),
             holder: None,
@@ -70,6 +75,18 @@
         }
     }
 
+    /// What the instance can carry of its domain's duties.
+    #[must_use]
+    pub const fn capacity(mut self, capacity: Capacity) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
+    /// The instance's own place in line for its domain's duties.
+    pub(super) const fn standing(&self) -> Standing {
+        Standing::new(self.capacity, self.own)
+    }
+
     /// Learns of an address that may be a member's.
     pub fn learn(&mut self, addr: SocketAddr, now: Instant) {
         if addr != self.own {
@@ -100,6 +117,9 @@
             let peer = peer.or_insert(Peer::unheard(seen_at));
             peer.seen_at = peer.seen_at.max(seen_at);
             peer.domain.get_or_insert_with(|| domain.clone());
+            if peer.heard_at.is_none() {
+                peer.capacity = peer.capacity.max(member.capacity);
+            }
         }
     }
 
@@ -116,6 +136,7 @@
         peer.domain = Some(beat.domain.clone());
         peer.instance = Some(beat.instance.clone());
         peer.incarnation = beat.incarnation;
+        peer.capacity = beat.capacity;
         peer.heard_at = Some(now);
         peer.seen_at = now;
         peer.clock = Some((beat.sent_ms, now));
@@ -334,6 +355,19 @@
         heard.max(usize::try_from(told).unwrap_or(0))
     }
 
+    /// How many instances of the domain stand before this one by what is known of
+    /// them, heard or told of.
+    #[must_use]
+    pub fn known_before(&self) -> usize {
+        let own = self.standing();
+        let near = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.domain.as_ref() == Some(&self.home));
+        near.filter(|(addr, peer)| Standing::new(peer.capacity, **addr) < own)
+            .count()
+    }
+
     /// Whether this instance is the first of those it hears in its domain.
     #[must_use]
     pub fn is_first(&self, now: Instant) -> bool {
@@ -349,18 +383,22 @@
         peers.filter(near).map(|(addr, peer)| (*addr, peer))
     }
 
-    /// Those of them before this instance.
+    /// Those of them before this instance in line.
     fn heard_before(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Peer)> {
-        let own = self.own;
+        let own = self.standing();
         self.heard_near(now)
-            .take_while(move |(addr, _)| *addr < own)
+            .filter(move |(addr, peer)| Standing::new(peer.capacity, *addr) < own)
     }
 
     /// The first `most` members that are heard in the own domain before this
-    /// instance.
+    /// instance in line.
     pub(super) fn first_before(&self, most: usize, now: Instant) -> Vec<SocketAddr> {
-        let before = self.heard_before(now).take(most);
-        before.map(|(addr, _)| addr).collect()
+        let before = self.heard_before(now);
+        let before = before.map(|(addr, peer)| Standing::new(peer.capacity, addr));
+        let mut before: Vec<Standing> = before.collect();
+        before.sort_unstable();
+        before.truncate(most);
+        before.into_iter().map(Standing::addr).collect()
     }
 
     /// Whether any member of the own domain is heard.
--- /dev/null
+++ b/crates/rookferry_core/tests/duties.rs
@@ -0,0 +1,87 @@
+//! Which instances of a large domain carry its duties.
+
+#[path = "support/peer_site.rs"]
+mod peer_site;
+
+use peer_site::Site;
+use rookferry_core::Capacity;
+use rstest::rstest;
+
+const DOMAINS: usize = 2;
+const PER_DOMAIN: usize = 60;
+
+/// A site in which a few machines of each domain are large, not those with the lowest
+/// addresses.
+fn site_with_large_machines(seed: u64) -> Site {
+    let mut site = Site::start(DOMAINS, PER_DOMAIN, seed);
+    for place in 0..site.instances.len() {
+        let is_large = is_large(place);
+        let instance = &mut site.instances[place];
+        instance.capacity = if is_large {
+            Capacity::of_machine(1.0, 1_000.0)
+        } else {
+            Capacity::of_machine(0.12, 20.0)
+        };
+        instance.table = instance.table.clone().capacity(instance.capacity);
+    }
+    site
+}
+
+const fn is_large(place: usize) -> bool {
+    let number = place / DOMAINS;
+    number >= 30 && number < 33
+}
+
+/// The places of the instances that are the first of their domain.
+fn first(site: &Site) -> Vec<usize> {
+    let now = site.now();
+    let instances = site.instances.iter().enumerate();
+    instances
+        .filter(|(_, instance)| instance.is_up && instance.table.is_first(now))
+        .map(|(place, _)| place)
+        .collect()
+}
+
+#[rstest]
+#[case::share_of_a_core(0.12, 1_000.0, 0.12, 20.0)]
+#[case::slow_link(1.0, 15.0, 0.12, 20.0)]
+#[case::about_the_same(0.25, 1_000.0, 0.30, 1_000.0)]
+fn a_machine_counts_by_what_it_has_least_of(
+    #[case] cores: f64,
+    #[case] link_mbps: f64,
+    #[case] other_cores: f64,
+    #[case] other_link_mbps: f64,
+) {
+    let capacity = Capacity::of_machine(cores, link_mbps);
+    assert_eq!(capacity, Capacity::of_machine(other_cores, other_link_mbps));
+    assert!(capacity < Capacity::of_machine(1.0, 1_000.0));
+}
+
+#[test]
+fn large_machines_carry_a_domains_duties_whatever_their_addresses() {
+    let mut site = site_with_large_machines(1);
+    site.run_for(4_000);
+    let first = first(&site);
+    assert_eq!(first.len(), DOMAINS, "{first:?}");
+    assert!(first.iter().all(|place| is_large(*place)), "{first:?}");
+    let rates = site.sent_per_s(4);
+    let heads = &rates[..2 * DOMAINS];
+    let is_large_addr = |addr| is_large(site.places[&addr]);
+    assert!(
+        heads.iter().all(|(_, addr)| is_large_addr(*addr)),
+        "{heads:?}"
+    );
+}
+
+#[test]
+fn small_machines_carry_them_when_the_large_ones_are_gone() {
+    let mut site = site_with_large_machines(2);
+    site.run_for(4_000);
+    for place in 0..site.instances.len() {
+        site.instances[place].is_up &= !is_large(place);
+    }
+    site.run_for(2_500);
+    assert_eq!(first(&site).len(), DOMAINS);
+    let informed = site.informed();
+    assert!(informed > 0.95, "{informed} know the loads of their domain");
+}
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -13,17 +13,20 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rookferry_core::Capacity;
 use rookferry_core::DepartedServers;
 use rookferry_core::DoubtedUse;
 use rookferry_core::Fanout;
 use rookferry_core::Heartbeat;
 use rookferry_core::ListState;
+use rookferry_core::ListVersion;
 use rookferry_core::LoadEntry;
 use rookferry_core::PeerTable;
 use rookferry_core::Round;
 use rookferry_core::ServerKey;
 use rookferry_core::ServerLimits;
 use rookferry_core::StoreContact;
+use rookferry_core::StoreVersion;
 
 pub const ROUND_MS: u64 = 150;
 pub const DELAY_MS: u64 = 1;
@@ -58,6 +61,13 @@
     pub departed: DepartedServers,
     /// As of when it knows what the store has.
     pub contact: StoreContact,
+    /// What its machine can carry.
+    pub capacity: Capacity,
+    /// Whether it has a list of servers.
+    pub has_list: bool,
+    /// One that has told of a list while it had none, and when the last did.
+    pub offered_by: Option<SocketAddr>,
+    pub offered_at: Option<Instant>,
 }
 
 impl Instance {
@@ -167,6 +177,10 @@
                 limits: ServerLimits::new(),
                 departed: DepartedServers::new(),
                 contact: StoreContact::new(),
+                capacity: Capacity::default(),
+                has_list: false,
+                offered_by: None,
+                offered_at: None,
             });
             let at_ms = site.rng.random_range(0..300);
             site.start_at(place, at_ms);
@@ -180,7 +194,8 @@
         instance.incarnation += 1;
         instance.started_ms = at_ms;
         instance.round = 0;
-        instance.table = PeerTable::new(instance.addr, domain_name(instance.domain).into());
+        let home = domain_name(instance.domain).into();
+        instance.table = PeerTable::new(instance.addr, home).capacity(instance.capacity);
         instance.fanout = Fanout::new();
         instance.limits = ServerLimits::new();
         instance.departed = DepartedServers::new();
@@ -339,6 +354,10 @@
         {
             receiver.contact.hear(at);
         }
+        if !receiver.has_list && beat.servers.version > ListVersion::default() {
+            receiver.offered_by.get_or_insert(from_addr);
+            receiver.offered_at = Some(now);
+        }
         receiver.table.heard(from_addr, &beat, now);
         for server in receiver.table.newly_out(from_addr, &beat.out, now) {
             receiver.look_into(server, &self.dead, now);
@@ -429,6 +448,7 @@
         instance: from.to_string().into(),
         incarnation: 1,
         domain: domain_name(domain).into(),
+        capacity: Capacity::default(),
         sent_ms: 0,
         echo: None,
         config: None,
@@ -465,10 +485,20 @@
         members: table.members(members_from, members, now),
         instances: u32::try_from(table.instances()).unwrap(),
         is_joining: instance.is_joining(now),
+        capacity: instance.capacity,
+        servers: list_state(instance.has_list),
         ..bare_heartbeat(instance.addr, instance.domain)
     }
 }
 
+fn list_state(has_list: bool) -> ListState {
+    let store = StoreVersion::new(0, u64::from(has_list));
+    ListState {
+        version: ListVersion::of(store),
+        age_ms: None,
+    }
+}
+
 /// The age of what is known of the store, as others are told.
 fn told_ms(contact: &StoreContact, now: Instant) -> Option<u64> {
     let age = contact.told_age(now)?;
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -62,6 +62,7 @@
 pub use protocol::ServerProtocol;
 pub use settings::BoundSettings;
 pub use settings::ListenSettings;
+pub use settings::MachineSettings;
 pub use settings::RelaySettings;
 pub use settings::SettingsError;
 pub use store::AsOf;
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -41,7 +41,7 @@
 const MAX_LIMITS: usize = 32;
 /// Most servers told in one heartbeat that leave, at up to 40 bytes; the latest go first.
 const MAX_DEPARTED: usize = 24;
-/// Members in one heartbeat, at 9 bytes; all are told in turn, 300 within
+/// Members in one heartbeat, at 10 bytes; all are told in turn, 300 within
 /// 1.4 s.
 pub(super) const MEMBERS_TOLD: usize = 32;
 /// Most members of its domain told to an instance that looks for them, and
@@ -105,6 +105,7 @@
             instance: self.relay.settings.instance.clone(),
             incarnation: self.incarnation,
             domain: self.relay.settings.domain.clone(),
+            capacity: self.relay.settings.machine.capacity(),
             sent_ms: millis(now.saturating_duration_since(self.epoch)),
             echo: None,
             config,
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -107,7 +107,9 @@
     ) -> Self {
         let events = Arc::new(events);
         let budget = settings.bounds.news_budget();
-        let peers = PeerTable::new(settings.listen.peers, settings.domain.clone());
+        let link_mbps = settings.machine.link_mbps.unwrap_or_default();
+        let peers = PeerTable::new(settings.listen.peers, settings.domain.clone())
+            .capacity(settings.machine.capacity());
         Self {
             settings,
             protocol,
@@ -127,8 +129,8 @@
             peer_servers: watch::Sender::new(None),
             restarts: Restarts::default(),
             link_pace: Mutex::new(LinkPace::new(rand::random())),
-            config_source: Mutex::default(),
-            servers_source: Mutex::default(),
+            config_source: Mutex::new(BodySource::new().link_mbps(link_mbps)),
+            servers_source: Mutex::new(BodySource::new().link_mbps(link_mbps)),
             fetches: AtomicUsize::new(0),
             holds_lease: AtomicBool::new(false),
             is_store_away: AtomicBool::new(false),
--- a/crates/rookferry_relay/src/settings.rs
+++ b/crates/rookferry_relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rookferry_core::Capacity;
 use rookferry_core::NewsBudget;
 use rookferry_wire::DomainId;
 use rookferry_wire::InstanceId;
@@ -25,6 +26,18 @@
     pub peers: SocketAddr,
 }
 
+/// What the machine that an instance runs on can carry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MachineSettings {
+    /// The cores that the instance may use, also parts of one.
+    #[serde(default)]
+    pub cores: Option<f64>,
+    /// The bandwidth of the machine's link.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
+}
+
 /// Bounds that the operator sets; each runs from a platform's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -65,6 +78,10 @@
     /// spent of its budgets before.
     #[serde(default)]
     pub is_first_start: bool,
+    /// The machine, as far as it is known. Where it isn't the instance counts as a
+    /// small one.
+    #[serde(default)]
+    pub machine: MachineSettings,
     /// The platform's store.
     pub store: SocketAddr,
     /// Addresses at which other instances may listen for peers.
@@ -122,6 +139,17 @@
         if self.domain.is_empty() {
             faults.push("domain: it is empty; name the instance's failure domain".to_owned());
         }
+        let machine = [
+            ("machine.cores", self.machine.cores),
+            ("machine.link_mbps", self.machine.link_mbps),
+        ];
+        for (name, value) in machine {
+            if value.is_some_and(|value| !(value.is_finite() && value > 0.0)) {
+                faults.push(format!(
+                    "{name}: it is not above 0; leave it out if it isn't known"
+                ));
+            }
+        }
         let bounds = &self.bounds;
         if bounds.revoke_ms == 0 {
             faults.push("bounds.revoke_ms: 0 refuses every request; give milliseconds".to_owned());
@@ -151,6 +179,16 @@
     }
 }
 
+impl MachineSettings {
+    /// What it can carry of a failure domain's duties.
+    pub(crate) fn capacity(&self) -> Capacity {
+        match (self.cores, self.link_mbps) {
+            (Some(cores), Some(link_mbps)) => Capacity::of_machine(cores, link_mbps),
+            _ => Capacity::default(),
+        }
+    }
+}
+
 impl BoundSettings {
     /// How old a configuration may be when a request is sent.
     ///
