fix(relay): few instances read the store when a whole site starts again

Cause: an instance that restarts read the store 120 ms after its start unless a peer was just giving it what it needs. Where all start together nobody is, so each of N lists the configuration and all pages of the servers; each also lists the lease and the held requests at once, whether or not it has the site by its peers. At 1,000 instances and 3,000 servers that is the store's rate and each small link for seconds. Change: a line at each start (StartLine): by capacity and address among those known in the domain, with steps of an answer or the own link's time for a body; a peer's word that it has more holds for two heartbeats, not only while a body is on its way; a body that a peer gave says as of when the store was known, so that nothing is asked until the reader is heard; the lease waits as all else does. Callers who come meanwhile are told when the instance is likely to know the site, not always 0.4 s. Replaced: the test that any rank reads within 150 ms of a restart without an offer. That is what made the herd; now the first in line does, the store is read in the end however large the domain, and few read (tests/start_line.rs, strict on reads and on time).

--- a/crates/rookferry_core/src/serving/age.rs
+++ b/crates/rookferry_core/src/serving/age.rs
@@ -46,6 +46,12 @@
         self.version
     }
 
+    /// When it was confirmed last; `None` if it never was.
+    #[must_use]
+    pub const fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at
+    }
+
     /// How long ago it was confirmed; `None` if it never was.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
--- /dev/null
+++ b/crates/rookferry_core/tests/start_line.rs
@@ -0,0 +1,113 @@
+//! Instances that start together: who reads the store, and when all know the site.
+
+#[path = "support/peer_site.rs"]
+mod peer_site;
+#[path = "support/start_site.rs"]
+mod start_site;
+
+use std::time::Duration;
+
+use rookferry_core::StartLine;
+use rstest::rstest;
+use start_site::FAST_MBPS;
+use start_site::SLOW_MBPS;
+use start_site::StartSite;
+
+const RESTART: StartLine = StartLine {
+    is_first_start: false,
+    rank: 0,
+    offered_ago: None,
+    link_mbps: Some(1_000.0),
+};
+
+#[test]
+fn of_hundreds_that_start_together_few_read_the_store_before_the_first_has_told() {
+    // The first tells the others within a step of its own read.
+    let read_at = |rank| {
+        StartLine {
+            is_first_start: true,
+            rank,
+            ..RESTART
+        }
+        .first_read_after()
+    };
+    let told_at = read_at(0) + Duration::from_millis(90);
+    let readers = (0..59).filter(|rank| read_at(*rank) < told_at);
+    assert_eq!(readers.count(), 1);
+    let last = read_at(1_000);
+    assert!(last < Duration::from_secs(2), "the last waits for {last:?}");
+}
+
+#[test]
+fn an_instance_that_restarts_alone_reads_at_once_and_waits_only_while_a_peer_gives() {
+    let alone = RESTART.first_read_after();
+    let offered = StartLine {
+        offered_ago: Some(Duration::ZERO),
+        ..RESTART
+    };
+    let offered = offered.first_read_after();
+    assert!(alone < Duration::from_millis(150), "{alone:?}");
+    assert!(alone < offered && offered <= Duration::from_millis(520));
+}
+
+#[rstest]
+#[case::fast(1_000.0)]
+#[case::slow(20.0)]
+fn however_large_the_domain_the_store_is_read_in_the_end(#[case] link_mbps: f64) {
+    let last = StartLine {
+        rank: 4_000,
+        offered_ago: Some(Duration::ZERO),
+        link_mbps: Some(link_mbps),
+        ..RESTART
+    };
+    let last = last.first_read_after();
+    assert!(last < Duration::from_secs(5), "the last waits for {last:?}");
+}
+
+/// All of a site start again at once, with no memory. Where each read the store after a
+/// fixed time all of them did.
+#[rstest]
+#[case::hundred(5, 20, 2)]
+#[case::thousand(5, 200, 10)]
+fn a_start_of_all_costs_the_store_a_few_reads_a_domain(
+    #[case] domains: usize,
+    #[case] per_domain: usize,
+    #[case] fast: usize,
+) {
+    let mut site = StartSite::restart(domains, per_domain, 1);
+    for (place, link_mbps) in site.link_mbps.iter_mut().enumerate() {
+        // Not those with the lowest addresses.
+        let number = place / domains;
+        let is_fast = number >= per_domain / 2 && number < per_domain / 2 + fast;
+        *link_mbps = if is_fast { FAST_MBPS } else { SLOW_MBPS };
+    }
+    site.tell_capacity();
+    let known_ms = site.run_until_known(8_000).expect("all know the site");
+    println!(
+        "{domains} x {per_domain}: {} reads, {known_ms} ms",
+        site.reads
+    );
+    let most = 3 * domains;
+    assert!(site.reads <= most, "{} reads of the store", site.reads);
+    assert!(known_ms < 3_000, "the last knows after {known_ms} ms");
+}
+
+/// The same where all machines are small.
+#[rstest]
+#[case::nine(3, 3)]
+#[case::hundred(5, 20)]
+#[case::thousand(5, 200)]
+fn a_start_of_all_small_machines_costs_the_store_a_few_reads_a_domain(
+    #[case] domains: usize,
+    #[case] per_domain: usize,
+) {
+    let mut site = StartSite::restart(domains, per_domain, 2);
+    let known_ms = site.run_until_known(20_000).expect("all know the site");
+    println!(
+        "small {domains} x {per_domain}: {} reads, {known_ms} ms",
+        site.reads
+    );
+    let most = 12 * domains;
+    assert!(site.reads <= most, "{} reads of the store", site.reads);
+    assert!(known_ms < 6_000, "the last knows after {known_ms} ms");
+}
--- a/crates/rookferry_relay/src/peers/fetch.rs
+++ b/crates/rookferry_relay/src/peers/fetch.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -54,18 +53,15 @@
     }
 }
 
-/// A fetch, counted until it ends.
+/// A fetch, until it ends.
 struct Fetching<V: Copy + Ord> {
-    relay: Arc<Relay>,
     gate: Arc<FetchGate<V>>,
     version: V,
 }
 
 impl<V: Copy + Ord> Fetching<V> {
-    fn new(relay: &Arc<Relay>, gate: &Arc<FetchGate<V>>, version: V) -> Self {
-        relay.fetches.fetch_add(1, Ordering::Relaxed);
+    fn new(gate: &Arc<FetchGate<V>>, version: V) -> Self {
         Self {
-            relay: relay.clone(),
             gate: gate.clone(),
             version,
         }
@@ -74,7 +70,6 @@
 
 impl<V: Copy + Ord> Drop for Fetching<V> {
     fn drop(&mut self) {
-        self.relay.fetches.fetch_sub(1, Ordering::Relaxed);
         self.gate.end(self.version);
     }
 }
@@ -88,19 +83,25 @@
         }
     }
 
+    /// A peer has something that this instance lacks.
+    fn note_offer(&self) {
+        *lock(&self.relay.offered_at) = Some(clock::now());
+    }
+
     /// A peer has newer servers: they are asked for, unless the own watch
     /// brings them first.
     pub(super) fn take_servers(&self, beat: &Heartbeat, from: SocketAddr) {
         let version = beat.servers.version;
         let is_newer = self.relay.servers_version() < version;
-        if !is_newer
-            || self.relay.store.is_denied(version.store.era)
-            || !self.servers.begin(version)
-        {
+        if !is_newer || self.relay.store.is_denied(version.store.era) {
+            return;
+        }
+        self.note_offer();
+        if !self.servers.begin(version) {
             return;
         }
         let relay = self.relay.clone();
-        let fetching = Fetching::new(&relay, &self.servers, version);
+        let fetching = Fetching::new(&self.servers, version);
         tokio::spawn(async move {
             let _fetching = fetching;
             if !relay.leaves_store() {
@@ -124,11 +125,12 @@
         };
         let own = self.relay.config_version();
         if own.is_none_or(|own| own < config.version) {
+            self.note_offer();
             if !self.config.begin(config.version) {
                 return;
             }
             let relay = self.relay.clone();
-            let fetching = Fetching::new(&relay, &self.config, config.version);
+            let fetching = Fetching::new(&self.config, config.version);
             tokio::spawn(async move {
                 let _fetching = fetching;
                 if !relay.leaves_store() {
--- a/crates/rookferry_relay/src/placement/lease_keeper.rs
+++ b/crates/rookferry_relay/src/placement/lease_keeper.rs
@@ -127,7 +127,7 @@
         let is_heard = lock(&self.relay.peers).hears_holder(asked_at);
         let pause = if is_heard { QUIET_READS } else { RIVAL_READS };
         // Of the others one a domain is a rival, the one that asks the store.
-        let is_rival = self.is_to_reread || !self.relay.relies_on_peers();
+        let is_rival = self.is_to_reread || !self.relay.leaves_store();
         let is_due = !self.is_holder()
             && is_rival
             && !self.relay.is_store_away.load(Ordering::Relaxed)
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -1,10 +1,9 @@
 //! What an instance knows of its site, and whether it serves by that.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use rookferry_core::first_read_in_line;
+use rookferry_core::StartLine;
 use rookferry_net::clock;
 
 use crate::mutex::lock;
@@ -16,6 +15,10 @@
 /// configuration of 1,400 routes takes 0.25 s to come over a link of 20 Mbit/s.
 const STARTING: Duration = Duration::from_millis(1_500);
 
+/// The least that callers are told to stay away from an instance that has just started:
+/// instances that start together know a small site within about this.
+const LEAST_START_LEFT: Duration = Duration::from_millis(400);
+
 impl Relay {
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
@@ -37,7 +40,7 @@
     /// Why requests can't be served while the site isn't known.
     pub(crate) fn unknown_site(&self) -> Refusal {
         if self.is_starting() {
-            return Refusal::Starting;
+            return Refusal::Starting(self.start_left());
         }
         // Peers that are heard would have passed a newer word on.
         if lock(&self.peers).hears_any(clock::now()) {
@@ -90,12 +93,31 @@
     }
 
     /// Whether this instance has just started, and its peers are yet to tell
-    /// it what they know. It reads the store itself if they don't.
+    /// it what they know, or what they told is fresh. It reads the store itself if
+    /// they don't.
     pub(crate) fn awaits_peers(&self) -> bool {
-        let rank = self.rank(clock::now());
-        let is_offered = self.fetches.load(Ordering::Relaxed) > 0;
-        let wait = first_read_in_line(self.settings.is_first_start, rank, is_offered);
-        !self.knows_site() && self.age() < wait
+        if self.age() >= self.start_line().first_read_after() {
+            return false;
+        }
+        let fresh = self.settings.bounds.news_budget().rely();
+        !self.knows_site() || self.store.contact().is_fresh(clock::now(), fresh)
+    }
+
+    /// This instance's place in line at its start.
+    fn start_line(&self) -> StartLine {
+        let peers = lock(&self.peers);
+        StartLine {
+            is_first_start: self.settings.is_first_start,
+            rank: peers.rank(clock::now()).max(peers.known_before()),
+            offered_ago: lock(&self.offered_at).map(clock::since),
+            link_mbps: self.settings.machine.link_mbps,
+        }
+    }
+
+    /// In how long an instance that has just started is likely to know the site.
+    fn start_left(&self) -> Duration {
+        let left = self.start_line().known_after().saturating_sub(self.age());
+        left.max(LEAST_START_LEFT)
     }
 
     /// Whether the store is left alone, because peers tell what it has.
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -30,8 +30,9 @@
     BodyTooLarge,
     /// The body came too slowly.
     BodyTooSlow,
-    /// The instance has just started and doesn't know the site yet.
-    Starting,
+    /// The instance has just started and doesn't know the site yet; it is likely to
+    /// after a time.
+    Starting(Duration),
     /// The instance doesn't know the configuration, or not well enough.
     ConfigUnknown,
     /// The same, and the instances that it hears don't know more.
@@ -86,7 +87,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::Starting
+            Self::Starting(_)
             | Self::ConfigUnknown
             | Self::ConfigStale
             | Self::Leaving
@@ -109,7 +110,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
-            Self::Starting => "starting",
+            Self::Starting(_) => "starting",
             Self::ConfigUnknown => "config_unknown",
             Self::ConfigStale => "config_stale",
             Self::Leaving => "leaving",
@@ -147,7 +148,7 @@
             Self::UnknownKey => ReasonCode::Unauthorized,
             Self::BodyTooLarge => ReasonCode::BodyTooLarge,
             Self::BodyTooSlow => ReasonCode::BodyTooSlow,
-            Self::Starting | Self::ConfigUnknown | Self::ConfigStale => ReasonCode::NotReady,
+            Self::Starting(_) | Self::ConfigUnknown | Self::ConfigStale => ReasonCode::NotReady,
             Self::Leaving => ReasonCode::Leaving,
             Self::NoServer => ReasonCode::NoChain,
             Self::Overloaded(_) | Self::BackedOff(_) | Self::Limited(_) => ReasonCode::Overloaded,
@@ -160,15 +161,14 @@
     /// When to come back, for refusals that promise that nothing ran.
     pub(crate) const fn retry_after(self) -> Option<Duration> {
         match self {
-            // Instances that start together know the site within about this.
-            Self::Starting => Some(Duration::from_millis(400)),
             // The store is away for all; it was for seconds so far.
             Self::ConfigStale => Some(Duration::from_secs(1)),
             // Another instance may well know the configuration.
             Self::ConfigUnknown | Self::Leaving => Some(Duration::from_millis(20)),
             // About the time of a repair of placement by a standing copy.
             Self::NoServer => Some(Duration::from_millis(300)),
-            Self::Overloaded(wait)
+            Self::Starting(wait)
+            | Self::Overloaded(wait)
             | Self::BackedOff(wait)
             | Self::Limited(wait)
             | Self::Quarantined { wait, .. } => Some(wait),
@@ -184,7 +184,7 @@
             Self::UnknownKey => "the key is not known; use one of the account's keys",
             Self::BodyTooLarge => "the body is over the limit; send a shorter one",
             Self::BodyTooSlow => "the body did not arrive in time; send it at once",
-            Self::Starting => "this instance has just started; come back",
+            Self::Starting(_) => "this instance has just started; come back",
             Self::ConfigUnknown => "this instance doesn't know the newest configuration; come back",
             Self::ConfigStale => "no instance in reach knows the newest configuration; come back",
             Self::Leaving => "this instance is stopping; come back, another one answers",
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -84,8 +84,8 @@
     /// Who gets the configuration, and the servers, from this instance.
     pub(crate) config_source: Mutex<BodySource<u64>>,
     pub(crate) servers_source: Mutex<BodySource<ListVersion>>,
-    /// Bodies that are being asked of peers.
-    pub(crate) fetches: AtomicUsize,
+    /// When a peer last told of a configuration or a list newer than this instance's.
+    pub(crate) offered_at: Mutex<Option<Instant>>,
     /// Whether this instance orders engines.
     pub(crate) holds_lease: AtomicBool,
     /// Whether this instance's last read of the configuration failed. Other
@@ -131,7 +131,7 @@
             link_pace: Mutex::new(LinkPace::new(rand::random())),
             config_source: Mutex::new(BodySource::new().link_mbps(link_mbps)),
             servers_source: Mutex::new(BodySource::new().link_mbps(link_mbps)),
-            fetches: AtomicUsize::new(0),
+            offered_at: Mutex::default(),
             holds_lease: AtomicBool::new(false),
             is_store_away: AtomicBool::new(false),
             started_at: clock::now(),
@@ -186,6 +186,17 @@
         age.confirm(in_force, at);
     }
 
+    /// A configuration or a list that a peer gave says what the store had when both
+    /// were the newest. An instance that has just started relies on that until it hears
+    /// from the one that reads the store.
+    pub(crate) fn note_contact_by_bodies(&self) {
+        let config_at = lock(&self.config_age).confirmed_at();
+        let servers_at = lock(&self.servers_age).confirmed_at();
+        if let Some(at) = config_at.min(servers_at) {
+            self.store.hear_contact(at);
+        }
+    }
+
     /// Puts a newer configuration in force.
     pub(crate) fn adopt_config(&self, config: ServingConfig, source: &'static str, at: Instant) {
         let version = config.version;
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -35,6 +35,9 @@
 /// Heartbeats of a server without which its entry goes, and one for the way.
 const HEARTBEATS_TO_LAPSE: u32 = 4;
 
+/// What a list is said to be from that a peer gives.
+const PEER: &str = "peer";
+
 /// A list that a peer gives.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerList {
@@ -174,6 +177,9 @@
         }
         if let Some(newest_at) = newest_at {
             self.relay.confirm_servers(self.version, newest_at);
+            if source == PEER {
+                self.relay.note_contact_by_bodies();
+            }
         }
     }
 
@@ -359,7 +365,7 @@
     const fn source(&self) -> &'static str {
         match self {
             Self::List(_) | Self::Changes(_) | Self::StoreAway => "store",
-            Self::Peer(_) => "peer",
+            Self::Peer(_) => PEER,
             Self::OtherConfig => "configuration",
             Self::Restarted(_) => "report",
             Self::Expiring => "time",
