fix(core): of many servers that leave at once each is told, not the latest 24 alone

Cause: a heartbeat tells at most 24 servers that leave, those known last. A scale-in of a fiftieth of 3,000 servers is 60 in one moment and a release 100: of the same age the same 24 went first each time, and the others reached nobody but by the whole list. Ruled out: a larger constant, which ends at the next size and is sent by a head to each of its domain. Change: a quarter of the room is for the latest, the rest is told in turn. Test (tests/departed.rs): 60, 100 and 200 of one moment within the turns of 4 s; before, 24 of each were ever told. Half the room for the latest told 168 of 200, so it is a quarter.

--- a/crates/rookferry_core/src/serving/departed.rs
+++ b/crates/rookferry_core/src/serving/departed.rs
@@ -24,6 +24,10 @@
 /// How long others are told; several times the longest bound in which all must know.
 const TOLD_FOR: Duration = Duration::from_secs(10);
 
+/// The part of what others are told at a time that is for those known last, where not
+/// all can be told.
+const LATEST_PART: usize = 4;
+
 /// Why a server gets no new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Departure {
@@ -120,9 +124,11 @@
         self.gone.retain(|_, (_, since)| age(since) < GONE_KEPT);
     }
 
-    /// What others are told: at most `most`, those that became known last.
+    /// What others are told in a turn: at most `most`. Some of them are those that
+    /// became known last; the others follow in turn, so that in a release or a
+    /// scale-in of any size each is told again and again.
     #[must_use]
-    pub fn told(&self, most: usize, now: Instant) -> Vec<DepartureSeen> {
+    pub fn told(&self, most: usize, turn: usize, now: Instant) -> Vec<DepartureSeen> {
         let leaving = self
             .leaving
             .iter()
@@ -137,7 +143,12 @@
         });
         let mut told: Vec<_> = all.filter(|(age, ..)| *age < TOLD_FOR).collect();
         told.sort_unstable_by_key(|(age, server, _)| (*age, *server));
-        told.truncate(most);
+        let latest = if told.len() > most { most / LATEST_PART } else { most };
+        let older = told.split_off(latest.min(told.len()));
+        let in_turn = (most - latest).min(older.len());
+        let from = turn.wrapping_mul(in_turn).checked_rem(older.len());
+        let older = older.iter().cycle().skip(from.unwrap_or(0));
+        told.extend(older.take(in_turn).copied());
         let told = told.into_iter();
         told.map(|(age, server, departure)| DepartureSeen {
             server,
--- a/crates/rookferry_core/tests/departed.rs
+++ b/crates/rookferry_core/tests/departed.rs
@@ -1,5 +1,6 @@
 //! That a server leaves is known by itself, whichever list is in force.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,6 +10,7 @@
 use rookferry_core::ListVersion;
 use rookferry_core::ServerKey;
 use rookferry_core::StoreVersion;
+use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_mins(1);
@@ -83,7 +85,7 @@
         let since = now + Duration::from_millis(born);
         departed.note(start(born), Departure::Leaving, since);
     }
-    let told = departed.told(24, now + SECOND);
+    let told = departed.told(24, 0, now + SECOND);
     assert_eq!(told.len(), 24);
     assert_eq!((told[0].server, told[0].age_ms), (start(39), 961));
     let mut other = DepartedServers::new();
@@ -92,7 +94,31 @@
         assert!(!other.hear(seen, now + SECOND));
     }
     // The age goes on from the first who knew, so that it is told on no longer.
-    let again = other.told(1, now + 2 * SECOND);
+    let again = other.told(1, 0, now + 2 * SECOND);
     assert!(again[0].age_ms >= 1_900, "{}", again[0].age_ms);
-    assert!(other.told(24, now + MINUTE).is_empty());
+    assert!(other.told(24, 0, now + MINUTE).is_empty());
+}
+
+/// A fiftieth of 3,000 servers is scaled in at once, a thirtieth is released; at twice
+/// that size as well. Where the latest alone are told the others never are.
+#[rstest]
+#[case::few(10)]
+#[case::a_scale_in(60)]
+#[case::a_release(100)]
+#[case::twice_that(200)]
+fn each_of_many_that_leave_at_once_is_told_again_and_again(#[case] leaving: u64) {
+    const MOST: usize = 24;
+    let mut departed = DepartedServers::new();
+    let now = Instant::now();
+    for born in 0..leaving {
+        departed.note(start(born), Departure::Leaving, now);
+    }
+    // The turns of four seconds, two rounds each.
+    let told = (0..13).flat_map(|turn| {
+        let told = departed.told(MOST, turn, now + SECOND);
+        assert!(told.len() <= MOST);
+        told
+    });
+    let told: BTreeSet<ServerKey> = told.map(|seen| seen.server).collect();
+    assert_eq!(told.len(), usize::try_from(leaving).unwrap());
 }
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -480,7 +480,9 @@
         loads: vec![entry(instance.domain, instance.requests)],
         out: instance.out.clone(),
         limits: instance.limits.told(32, now),
-        departed: instance.departed.told(24, now),
+        departed: instance
+            .departed
+            .told(24, usize::try_from(instance.round / 2).unwrap(), now),
         store_age_ms: told_ms(&instance.contact, now),
         members: table.members(members_from, members, now),
         instances: u32::try_from(table.instances()).unwrap(),
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -39,7 +39,8 @@
 /// Most words on servers' limits in one heartbeat, at up to 25 bytes; the newest go
 /// first.
 const MAX_LIMITS: usize = 32;
-/// Most servers told in one heartbeat that leave, at up to 40 bytes; the latest go first.
+/// Most servers told in one heartbeat that leave, at up to 40 bytes; where there are
+/// more, some follow in turn.
 const MAX_DEPARTED: usize = 24;
 /// Members in one heartbeat, at 10 bytes; all are told in turn, 300 within
 /// 1.4 s.
@@ -85,8 +86,9 @@
         clock::since(self.epoch) < JOINING && !table.hears_near(now)
     }
 
-    /// A heartbeat that tells of some of the members, from a place on.
-    pub(super) fn heartbeat(&self, members_from: usize, now: Instant) -> Heartbeat {
+    /// A heartbeat that tells of some of the members, from a place on, and what is told
+    /// in a turn.
+    pub(super) fn heartbeat(&self, members_from: usize, turn: usize, now: Instant) -> Heartbeat {
         let config = self.relay.config_version().and_then(|version| {
             let age_ms = self.relay.config_age_ms(version, now)?;
             Some(ConfigState { version, age_ms })
@@ -121,7 +123,7 @@
             closed,
             suspects: self.relay.quarantine.next_told(MAX_SUSPECTS, now),
             limits: self.relay.beliefs.limits().told(MAX_LIMITS, now),
-            departed: self.relay.beliefs.departed().told(MAX_DEPARTED, now),
+            departed: self.relay.beliefs.departed().told(MAX_DEPARTED, turn, now),
             members,
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
             is_joining,
@@ -130,7 +132,7 @@
 
     /// What an instance is told that looks for the others of its domain.
     pub(super) fn joining_answer(&self, domain: &DomainId, now: Instant) -> Heartbeat {
-        let mut answer = self.heartbeat(0, now);
+        let mut answer = self.heartbeat(0, 0, now);
         answer.loads.clear();
         answer.suspects = self
             .relay
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -27,6 +27,9 @@
 const ROUND_EVERY: Duration = Duration::from_millis(150);
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 20 * 1024;
+/// Rounds in which the same part is told of what is too much for one heartbeat: a head
+/// writes to its domain in every second.
+const ROUNDS_A_TURN: u32 = 2;
 /// Least time between two rounds when news bring one forward.
 const NEWS_PAUSE: Duration = Duration::from_millis(30);
 /// Least time between two sums of what others have under way: summed for each of
@@ -55,6 +58,11 @@
 }
 
 impl Rounds {
+    /// The turn of what is too much for one heartbeat.
+    fn turn(&self) -> usize {
+        usize::try_from(self.number / ROUNDS_A_TURN).unwrap_or_default()
+    }
+
     /// The next members to tell to some.
     const fn next_members(&mut self) -> usize {
         self.members_from = self.members_from.wrapping_add(MEMBERS_TOLD);
@@ -122,7 +130,9 @@
         let now = clock::now();
         self.expire(now);
         let (targets, members_from) = self.next_targets(has_news, now);
-        let mut beat = self.composer.heartbeat(members_from, now);
+        let mut beat = self
+            .composer
+            .heartbeat(members_from, self.rounds.turn(), now);
         lock(&self.relay.peers).tell_own(&beat.loads);
         for target in targets.near {
             self.send(&mut beat, target, now);
