fix(core): callers that come while all instances start are told when to come back

Load pattern: all of a site start again, and callers come all the while, each with one more try. Every one for a model waited 330 ms first, and was then told 400 ms, whatever the size of the site: it came back to another instance that didn't know the site either. Change: the answer is decided in the core (StartLine::answer), by the instance's link and place in line: it waits only where the instance is likely to know the site within that time, and is else told at once when it is likely to.

--- a/crates/rookferry_core/src/serving/departed.rs
+++ b/crates/rookferry_core/src/serving/departed.rs
@@ -143,7 +143,11 @@
         });
         let mut told: Vec<_> = all.filter(|(age, ..)| *age < TOLD_FOR).collect();
         told.sort_unstable_by_key(|(age, server, _)| (*age, *server));
-        let latest = if told.len() > most { most / LATEST_PART } else { most };
+        let latest = if told.len() > most {
+            most / LATEST_PART
+        } else {
+            most
+        };
         let older = told.split_off(latest.min(told.len()));
         let in_turn = (most - latest).min(older.len());
         let from = turn.wrapping_mul(in_turn).checked_rem(older.len());
--- a/crates/rookferry_relay/src/front.rs
+++ b/crates/rookferry_relay/src/front.rs
@@ -11,6 +11,7 @@
 use metrics::histogram;
 use rookferry_core::ServingAccount;
 use rookferry_core::ServingIndex;
+use rookferry_core::StartAnswer;
 use rookferry_core::Urgency;
 use rookferry_net::BodyError;
 use rookferry_net::Inbound;
@@ -34,11 +35,6 @@
 /// How long new work is taken after the word to stop; connections that are
 /// kept by callers close with their next answer.
 const NEW_WORK_WHILE_LEAVING: Duration = Duration::from_millis(1_500);
-/// How long a request for a model waits for an instance that has just started:
-/// leaves a third of the usual objective of 500 ms to the first event. Requests
-/// to plain services have less time, and are told at once when to come back.
-const WAIT_FOR_START: Duration = Duration::from_millis(330);
-
 /// What became of a request that was let in.
 pub(crate) enum Served {
     /// An answer, or the start of one.
@@ -53,8 +49,12 @@
 pub(crate) async fn handle(relay: Arc<Relay>, mut inbound: Inbound) -> Response<Body> {
     let received_at = clock::now();
     let head = relay.protocol.caller_head(&inbound.headers);
-    if head.answer_tokens > 0 && relay.is_starting() {
-        await_start(&relay).await;
+    // Callers of plain services have less time, and are told at once when to come back.
+    if head.answer_tokens > 0
+        && relay.is_starting()
+        && let StartAnswer::Wait(longest) = relay.start_answer()
+    {
+        await_start(&relay, longest).await;
     }
     let body = match read_body(&relay, &mut inbound).await {
         Ok(body) => body,
@@ -84,11 +84,11 @@
 }
 
 /// Waits until an instance that has just started knows the site.
-async fn await_start(relay: &Relay) {
+async fn await_start(relay: &Relay, longest: Duration) {
     let mut news = relay.versions.subscribe();
     let known = async { while relay.is_starting() && news.changed().await.is_ok() {} };
     // What it comes to is looked at when the request is let in.
-    let _ = tokio::time::timeout(WAIT_FOR_START, known).await;
+    let _ = tokio::time::timeout(longest, known).await;
 }
 
 /// Has the caller open its next connection elsewhere once this instance stops.
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rookferry_core::StartAnswer;
 use rookferry_core::StartLine;
 use rookferry_net::clock;
 
@@ -11,14 +12,6 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 
-/// How long an instance counts as starting while it doesn't know the site. A
-/// configuration of 1,400 routes takes 0.25 s to come over a link of 20 Mbit/s.
-const STARTING: Duration = Duration::from_millis(1_500);
-
-/// The least that callers are told to stay away from an instance that has just started:
-/// instances that start together know a small site within about this.
-const LEAST_START_LEFT: Duration = Duration::from_millis(400);
-
 impl Relay {
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
@@ -28,7 +21,7 @@
     /// Whether this instance has just started, and may know the site within
     /// moments.
     pub(crate) fn is_starting(&self) -> bool {
-        self.age() < STARTING && !self.knows_site()
+        !self.knows_site() && self.start_line().is_starting(self.age())
     }
 
     /// Whether configuration and servers are known well enough to serve by.
@@ -40,7 +33,8 @@
     /// Why requests can't be served while the site isn't known.
     pub(crate) fn unknown_site(&self) -> Refusal {
         if self.is_starting() {
-            return Refusal::Starting(self.start_left());
+            let line = self.start_line();
+            return Refusal::Starting(line.come_back_after(self.age(), rand::random()));
         }
         // Peers that are heard would have passed a newer word on.
         if lock(&self.peers).hears_any(clock::now()) {
@@ -114,10 +108,9 @@
         }
     }
 
-    /// In how long an instance that has just started is likely to know the site.
-    fn start_left(&self) -> Duration {
-        let left = self.start_line().known_after().saturating_sub(self.age());
-        left.max(LEAST_START_LEFT)
+    /// What a request is told that comes while this instance starts.
+    pub(crate) fn start_answer(&self) -> StartAnswer {
+        self.start_line().answer(self.age(), rand::random())
     }
 
     /// Whether the store is left alone, because peers tell what it has.
