feat(relay): peers pass the list of servers on as what differs

What grows faster than the fleet: the whole list, 327 bytes a server as measured here with short names, went to each instance with each change: servers x changes x instances. The result has to come to the told digest, or the whole list is asked for. Ruled out: versions alone, since two instances can put a list of one version together in different ways after an outage. Any order of edits ends with the giver's list, or the whole is given (proptest).

--- a/crates/rookferry_core/src/serving/backend_server.rs
+++ b/crates/rookferry_core/src/serving/backend_server.rs
@@ -14,7 +14,7 @@
 use super::ServerKey;
 
 /// A backend server.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct BackendServer {
     /// Its name.
     pub id: EngineId,
--- /dev/null
+++ b/crates/rookferry_core/tests/list_history.rs
@@ -0,0 +1,148 @@
+//! Lists of servers are passed on as what differs.
+
+use std::net::SocketAddr;
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::proptest;
+use rookferry_core::BackendServer;
+use rookferry_core::ListDelta;
+use rookferry_core::ListHistory;
+use rookferry_core::ListMark;
+use rookferry_core::ListVersion;
+use rookferry_core::ServerKey;
+use rookferry_core::StoreVersion;
+use rookferry_wire::EngineId;
+use rstest::rstest;
+
+fn server(number: usize, writes: u64) -> BackendServer {
+    let id = format!("i-{number}");
+    let port = u16::try_from(1_000 + number).expect("a port");
+    let addr = SocketAddr::from(([10, 0, 0, 1], port));
+    BackendServer {
+        key: ServerKey::new(addr, &id, None),
+        id: id.into(),
+        service: "service".into(),
+        incarnation: None,
+        writes,
+        domain: "a".into(),
+        slots: 1,
+        is_leaving: false,
+        accelerator: None,
+        held: None,
+    }
+}
+
+fn version(revision: u64) -> ListVersion {
+    ListVersion::of(StoreVersion::new(0, revision))
+}
+
+/// What an instance that has `list` in force gives to one that has an earlier one.
+fn delta(history: &ListHistory, list: &[BackendServer], earlier: ListMark) -> Option<ListDelta> {
+    let entry = |id: &EngineId| list.iter().find(|server| server.id == *id).cloned();
+    history.since(earlier, entry)
+}
+
+proptest! {
+    /// Whatever changes, those who have one of the earlier lists end with the last.
+    #[test]
+    fn what_differs_makes_the_later_list_of_the_earlier_one(
+        edits in vec((0..40_usize, any::<bool>()), 1..40),
+        from in 0..40_usize,
+    ) {
+        let mut list: Vec<BackendServer> = (0..40).map(|number| server(number, 0)).collect();
+        let mut history = ListHistory::new();
+        let mut seen = Vec::new();
+        history.put(version(1), &list);
+        seen.push((history.mark(), list.clone()));
+        for (place, (number, is_removed)) in edits.iter().enumerate() {
+            let id = server(*number, 0).id;
+            list.retain(|server| server.id != id);
+            let revision = u64::try_from(place).unwrap() + 2;
+            if !is_removed {
+                list.push(server(*number, revision));
+            }
+            history.put(version(revision), &list);
+            seen.push((history.mark(), list.clone()));
+        }
+        list.sort_by(|left, right| left.id.cmp(&right.id));
+        let (mark, earlier) = &seen[from.min(seen.len() - 1)];
+        if let Some(delta) = delta(&history, &list, *mark) {
+            let made = delta.applied(earlier, history.mark().digest);
+            assert_eq!(made, Some(list));
+        } else {
+            assert!(*mark == history.mark() || edits.len() >= 10);
+        }
+    }
+}
+
+#[test]
+fn a_list_of_the_same_version_with_other_entries_is_given_whole() {
+    let list: Vec<_> = (0..10).map(|number| server(number, 0)).collect();
+    let mut others = list.clone();
+    others[3].slots = 7;
+    let mut history = ListHistory::new();
+    let mut others_history = ListHistory::new();
+    history.put(version(1), &list);
+    others_history.put(version(1), &others);
+    history.put(version(2), &list[1..]);
+    assert!(delta(&history, &list[1..], others_history.mark()).is_none());
+}
+
+#[test]
+fn what_does_not_come_to_the_digest_is_not_used() {
+    let list: Vec<_> = (0..10).map(|number| server(number, 0)).collect();
+    let mut others = list.clone();
+    others[3].slots = 7;
+    let mut history = ListHistory::new();
+    history.put(version(1), &list);
+    let earlier = history.mark();
+    history.put(version(2), &list[1..]);
+    let delta = delta(&history, &list[1..], earlier).expect("it is remembered");
+    let digest = history.mark().digest;
+    assert_eq!(delta.clone().applied(&others, digest), None);
+    assert_eq!(delta.applied(&list, digest).map(|list| list.len()), Some(9));
+}
+
+#[test]
+fn a_list_that_is_long_forgotten_is_given_whole() {
+    let list: Vec<_> = (0..10).map(|number| server(number, 0)).collect();
+    let mut history = ListHistory::new();
+    history.put(version(1), &list);
+    let first = history.mark();
+    for revision in 2..200 {
+        history.put(version(revision), &list[1..]);
+    }
+    assert!(delta(&history, &list[1..], first).is_none());
+}
+
+/// A thirtieth of the servers is replaced, one after the other: what an instance that
+/// takes each list is sent grows with the changes, not with the servers times them.
+#[rstest]
+#[case::three_hundred(300)]
+#[case::three_thousand(3_000)]
+#[case::twice_that(6_000)]
+fn a_release_costs_each_instance_its_changes(#[case] servers: usize) {
+    let mut list: Vec<_> = (0..servers).map(|number| server(number, 0)).collect();
+    let mut history = ListHistory::new();
+    history.put(version(1), &list);
+    let mut had = (history.mark(), list.clone());
+    let whole_bytes = postcard::to_stdvec(&list).expect("bytes").len();
+    let mut sent_bytes = 0;
+    let changes = servers / 30;
+    for change in 0..changes {
+        list[change] = server(change, 1);
+        history.put(version(u64::try_from(change).unwrap() + 2), &list);
+        let delta = delta(&history, &list, had.0).expect("it is remembered");
+        sent_bytes += postcard::to_stdvec(&delta).expect("bytes").len();
+        let made = delta.applied(&had.1, history.mark().digest);
+        had = (history.mark(), made.expect("the same list"));
+    }
+    println!(
+        "{servers}: {sent_bytes} bytes, as whole lists {}",
+        whole_bytes * changes
+    );
+    // Each change is one entry, and a few bytes beside it.
+    let most = changes * 2 * whole_bytes / servers;
+    assert!(sent_bytes <= most, "{sent_bytes} bytes of {most}");
+}
--- a/crates/rookferry_relay/src/peers/exchange.rs
+++ b/crates/rookferry_relay/src/peers/exchange.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use metrics::counter;
 use rand::seq::IndexedRandom;
 use rookferry_core::BodySource;
+use rookferry_core::ListMark;
 use rookferry_core::Offer;
 use rookferry_net::clock;
 use serde::Serialize;
@@ -63,8 +65,11 @@
             let body = || config_answer(relay);
             give(&mut stream, &relay.config_source, newer, from, body).await
         }
-        PeerRequest::Servers { newer_than } => {
-            let newer = Some(relay.servers_version()).filter(|own| *own > newer_than);
+        PeerRequest::Servers { had } => {
+            if let Some(changes) = changes_answer(relay, had) {
+                return send(&mut stream, &changes).await;
+            }
+            let newer = Some(relay.servers_version()).filter(|own| *own > had.version);
             let body = || servers_answer(relay);
             give(&mut stream, &relay.servers_source, newer, from, body).await
         }
@@ -137,6 +142,25 @@
     }
 }
 
+/// What differs from an earlier list that is remembered; it is small, and no reason to
+/// send others elsewhere.
+fn changes_answer(relay: &Relay, had: ListMark) -> Option<PeerAnswer> {
+    let view = relay.view.load_full();
+    let table = view.servers.as_ref()?;
+    let history = lock(&relay.list_history);
+    let list = history.mark();
+    if list.version != table.version() || list.version <= had.version {
+        return None;
+    }
+    let delta = history.since(had, |id| table.entry(id).cloned())?;
+    drop(history);
+    Some(PeerAnswer::ServerChanges {
+        list,
+        delta,
+        age_ms: relay.servers_age(clock::now()).map(told_ms),
+    })
+}
+
 /// Puts a peer's configuration in force if it is newer.
 pub(super) async fn fetch_config(relay: &Relay, from: SocketAddr) {
     let newer_than = relay.config_version().unwrap_or(0);
@@ -158,29 +182,60 @@
 
 /// Hands a peer's backend servers on if they are newer.
 pub(super) async fn fetch_servers(relay: &Relay, from: SocketAddr) {
+    let had = lock(&relay.list_history).mark();
+    if !take_servers(relay, from, had).await {
+        // The list here isn't the one that the peer remembers under its version.
+        take_servers(relay, from, ListMark::default()).await;
+    }
+}
+
+/// Asks for servers, given the list that is had. Tells whether the answer could be used.
+async fn take_servers(relay: &Relay, from: SocketAddr, had: ListMark) -> bool {
     let newer_than = relay.servers_version();
-    let request = PeerRequest::Servers { newer_than };
     let is_had = || relay.servers_version() > newer_than;
-    let asked = ask_round(relay, from, request, is_had).await;
+    let asked = ask_round(relay, from, PeerRequest::Servers { had }, is_had).await;
     let Some((asked_at, answer)) = asked else {
-        return;
+        return true;
     };
-    if let PeerAnswer::Servers {
-        version,
-        servers,
-        age_ms,
-    } = answer
-    {
-        // The peer has looked after it was asked, so its age counts from then.
-        let newest_at =
-            age_ms.and_then(|age_ms| asked_at.checked_sub(Duration::from_millis(age_ms)));
-        let list = PeerList {
+    let (version, servers, age_ms) = match answer {
+        PeerAnswer::Servers {
             version,
             servers,
-            newest_at,
-        };
-        relay.peer_servers.send_replace(Some(list));
-    }
+            age_ms,
+        } => {
+            note_list("whole");
+            (version, servers, age_ms)
+        }
+        PeerAnswer::ServerChanges {
+            list,
+            delta,
+            age_ms,
+        } => {
+            let view = relay.view.load_full();
+            let earlier = view.servers.as_ref().map(|table| table.listed());
+            let Some(servers) = delta.applied(earlier.into_iter().flatten(), list.digest) else {
+                note_list("changes_unusable");
+                return false;
+            };
+            note_list("changes");
+            (list.version, servers, age_ms)
+        }
+        _ => return true,
+    };
+    // The peer has looked after it was asked, so its age counts from then.
+    let newest_at = age_ms.and_then(|age_ms| asked_at.checked_sub(Duration::from_millis(age_ms)));
+    let list = PeerList {
+        version,
+        servers,
+        newest_at,
+    };
+    relay.peer_servers.send_replace(Some(list));
+    true
+}
+
+/// Counts the lists of servers that peers gave, by how they came.
+fn note_list(form: &'static str) {
+    counter!("rookferry_lists_from_peers_total", "form" => form).increment(1);
 }
 
 /// Asks one that has a body, and those that it names, until one gives it.
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use rookferry_core::BackendServer;
+use rookferry_core::ListDelta;
+use rookferry_core::ListMark;
 use rookferry_core::ListVersion;
 use rookferry_core::PermitAnswer;
 use rookferry_core::PermitAsk;
@@ -34,8 +36,8 @@
 pub(crate) enum PeerRequest {
     /// The configuration, if it is newer than a version.
     Config { newer_than: u64 },
-    /// The backend servers, if their list is newer than a version.
-    Servers { newer_than: ListVersion },
+    /// The backend servers, if their list is newer than the one that is had.
+    Servers { had: ListMark },
 }
 
 /// Its answer.
@@ -54,6 +56,13 @@
         /// How long ago they were known to be the newest.
         age_ms: Option<u64>,
     },
+    /// What differs in a newer list of backend servers from the one that is had.
+    ServerChanges {
+        list: ListMark,
+        delta: ListDelta,
+        /// How long ago the list was known to be the newest.
+        age_ms: Option<u64>,
+    },
     /// Nothing newer.
     NothingNewer,
     /// Something newer, which these have too; or none yet but the one asked.
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -14,6 +14,7 @@
 use rookferry_core::BodySource;
 use rookferry_core::ConfigAge;
 use rookferry_core::LinkPace;
+use rookferry_core::ListHistory;
 use rookferry_core::ListVersion;
 use rookferry_core::PeerTable;
 use rookferry_core::RetryWindow;
@@ -75,6 +76,8 @@
     /// Those of them in the same failure domain.
     pub(crate) near_instances: AtomicUsize,
     pub(crate) peers: Mutex<PeerTable>,
+    /// What has changed in the list of servers in force.
+    pub(crate) list_history: Mutex<ListHistory>,
     /// The newest list of servers that a peer gave.
     pub(crate) peer_servers: watch::Sender<Option<PeerList>>,
     /// Engines that started again before their entries tell of it.
@@ -126,6 +129,7 @@
             instances: AtomicUsize::new(1),
             near_instances: AtomicUsize::new(1),
             peers: Mutex::new(peers),
+            list_history: Mutex::default(),
             peer_servers: watch::Sender::new(None),
             restarts: Restarts::default(),
             link_pace: Mutex::new(LinkPace::new(rand::random())),
@@ -257,6 +261,7 @@
     pub(crate) fn adopt_servers(&self, servers: ServerTable, source: &'static str) {
         let servers = Arc::new(servers);
         self.note_servers(&servers, source);
+        lock(&self.list_history).put(servers.version(), servers.listed());
         self.beliefs
             .adopt(self.view.load().servers.as_deref(), &servers);
         self.update_view(|view| SiteView {
--- a/crates/rookferry_relay/src/view.rs
+++ b/crates/rookferry_relay/src/view.rs
@@ -132,6 +132,13 @@
         self.servers.iter().chain(&self.unusable)
     }
 
+    /// The entry of a name, with use here or without.
+    pub(crate) fn entry(&self, id: &EngineId) -> Option<&BackendServer> {
+        let mut unusable = self.unusable.iter();
+        self.named(id)
+            .or_else(|| unusable.find(|entry| entry.id == *id))
+    }
+
     /// The servers of a service.
     pub(crate) fn of(&self, service: &ServiceId) -> impl Iterator<Item = &BackendServer> {
         let indexes = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
