fix(core): an instance that has just started is no head because it hears none

What grows faster than the fleet: one that hears nobody took itself for a head and wrote to all of its domain, so a start of all cost the square of a domain's size in datagrams. Change: in its first moments it writes to those that would be heads by what it was told and to eight others; a head's round goes to all only with news, or once it is old enough.

--- a/crates/rookferry_core/src/peers/fanout.rs
+++ b/crates/rookferry_core/src/peers/fanout.rs
@@ -24,6 +24,10 @@
 /// Members of its domain, drawn anew each round, that an instance writes to
 /// besides the heads, so that all are heard now and then whoever the heads are.
 const DRAWN_NEAR: usize = 1;
+/// The same of one that has just started and hears no heads yet, besides those that
+/// would be by what it was told. Where each wrote to all of its domain until it heard
+/// them, a start of all would cost the square of its size.
+const NEAR_AT_START: usize = 8;
 /// Rounds between heartbeats to members of other domains.
 const FAR_ROUNDS: u32 = 4;
 /// The same for the instance that speaks for its domain. What a domain has
@@ -122,6 +126,14 @@
     ) {
         let before = table.first_before(HEADS, now);
         let is_head = before.len() < HEADS;
+        if is_head && !round.may_speak && !round.has_news {
+            // It hasn't heard the heads yet, and isn't one because of that.
+            targets.near = near.sample(rng, NEAR_AT_START).copied().collect();
+            targets.near.extend(table.first_known(HEADS));
+            targets.near.sort_unstable();
+            targets.near.dedup();
+            return;
+        }
         if is_head && (round.has_news || round.number.is_multiple_of(HEAD_ROUNDS)) {
             targets.near_with_sums = near;
             return;
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -355,17 +355,28 @@
         heard.max(usize::try_from(told).unwrap_or(0))
     }
 
+    /// The first `most` members of the domain in line by what is known of them, heard or
+    /// told of.
+    pub(super) fn first_known(&self, most: usize) -> Vec<SocketAddr> {
+        let near = self.known_near();
+        let mut first: Vec<Standing> = near.collect();
+        first.sort_unstable();
+        first.truncate(most);
+        first.into_iter().map(Standing::addr).collect()
+    }
+
+    fn known_near(&self) -> impl Iterator<Item = Standing> {
+        let peers = self.peers.iter();
+        let near = peers.filter(|(_, peer)| peer.domain.as_ref() == Some(&self.home));
+        near.map(|(addr, peer)| Standing::new(peer.capacity, *addr))
+    }
+
     /// How many instances of the domain stand before this one by what is known of
     /// them, heard or told of.
     #[must_use]
     pub fn known_before(&self) -> usize {
         let own = self.standing();
-        let near = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.domain.as_ref() == Some(&self.home));
-        near.filter(|(addr, peer)| Standing::new(peer.capacity, **addr) < own)
-            .count()
+        self.known_near().filter(|known| *known < own).count()
     }
 
     /// Whether this instance is the first of those it hears in its domain.
--- /dev/null
+++ b/crates/rookferry_core/tests/fleet_costs.rs
@@ -0,0 +1,87 @@
+//! What heartbeats cost an instance, by the size of the site: the table of docs/CAPACITY.md
+//! rests on these counts.
+
+#[path = "support/peer_site.rs"]
+mod peer_site;
+
+use peer_site::Site;
+use rookferry_core::Capacity;
+use rstest::rstest;
+
+const DOMAINS: usize = 5;
+/// Large machines in each domain, which carry its duties.
+const LARGE: usize = 2;
+/// What an instance may send and be sent for control in a second, by the users' first
+/// letter.
+const BUDGET_BYTES: usize = 17_000;
+
+/// What one instance sends and is sent in a second.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    datagrams: usize,
+    sent_bytes: usize,
+    received_bytes: usize,
+}
+
+/// A site that starts.
+fn site(per_domain: usize) -> Site {
+    let mut site = Site::start(DOMAINS, per_domain, 1);
+    for (place, instance) in site.instances.iter_mut().enumerate() {
+        if place / DOMAINS < LARGE {
+            instance.capacity = Capacity::of_machine(1.0, 1_000.0);
+            instance.table = instance.table.clone().capacity(instance.capacity);
+        }
+    }
+    site
+}
+
+/// The costs of all instances of a site that has been up for a while; by the datagrams
+/// that they send.
+fn costs(per_domain: usize) -> Vec<Cost> {
+    let mut site = site(per_domain);
+    site.run_for(2_000);
+    site.counts_bytes = true;
+    for instance in &mut site.instances {
+        instance.sent = 0;
+    }
+    site.run_for(1_000);
+    let costs = site.instances.iter().map(|instance| Cost {
+        datagrams: usize::try_from(instance.sent).expect("a count"),
+        sent_bytes: instance.sent_bytes,
+        received_bytes: instance.received_bytes,
+    });
+    let mut costs: Vec<Cost> = costs.collect();
+    costs.sort_by_key(|cost| cost.datagrams);
+    costs
+}
+
+/// What a small machine pays for the others doesn't grow with their number, and what the
+/// large ones pay grows no faster than it.
+#[rstest]
+#[case::three_hundred(60)]
+#[case::thousand(200)]
+#[case::two_thousand(400)]
+fn a_small_machine_pays_the_same_in_a_site_of_any_size(#[case] per_domain: usize) {
+    let costs = costs(per_domain);
+    let middle = costs[costs.len() / 2];
+    let busiest = costs[costs.len() - 1];
+    println!("{DOMAINS} x {per_domain}: middle {middle:?}, busiest {busiest:?}");
+    assert!(middle.sent_bytes <= BUDGET_BYTES, "{middle:?}");
+    assert!(middle.received_bytes <= BUDGET_BYTES, "{middle:?}");
+    let members = DOMAINS * per_domain;
+    assert!(busiest.datagrams <= 400 + members, "{busiest:?}");
+}
+
+/// All start at once and hear nobody yet: none writes to all of its domain because of
+/// that.
+#[rstest]
+#[case::three_hundred(60)]
+#[case::thousand(200)]
+fn a_start_of_all_costs_each_the_same_in_a_site_of_any_size(#[case] per_domain: usize) {
+    let mut site = site(per_domain);
+    site.run_for(700);
+    let sent: u64 = site.instances.iter().map(|instance| instance.sent).sum();
+    let each = sent / u64::try_from(site.instances.len()).expect("a count");
+    println!("{DOMAINS} x {per_domain}: {each} datagrams each");
+    assert!(each <= 60, "{each} datagrams each");
+}
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -55,6 +55,9 @@
     /// Questions that it asked of servers which others have trouble with.
     pub asked: usize,
     pub sent: u64,
+    /// Bytes that it sent and was sent, while they are counted.
+    pub sent_bytes: usize,
+    pub received_bytes: usize,
     /// The limits of servers, as it knows them.
     pub limits: ServerLimits,
     /// Servers that leave, as it knows them.
@@ -119,6 +122,8 @@
     pub slow: BTreeSet<usize>,
     /// The share of datagrams that are lost.
     pub loss: f64,
+    /// Whether bytes are counted, which takes time.
+    pub counts_bytes: bool,
     pub rng: StdRng,
 }
 
@@ -154,6 +159,7 @@
             dead: Vec::new(),
             slow: BTreeSet::new(),
             loss: LOSS,
+            counts_bytes: false,
             rng: StdRng::seed_from_u64(seed),
         };
         for place in 0..domains * per_domain {
@@ -174,6 +180,8 @@
                 out: Vec::new(),
                 asked: 0,
                 sent: 0,
+                sent_bytes: 0,
+                received_bytes: 0,
                 limits: ServerLimits::new(),
                 departed: DepartedServers::new(),
                 contact: StoreContact::new(),
@@ -319,6 +327,11 @@
         let Some(to) = self.places.get(&to).copied() else {
             return;
         };
+        if self.counts_bytes {
+            let bytes = postcard::to_stdvec(&beat).expect("bytes").len();
+            self.instances[from].sent_bytes += bytes;
+            self.instances[to].received_bytes += bytes;
+        }
         if self.rng.random_bool(self.loss) {
             return;
         }
