fix(relay): what a peer knows counts for an instance younger than that word

Cause: a peer's age is counted on this instance's clock, which begins with its start, and a word from before that counted for nothing. What the reader of a domain knows of the store is up to two waits of its watch old, so that an instance heard nothing that it could rely on in the first second or more after its start: it read the store meanwhile, for the configuration, the servers, the lease and the held requests. Ruled out: the place in line and the offers, which held; the heartbeats, which came. Change: the time is reckoned from the clock's echo, also to before the start; an echo from the future counts as of now, and is no younger for it.

--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -1,6 +1,8 @@
 //! Heartbeats between instances.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use rookferry_wire::DomainId;
 use rookferry_wire::Incarnation;
@@ -120,6 +122,23 @@
     pub held_ms: u64,
 }
 
+impl Echo {
+    /// When the sender knew something that was `age_ms` old when it sent this, by the
+    /// receiver's steady clock, which counts from `epoch`; nothing if the figures can't
+    /// be so.
+    ///
+    /// It may be before the epoch: what others know is older than an instance that has
+    /// just started.
+    #[must_use]
+    pub fn known_at(self, age_ms: u64, epoch: Instant, now: Instant) -> Option<Instant> {
+        let sent_back_ms = self.sent_ms.checked_add(self.held_ms)?;
+        let sent_back_at = epoch.checked_add(Duration::from_millis(sent_back_ms))?;
+        sent_back_at
+            .min(now)
+            .checked_sub(Duration::from_millis(age_ms))
+    }
+}
+
 /// The list of servers that a sender has in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListState {
--- a/crates/rookferry_core/tests/peers.rs
+++ b/crates/rookferry_core/tests/peers.rs
@@ -14,6 +14,7 @@
 use peer_site::heartbeat;
 use peer_site::instance_addr;
 use rookferry_core::DoubtedUse;
+use rookferry_core::Echo;
 use rookferry_core::Heartbeat;
 use rookferry_core::PeerTable;
 use rookferry_core::ServerKey;
@@ -302,6 +303,35 @@
     assert!(known.iter().all(|known| *known == count - 1), "{known:?}");
 }
 
+/// A store's word that is a second old, told to an instance that started half a second
+/// ago: where it counted for nothing each start read the store until it was older.
+#[rstest]
+#[case::older_than_the_instance(1_000)]
+#[case::younger(100)]
+fn what_a_peer_knows_counts_for_an_instance_that_has_just_started(#[case] age_ms: u64) {
+    let epoch = Instant::now() + Duration::from_secs(10);
+    let now = epoch + Duration::from_millis(500);
+    let echo = Echo {
+        sent_ms: 300,
+        held_ms: 150,
+    };
+    let known_at = echo.known_at(age_ms, epoch, now);
+    let age = known_at.map(|at| now.saturating_duration_since(at));
+    // Its own message was 50 ms old when it came back.
+    assert_eq!(age, Some(Duration::from_millis(age_ms + 50)));
+}
+
+#[test]
+fn no_echo_makes_a_word_younger_than_it_is_told() {
+    let epoch = Instant::now();
+    let now = epoch + Duration::from_millis(500);
+    let echo = |sent_ms, held_ms| Echo { sent_ms, held_ms };
+    let known_at = echo(90_000, 0).known_at(400, epoch, now);
+    let age = known_at.map(|at| now.saturating_duration_since(at));
+    assert_eq!(age, Some(Duration::from_millis(400)));
+    assert_eq!(echo(u64::MAX, 1).known_at(0, epoch, now), None);
+}
+
 #[test]
 fn damaged_figures_change_nothing_but_the_senders_entry() {
     let mut site = Site::start(1, 3, 8);
--- a/crates/rookferry_relay/src/peers/fetch.rs
+++ b/crates/rookferry_relay/src/peers/fetch.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rookferry_core::Echo;
 use rookferry_core::Heartbeat;
 use rookferry_core::ListVersion;
 use rookferry_net::clock;
@@ -143,7 +142,7 @@
         if own != Some(config.version) {
             return;
         }
-        if let Some(at) = confirmed_at(beat.echo, config.age_ms, epoch) {
+        if let Some(at) = known_at(beat, config.age_ms, epoch) {
             self.relay.confirm_config(config.version, at);
         }
     }
@@ -155,25 +154,20 @@
         let servers = beat.servers;
         let list_at = servers
             .age_ms
-            .and_then(|age_ms| confirmed_at(beat.echo, age_ms, epoch));
+            .and_then(|age_ms| known_at(beat, age_ms, epoch));
         if let Some(at) = list_at {
             self.relay.confirm_servers(servers.version, at);
         }
         let is_near = beat.domain == self.relay.settings.domain;
         let store_age_ms = beat.store_age_ms.filter(|_| is_near);
-        let store_at = store_age_ms.and_then(|age_ms| confirmed_at(beat.echo, age_ms, epoch));
+        let store_at = store_age_ms.and_then(|age_ms| known_at(beat, age_ms, epoch));
         if let Some(at) = store_at {
             self.relay.store.hear_contact(at);
         }
     }
 }
 
-/// When a peer knew something of an age, by this instance's clock, which it sends
-/// back; nothing if its figures can't be so.
-fn confirmed_at(echo: Option<Echo>, age_ms: u64, epoch: Instant) -> Option<Instant> {
-    let echo = echo?;
-    let sent_back_ms = echo.sent_ms.checked_add(echo.held_ms)?;
-    let since_epoch_ms = sent_back_ms.checked_sub(age_ms)?;
-    let at = epoch.checked_add(Duration::from_millis(since_epoch_ms))?;
-    Some(at.min(clock::now()))
+/// When a peer knew something of an age, by this instance's clock, which it sends back.
+fn known_at(beat: &Heartbeat, age_ms: u64, epoch: Instant) -> Option<Instant> {
+    beat.echo?.known_at(age_ms, epoch, clock::now())
 }
