fix(core): what is too much for a heartbeat is told in turn, whatever it is

Cause: of the servers that don't answer, that refuse or that named a limit a heartbeat told the first 128 or the latest 32, each time the same ones. A sixteenth of 3,000 servers dark at once is 180: 52 of them were never told, and each instance found them by its own failed tries. Ruled out: more at a time, which a head sends to all of its domain. Change: one rule for all of these (serving/turns.rs): a quarter of the room for the latest, the rest in turn; departures use it too. What doesn't answer is taken back by not being told any more, so a heartbeat says how many there are in all, and where it tells a part the rest holds for 3 s. Test (tests/peers.rs): all of 180 and of 360 are doubted from the fifth turn on, and none once they answer.

--- a/crates/rookferry_core/src/limits/words.rs
+++ b/crates/rookferry_core/src/limits/words.rs
@@ -14,6 +14,7 @@
 use super::RequestRate;
 use crate::millis::millis;
 use crate::serving::ServerKey;
+use crate::serving::turns::told_in_turn;
 
 /// How far apart two words are surely told in their order.
 const ORDER_KNOWN: Duration = Duration::from_millis(200);
@@ -145,9 +146,9 @@
         change(before, rate)
     }
 
-    /// What to tell others, the newest words first.
+    /// What to tell others in a turn, the newest words first.
     #[must_use]
-    pub fn told(&self, most: usize, now: Instant) -> Vec<LimitSeen> {
+    pub fn told(&self, most: usize, turn: usize, now: Instant) -> Vec<LimitSeen> {
         let words = self.words.iter();
         let told = words.filter(|(_, word)| {
             word.rate.is_some() || now.saturating_duration_since(word.at) < LIFTED_TOLD
@@ -160,8 +161,7 @@
             })
             .collect();
         told.sort_by_key(|seen| (seen.age_ms, seen.server));
-        told.truncate(most);
-        told
+        told_in_turn(&told, most, turn)
     }
 
     /// Forgets servers that `is_known` doesn't know.
--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -52,8 +52,11 @@
     pub loads: Vec<LoadEntry>,
     /// What the sender's domain has under way, if it speaks for it.
     pub domain_loads: Option<DomainLoads>,
-    /// Servers that don't answer the sender; told in its own domain.
+    /// Servers that don't answer the sender; told in its own domain, in turn where they
+    /// are too many.
     pub out: Vec<ServerKey>,
+    /// How many there are in all.
+    pub out_count: u32,
     /// Servers that take no new work; told in the sender's own domain.
     pub closed: Vec<ClosedSeen>,
     /// What the sender knows of requests under which servers ended.
--- a/crates/rookferry_core/src/peers/peer.rs
+++ b/crates/rookferry_core/src/peers/peer.rs
@@ -15,6 +15,15 @@
 use super::MemberSeen;
 use crate::serving::ServerKey;
 
+/// A peer's word that a server doesn't answer it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OutSeen {
+    /// Since when it says so.
+    pub(super) since: Instant,
+    /// When it said so last.
+    pub(super) told_at: Instant,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
     pub(super) domain: Option<DomainId>,
@@ -32,8 +41,8 @@
     /// When the peer knew what the store has, by its word.
     pub(super) store_at: Option<Instant>,
     pub(super) loads: Vec<LoadEntry>,
-    /// Servers that don't answer the peer, and since when it says so.
-    pub(super) out: BTreeMap<ServerKey, Instant>,
+    /// Servers that don't answer the peer.
+    pub(super) out: BTreeMap<ServerKey, OutSeen>,
     /// What its domain has under way, if it last spoke for it.
     pub(super) sums: Option<(DomainLoads, Instant)>,
 }
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -18,6 +18,7 @@
 use super::MembersOf;
 use super::ServerLoad;
 use super::capacity::Standing;
+use super::peer::OutSeen;
 use super::peer::Peer;
 use super::peer::is_within;
 use crate::millis::millis;
@@ -37,6 +38,9 @@
 const MEMBER_KEPT_EACH: Duration = Duration::from_millis(50);
 /// The longest that it does.
 const MEMBER_KEPT_LONGEST: Duration = Duration::from_secs(25);
+/// Within which time a peer tells of each server that doesn't answer it, where it tells
+/// them in turn: some turns of a head.
+const OUT_TOLD_WITHIN: Duration = Duration::from_secs(3);
 /// How long an address that nobody heard is written to, and counts as one of
 /// those that share budgets.
 const ADDRESS_KEPT: Duration = Duration::from_secs(30);
@@ -160,23 +164,38 @@
         !is_known
     }
 
-    /// Servers that a peer has newly lost since its last heartbeat.
+    /// Servers that a peer has newly lost, by its heartbeat. One that it has in all
+    /// told of is taken for regained; where it tells them in turn one that it hasn't
+    /// told of for long is.
     pub fn newly_out(
         &mut self,
         from: SocketAddr,
-        out: &[ServerKey],
+        beat: &Heartbeat,
         now: Instant,
     ) -> Vec<ServerKey> {
         let Some(peer) = self.peers.get_mut(&from) else {
             return Vec::new();
         };
-        let before = std::mem::take(&mut peer.out);
-        let told = out.iter().copied();
-        peer.out = told
-            .map(|server| (server, before.get(&server).copied().unwrap_or(now)))
-            .collect();
-        let news = out.iter().filter(|server| !before.contains_key(server));
-        news.copied().collect()
+        let is_whole = usize::try_from(beat.out_count).is_ok_and(|count| count <= beat.out.len());
+        let kept = if is_whole {
+            Duration::ZERO
+        } else {
+            OUT_TOLD_WITHIN
+        };
+        let mut news = Vec::new();
+        for server in &beat.out {
+            let seen = peer.out.entry(*server).or_insert_with(|| {
+                news.push(*server);
+                OutSeen {
+                    since: now,
+                    told_at: now,
+                }
+            });
+            seen.told_at = now;
+        }
+        peer.out
+            .retain(|_, seen| now.saturating_duration_since(seen.told_at) <= kept);
+        news
     }
 
     /// The servers that members of the own domain have trouble with.
@@ -184,8 +203,8 @@
     pub fn doubted(&self, now: Instant) -> DoubtedServers {
         let mut doubted = DoubtedServers::default();
         for (_, peer) in self.heard_near(now) {
-            for (server, since) in &peer.out {
-                doubted.add(*server, *since);
+            for (server, seen) in &peer.out {
+                doubted.add(*server, seen.since);
             }
         }
         doubted
--- a/crates/rookferry_core/src/serving/closed.rs
+++ b/crates/rookferry_core/src/serving/closed.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use super::ServerKey;
+use super::turns::told_in_turn;
 use crate::millis::millis;
 
 /// The part of its room under which a server that refuses isn't just full.
@@ -127,7 +128,15 @@
         record.is_some_and(|record| record.is_closed(self.patience, now))
     }
 
-    /// Those that are left alone, to tell others.
+    /// Those that are left alone, to tell others in a turn: at most `most`.
+    #[must_use]
+    pub fn told(&self, most: usize, turn: usize, now: Instant) -> Vec<ClosedSeen> {
+        let mut seen = self.seen(now);
+        seen.sort_unstable_by_key(|seen| (seen.age_ms, seen.server));
+        told_in_turn(&seen, most, turn)
+    }
+
+    /// Those that are left alone.
     #[must_use]
     pub fn seen(&self, now: Instant) -> Vec<ClosedSeen> {
         let closed = self
--- a/crates/rookferry_core/src/serving/departed.rs
+++ b/crates/rookferry_core/src/serving/departed.rs
@@ -14,6 +14,7 @@
 
 use super::ListVersion;
 use super::ServerKey;
+use super::turns::told_in_turn;
 use crate::millis::millis;
 
 /// How long it is kept of a server without an entry that it leaves: entries go,
@@ -24,10 +25,6 @@
 /// How long others are told; several times the longest bound in which all must know.
 const TOLD_FOR: Duration = Duration::from_secs(10);
 
-/// The part of what others are told at a time that is for those known last, where not
-/// all can be told.
-const LATEST_PART: usize = 4;
-
 /// Why a server gets no new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Departure {
@@ -143,17 +140,7 @@
         });
         let mut told: Vec<_> = all.filter(|(age, ..)| *age < TOLD_FOR).collect();
         told.sort_unstable_by_key(|(age, server, _)| (*age, *server));
-        let latest = if told.len() > most {
-            most / LATEST_PART
-        } else {
-            most
-        };
-        let older = told.split_off(latest.min(told.len()));
-        let in_turn = (most - latest).min(older.len());
-        let from = turn.wrapping_mul(in_turn).checked_rem(older.len());
-        let older = older.iter().cycle().skip(from.unwrap_or(0));
-        told.extend(older.take(in_turn).copied());
-        let told = told.into_iter();
+        let told = told_in_turn(&told, most, turn).into_iter();
         told.map(|(age, server, departure)| DepartureSeen {
             server,
             departure,
--- a/crates/rookferry_core/src/serving/health.rs
+++ b/crates/rookferry_core/src/serving/health.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use super::ServerKey;
+use super::turns::told_in_turn;
 
 /// Time after which a failure counts for about a third.
 const DECAY: Duration = Duration::from_secs(3);
@@ -136,6 +137,17 @@
         out.map(|(server, _)| *server).collect()
     }
 
+    /// The servers that are out, as others are told in a turn: at most `most`.
+    #[must_use]
+    pub fn told(&self, most: usize, turn: usize) -> Vec<ServerKey> {
+        let records = self.records.iter();
+        let out = records.filter_map(|(server, record)| Some((record.out_since?, *server)));
+        let mut out: Vec<_> = out.collect();
+        out.sort_unstable_by_key(|(since, server)| (std::cmp::Reverse(*since), *server));
+        let out: Vec<ServerKey> = out.into_iter().map(|(_, server)| server).collect();
+        told_in_turn(&out, most, turn)
+    }
+
     /// The decayed share of requests that failed, 0 to 1.
     #[must_use]
     pub fn failing_share(&self, server: ServerKey, now: Instant) -> f64 {
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -42,6 +42,7 @@
 mod store_contact;
 mod store_pace;
 mod store_version;
+pub(crate) mod turns;
 
 pub use age::ConfigAge;
 pub use age::ServersAge;
--- a/crates/rookferry_core/tests/peers.rs
+++ b/crates/rookferry_core/tests/peers.rs
@@ -17,6 +17,7 @@
 use rookferry_core::Echo;
 use rookferry_core::Heartbeat;
 use rookferry_core::PeerTable;
+use rookferry_core::ServerHealth;
 use rookferry_core::ServerKey;
 use rstest::rstest;
 
@@ -85,10 +86,11 @@
     let from = instance_addr(domain, 7);
     let beat = Heartbeat {
         out: out.to_vec(),
+        out_count: u32::try_from(out.len()).expect("a count"),
         ..bare_heartbeat(from, domain)
     };
     table.heard(from, &beat, now);
-    table.newly_out(from, out, now);
+    table.newly_out(from, &beat, now);
 }
 
 #[test]
@@ -109,6 +111,48 @@
     assert!(!doubted.is_left_alone(lost, None), "it answers again");
 }
 
+/// A sixteenth of 3,000 servers goes dark at once, of 6,000 as well: where a member
+/// tells the same ones each time the others are taken for sound.
+#[rstest]
+#[case::few(20)]
+#[case::a_sixteenth(180)]
+#[case::twice_that(360)]
+fn all_that_a_member_lost_are_doubted_however_many(#[case] lost: u16) {
+    const MOST: usize = 128;
+    let lost = some_engines(lost);
+    let start = Instant::now();
+    let from = instance_addr(0, 7);
+    let mut health = ServerHealth::new();
+    for server in &lost {
+        health.lost(*server, start);
+    }
+    let mut table = PeerTable::new(instance_addr(0, 1), domain_name(0).into());
+    let mut hear = |health: &ServerHealth, turn: usize| {
+        let now = start + Duration::from_millis(300) * u32::try_from(turn).expect("a turn");
+        let beat = Heartbeat {
+            out: health.told(MOST, turn),
+            out_count: u32::try_from(health.out().len()).expect("a count"),
+            ..bare_heartbeat(from, 0)
+        };
+        assert!(beat.out.len() <= MOST);
+        table.heard(from, &beat, now);
+        table.newly_out(from, &beat, now);
+        let doubted = table.doubted(now);
+        let is_doubted = |server: &&ServerKey| doubted.is_left_alone(**server, None);
+        lost.iter().filter(is_doubted).count()
+    };
+    let doubted: Vec<usize> = (0..20).map(|turn| hear(&health, turn)).collect();
+    // Within turns of a second and a half, and from then on.
+    assert!(
+        doubted[5..].iter().all(|count| *count == lost.len()),
+        "{doubted:?}"
+    );
+    for server in &lost {
+        health.succeeded(*server, start + Duration::from_secs(6));
+    }
+    assert_eq!(hear(&health, 20), 0, "all answer again");
+}
+
 #[test]
 fn the_word_of_a_silent_member_or_another_domain_is_no_doubt() {
     let lost = engine_key(0);
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -300,6 +300,7 @@
                     domain_loads,
                     loads: Vec::new(),
                     out: Vec::new(),
+                    out_count: 0,
                     ..beat.clone()
                 },
             )
@@ -311,6 +312,7 @@
                 to,
                 Heartbeat {
                     out,
+                    out_count: 0,
                     ..beat.clone()
                 },
             )
@@ -372,7 +374,7 @@
             receiver.offered_at = Some(now);
         }
         receiver.table.heard(from_addr, &beat, now);
-        for server in receiver.table.newly_out(from_addr, &beat.out, now) {
+        for server in receiver.table.newly_out(from_addr, &beat, now) {
             receiver.look_into(server, &self.dead, now);
         }
         if beat.is_joining {
@@ -471,6 +473,7 @@
         loads: Vec::new(),
         domain_loads: None,
         out: Vec::new(),
+        out_count: 0,
         closed: Vec::new(),
         suspects: Vec::new(),
         limits: Vec::new(),
@@ -492,7 +495,10 @@
         incarnation: instance.incarnation,
         loads: vec![entry(instance.domain, instance.requests)],
         out: instance.out.clone(),
-        limits: instance.limits.told(32, now),
+        out_count: u32::try_from(instance.out.len()).unwrap(),
+        limits: instance
+            .limits
+            .told(32, usize::try_from(instance.round / 2).unwrap(), now),
         departed: instance
             .departed
             .told(24, usize::try_from(instance.round / 2).unwrap(), now),
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -31,13 +31,13 @@
 /// first. What remains of a datagram holds the rest.
 const MAX_LOADS: usize = 420;
 /// Most servers told as out, and as closed, in one heartbeat; at 12 and 15
-/// bytes.
+/// bytes. Where there are more they are told in turn.
 const MAX_OUT: usize = 128;
 /// Most requests told in one heartbeat under which servers ended, at up to 170
 /// bytes; the rest follow in the next rounds.
 const MAX_SUSPECTS: usize = 14;
 /// Most words on servers' limits in one heartbeat, at up to 25 bytes; the newest go
-/// first.
+/// first, the others in turn.
 const MAX_LIMITS: usize = 32;
 /// Most servers told in one heartbeat that leave, at up to 40 bytes; where there are
 /// more, some follow in turn.
@@ -93,10 +93,11 @@
             let age_ms = self.relay.config_age_ms(version, now)?;
             Some(ConfigState { version, age_ms })
         });
-        let mut out = self.relay.beliefs.health().out();
-        out.truncate(MAX_OUT);
-        let mut closed = self.relay.beliefs.closed().seen(now);
-        closed.truncate(MAX_OUT);
+        let (out, out_count) = {
+            let health = self.relay.beliefs.health();
+            (health.told(MAX_OUT, turn), health.out().len())
+        };
+        let closed = self.relay.beliefs.closed().told(MAX_OUT, turn, now);
         let (members, instances, is_joining) = {
             let table = lock(&self.relay.peers);
             let members = table.members(members_from, MEMBERS_TOLD, now);
@@ -120,9 +121,10 @@
             loads: self.load_entries(self.relay.beliefs.loads.snapshot(), now),
             domain_loads: None,
             out,
+            out_count: u32::try_from(out_count).unwrap_or(u32::MAX),
             closed,
             suspects: self.relay.quarantine.next_told(MAX_SUSPECTS, now),
-            limits: self.relay.beliefs.limits().told(MAX_LIMITS, now),
+            limits: self.relay.beliefs.limits().told(MAX_LIMITS, turn, now),
             departed: self.relay.beliefs.departed().told(MAX_DEPARTED, turn, now),
             members,
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -141,6 +141,7 @@
         beat.domain_loads = None;
         beat.loads.clear();
         beat.out.clear();
+        beat.out_count = 0;
         beat.closed.clear();
         for target in targets.far {
             self.send(&mut beat, target, now);
--- a/crates/rookferry_relay/src/peers/intake.rs
+++ b/crates/rookferry_relay/src/peers/intake.rs
@@ -44,7 +44,7 @@
         let (is_new, newly_out) = {
             let mut table = lock(&self.relay.peers);
             let is_new = table.heard(from, beat, now);
-            let newly_out = table.newly_out(from, &beat.out, now);
+            let newly_out = table.newly_out(from, beat, now);
             (is_new, newly_out)
         };
         self.relay.store.hear_era(beat.servers.version.store.era);
