--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -164,9 +164,11 @@
         !is_known
     }
 
-    /// Servers that a peer has newly lost, by its heartbeat. One that it has in all
-    /// told of is taken for regained; where it tells them in turn one that it hasn't
-    /// told of for long is.
+    /// Servers that a peer has newly lost, by its heartbeat.
+    ///
+    /// A server counts as answering the peer again once a heartbeat that names all of
+    /// them lacks it. Where the peer names them in turn, it does once it wasn't named for
+    /// [`OUT_TOLD_WITHIN`].
     pub fn newly_out(
         &mut self,
         from: SocketAddr,
--- a/crates/rookferry_core/src/pipeline/finder.rs
+++ b/crates/rookferry_core/src/pipeline/finder.rs
@@ -15,7 +15,7 @@
 use super::cover::CrossingCost;
 use super::cover::EngineCost;
 use super::cover::Part;
-use super::distinct::StartChoice;
+use super::start_choice::StartChoice;
 
 /// Time of one more stage: handing on, and waiting for the engine's pass
 /// under way. Half a pass of a mid-sized stage at the published figures.
--- a/crates/rookferry_core/src/pipeline/mod.rs
+++ b/crates/rookferry_core/src/pipeline/mod.rs
@@ -8,13 +8,13 @@
 //! [`forecast`] expects of a chain of engines.
 
 mod cover;
-mod distinct;
 mod engine;
 mod finder;
 mod forecast;
 mod layout;
 mod model;
 mod path;
+mod start_choice;
 
 pub use engine::PipelineEngine;
 pub use finder::FullestStage;
