--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -168,7 +168,7 @@
     ///
     /// A server counts as answering the peer again once a heartbeat that names all of
     /// them lacks it. Where the peer names them in turn, it does once it wasn't named for
-    /// [`OUT_TOLD_WITHIN`].
+    /// some turns.
     pub fn newly_out(
         &mut self,
         from: SocketAddr,
