--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -239,7 +239,6 @@
 pub use serving::ServingRoute;
 pub use serving::ServingService;
 pub use serving::SignatureError;
-pub use serving::StartAnswer;
 pub use serving::StartLine;
 pub use serving::StoreContact;
 pub use serving::StoreVersion;
--- a/crates/rookferry_core/src/peers/peer.rs
+++ b/crates/rookferry_core/src/peers/peer.rs
@@ -13,6 +13,7 @@
 use super::DomainLoads;
 use super::LoadEntry;
 use super::MemberSeen;
+use super::capacity::Standing;
 use crate::serving::ServerKey;
 
 /// A peer's word that a server doesn't answer it.
@@ -65,6 +66,11 @@
         }
     }
 
+    /// The place in line of the member at an address.
+    pub(super) const fn standing(&self, addr: SocketAddr) -> Standing {
+        Standing::new(self.capacity, addr)
+    }
+
     /// The member at an address, as others are told of it.
     pub(super) fn seen(&self, addr: SocketAddr, now: Instant) -> MemberSeen {
         let age = now.saturating_duration_since(self.seen_at);
--- a/crates/rookferry_core/src/peers/sums.rs
+++ b/crates/rookferry_core/src/peers/sums.rs
@@ -109,9 +109,7 @@
     #[must_use]
     pub fn domain_sums(&self, entries: Vec<LoadEntry>, now: Instant) -> DomainSums {
         let heard = self.heard_near(now);
-        let mut heard: Vec<Standing> = heard
-            .map(|(addr, peer)| Standing::new(peer.capacity, addr))
-            .collect();
+        let mut heard: Vec<Standing> = heard.map(|(addr, peer)| peer.standing(addr)).collect();
         heard.sort_unstable();
         DomainSums { heard, entries }
     }
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -380,16 +380,13 @@
     /// told of.
     pub(super) fn first_known(&self, most: usize) -> Vec<SocketAddr> {
         let near = self.known_near();
-        let mut first: Vec<Standing> = near.collect();
-        first.sort_unstable();
-        first.truncate(most);
-        first.into_iter().map(Standing::addr).collect()
+        first_in_line(near, most)
     }
 
     fn known_near(&self) -> impl Iterator<Item = Standing> {
         let peers = self.peers.iter();
         let near = peers.filter(|(_, peer)| peer.domain.as_ref() == Some(&self.home));
-        near.map(|(addr, peer)| Standing::new(peer.capacity, *addr))
+        near.map(|(addr, peer)| peer.standing(*addr))
     }
 
     /// How many instances of the domain stand before this one by what is known of
@@ -419,18 +416,14 @@
     fn heard_before(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Peer)> {
         let own = self.standing();
         self.heard_near(now)
-            .filter(move |(addr, peer)| Standing::new(peer.capacity, *addr) < own)
+            .filter(move |(addr, peer)| peer.standing(*addr) < own)
     }
 
     /// The first `most` members that are heard in the own domain before this
     /// instance in line.
     pub(super) fn first_before(&self, most: usize, now: Instant) -> Vec<SocketAddr> {
         let before = self.heard_before(now);
-        let before = before.map(|(addr, peer)| Standing::new(peer.capacity, addr));
-        let mut before: Vec<Standing> = before.collect();
-        before.sort_unstable();
-        before.truncate(most);
-        before.into_iter().map(Standing::addr).collect()
+        first_in_line(before.map(|(addr, peer)| peer.standing(addr)), most)
     }
 
     /// Whether any member of the own domain is heard.
@@ -446,3 +439,11 @@
         peers.any(|peer| peer.is_heard(now, LOAD_KEPT))
     }
 }
+
+/// The addresses of the first `most` of some members in line.
+fn first_in_line(members: impl Iterator<Item = Standing>, most: usize) -> Vec<SocketAddr> {
+    let mut members: Vec<Standing> = members.collect();
+    members.sort_unstable();
+    members.truncate(most);
+    members.into_iter().map(Standing::addr).collect()
+}
--- a/crates/rookferry_core/src/serving/health.rs
+++ b/crates/rookferry_core/src/serving/health.rs
@@ -137,6 +137,13 @@
         out.map(|(server, _)| *server).collect()
     }
 
+    /// How many servers are out.
+    #[must_use]
+    pub fn out_count(&self) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.out_since.is_some()).count()
+    }
+
     /// The servers that are out, as others are told in a turn: at most `most`.
     #[must_use]
     pub fn told(&self, most: usize, turn: usize) -> Vec<ServerKey> {
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -99,7 +99,6 @@
 pub use room_queue::RoomTicket;
 pub use room_queue::Urgency;
 pub use server_key::ServerKey;
-pub use start_line::StartAnswer;
 pub use start_line::StartLine;
 pub use store_contact::StoreContact;
 pub use store_pace::pause_in_line;
--- a/crates/rookferry_core/src/serving/start_line.rs
+++ b/crates/rookferry_core/src/serving/start_line.rs
@@ -32,16 +32,15 @@
 /// The longest that a body counts as being on its way over a link.
 const LONGEST_BODY: Duration = Duration::from_millis(400);
 
-/// How long a request waits at most for an instance that has just started: leaves a
-/// third of the usual objective of 500 ms to the first event of a stream.
+/// How long a request waits at most for an instance that has just started: a stream has
+/// to begin within its objective after that.
 const LONGEST_WAIT: Duration = Duration::from_millis(330);
 /// The least that callers are told to stay away: instances that start together know a
 /// small site within about this.
 const LEAST_AWAY: Duration = Duration::from_millis(400);
 /// How many times as long the last of them stay away, so that not all come at once.
 const AWAY_SPREAD: f64 = 1.25;
-/// How long an instance counts as starting at least while it doesn't know the site: a
-/// configuration of 1,400 routes takes 0.25 s to come over a link of 20 Mbit/s.
+/// How long an instance counts as starting at least while it doesn't know the site.
 const STARTING: Duration = Duration::from_millis(1_500);
 /// How many times as long as it is likely to take an instance counts as starting.
 const STARTING_SPREAD: u32 = 2;
@@ -52,15 +51,6 @@
 /// some hundreds.
 const HOPS_IF_UNKNOWN: u32 = 9;
 
-/// What a request is told that comes to an instance that doesn't know the site yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartAnswer {
-    /// It waits, at most for this time.
-    Wait(Duration),
-    /// It is refused at once, and comes back after this time.
-    ComeBack(Duration),
-}
-
 /// An instance that has just started, in line for its first read of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct StartLine {
@@ -111,30 +101,29 @@
         age < STARTING.max(self.known_after(age) * STARTING_SPREAD)
     }
 
-    /// What a request is told that comes at an age; `chance`, from 0 to 1, is its own.
+    /// How long a request waits at most that comes at an age; `None` if it is refused at
+    /// once.
     ///
     /// Load pattern: all of a site start again, and callers come all the while. One that
     /// waits in vain has lost the time in which it could have come back, and one that
     /// comes back too early meets another instance that doesn't know the site either,
     /// and gives up. So it waits only where the instance is likely to know in time.
     #[must_use]
-    pub fn answer(&self, age: Duration, chance: f64) -> StartAnswer {
-        let left = self.known_after(age).saturating_sub(age);
-        if left <= LONGEST_WAIT {
-            return StartAnswer::Wait(LONGEST_WAIT);
-        }
-        StartAnswer::ComeBack(Self::away(left, chance))
+    pub fn wait(&self, age: Duration) -> Option<Duration> {
+        (self.left(age) <= LONGEST_WAIT).then_some(LONGEST_WAIT)
     }
 
-    /// When a request is to come back that waited in vain.
+    /// When a request that is refused at an age is to come back; `chance`, from 0 to 1, is
+    /// its own.
     #[must_use]
     pub fn come_back_after(&self, age: Duration, chance: f64) -> Duration {
-        Self::away(self.known_after(age).saturating_sub(age), chance)
+        let spread = chance.clamp(0.0, 1.0) * (AWAY_SPREAD - 1.0);
+        self.left(age).max(LEAST_AWAY).mul_f64(1.0 + spread)
     }
 
-    fn away(left: Duration, chance: f64) -> Duration {
-        let spread = chance.clamp(0.0, 1.0) * (AWAY_SPREAD - 1.0);
-        left.max(LEAST_AWAY).mul_f64(1.0 + spread)
+    /// How much longer it is likely to take until the instance knows the site.
+    fn left(&self, age: Duration) -> Duration {
+        self.known_after(age).saturating_sub(age)
     }
 
     /// When the first in line reads.
--- a/crates/rookferry_core/tests/start_line.rs
+++ b/crates/rookferry_core/tests/start_line.rs
@@ -7,12 +7,12 @@
 
 use std::time::Duration;
 
-use rookferry_core::StartAnswer;
 use rookferry_core::StartLine;
 use rstest::rstest;
 use start_site::FAST_MBPS;
 use start_site::Policy;
 use start_site::SLOW_MBPS;
+use start_site::StartAnswer;
 use start_site::StartSite;
 
 const RESTART: StartLine = StartLine {
@@ -127,12 +127,9 @@
             StartAnswer::Wait(Duration::from_millis(330))
         }
     };
-    let after: Policy = |met| {
-        if met.has_waited {
-            StartAnswer::ComeBack(met.line.come_back_after(met.age, met.chance))
-        } else {
-            met.line.answer(met.age, met.chance)
-        }
+    let after: Policy = |met| match met.line.wait(met.age) {
+        Some(longest) if !met.has_waited => StartAnswer::Wait(longest),
+        _ => StartAnswer::ComeBack(met.line.come_back_after(met.age, met.chance)),
     };
     let [before, after] = [before, after].map(|policy| {
         let mut site = StartSite::restart(DOMAINS, 40, 3);
--- a/crates/rookferry_core/tests/support/start_site.rs
+++ b/crates/rookferry_core/tests/support/start_site.rs
@@ -9,7 +9,6 @@
 use rookferry_core::BodySource;
 use rookferry_core::Capacity;
 use rookferry_core::Offer;
-use rookferry_core::StartAnswer;
 use rookferry_core::StartLine;
 
 use crate::peer_site::Site;
@@ -41,6 +40,15 @@
     pub has_waited: bool,
 }
 
+/// What a caller is told that comes to an instance that doesn't know the site.
+#[derive(Clone, Copy, Debug)]
+pub enum StartAnswer {
+    /// It waits, at most for this time.
+    Wait(Duration),
+    /// It is refused at once, and comes back after this time.
+    ComeBack(Duration),
+}
+
 /// What a caller is told.
 pub type Policy = fn(&Met) -> StartAnswer;
 
--- a/crates/rookferry_relay/src/front.rs
+++ b/crates/rookferry_relay/src/front.rs
@@ -11,7 +11,6 @@
 use metrics::histogram;
 use rookferry_core::ServingAccount;
 use rookferry_core::ServingIndex;
-use rookferry_core::StartAnswer;
 use rookferry_core::Urgency;
 use rookferry_net::BodyError;
 use rookferry_net::Inbound;
@@ -52,7 +51,7 @@
     // Callers of plain services have less time, and are told at once when to come back.
     if head.answer_tokens > 0
         && relay.is_starting()
-        && let StartAnswer::Wait(longest) = relay.start_answer()
+        && let Some(longest) = relay.start_wait()
     {
         await_start(&relay, longest).await;
     }
--- a/crates/rookferry_relay/src/peers/compose.rs
+++ b/crates/rookferry_relay/src/peers/compose.rs
@@ -95,7 +95,7 @@
         });
         let (out, out_count) = {
             let health = self.relay.beliefs.health();
-            (health.told(MAX_OUT, turn), health.out().len())
+            (health.told(MAX_OUT, turn), health.out_count())
         };
         let closed = self.relay.beliefs.closed().told(MAX_OUT, turn, now);
         let (members, instances, is_joining) = {
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rookferry_core::StartAnswer;
 use rookferry_core::StartLine;
 use rookferry_net::clock;
 
@@ -108,9 +107,10 @@
         }
     }
 
-    /// What a request is told that comes while this instance starts.
-    pub(crate) fn start_answer(&self) -> StartAnswer {
-        self.start_line().answer(self.age(), rand::random())
+    /// How long a request waits at most that comes while this instance starts; `None` if
+    /// it is refused at once.
+    pub(crate) fn start_wait(&self) -> Option<Duration> {
+        self.start_line().wait(self.age())
     }
 
     /// Whether the store is left alone, because peers tell what it has.
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -35,9 +35,6 @@
 /// Heartbeats of a server without which its entry goes, and one for the way.
 const HEARTBEATS_TO_LAPSE: u32 = 4;
 
-/// What a list is said to be from that a peer gives.
-const PEER: &str = "peer";
-
 /// A list that a peer gives.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerList {
@@ -146,6 +143,7 @@
     fn take(&mut self, read: Result<Read, StoreError>) {
         let now = clock::now();
         let source = read.as_ref().map_or("store", Read::source);
+        let is_from_peer = matches!(read, Ok(Read::Peer(_)));
         let newest_at = read.as_ref().ok().and_then(Read::newest_at);
         let is_changed = match read {
             Ok(Read::StoreAway) => {
@@ -177,7 +175,7 @@
         }
         if let Some(newest_at) = newest_at {
             self.relay.confirm_servers(self.version, newest_at);
-            if source == PEER {
+            if is_from_peer {
                 self.relay.note_contact_by_bodies();
             }
         }
@@ -365,7 +363,7 @@
     const fn source(&self) -> &'static str {
         match self {
             Self::List(_) | Self::Changes(_) | Self::StoreAway => "store",
-            Self::Peer(_) => PEER,
+            Self::Peer(_) => "peer",
             Self::OtherConfig => "configuration",
             Self::Restarted(_) => "report",
             Self::Expiring => "time",
