feat(relay): log who reads the store, failed calls and the age of an adopted list

Sight for the incident of late departures, before any change of logic. The logs couldn't tell a domain whose reader is deaf from one in which nobody reads: store_reader_changed says when an instance begins or ends to read the list of servers, with its rank and the age of what it knows; store_call_failed names each failed call and how long it took; servers_adopted has the age of the read that brought the list, so the time from the store's answer to the list in force shows.

--- a/crates/rookferry_ctl/src/trace/log_line.rs
+++ b/crates/rookferry_ctl/src/trace/log_line.rs
@@ -10,7 +10,7 @@
 /// Fields that are printed at the start of a timeline line, or that add nothing to it.
 const PREFIX_FIELDS: [&str; 7] = ["ts", "instance", "event", "msg", "level", "request", "part"];
 /// Events that change an instance's state or its view of its dependencies and peers.
-const CONTEXT_EVENTS: [&str; 13] = [
+const CONTEXT_EVENTS: [&str; 15] = [
     "config_adopted",
     "config_older",
     "dependency_lost",
@@ -22,7 +22,9 @@
     "servers_adopted",
     "stopping",
     "store_era_changed",
+    "store_call_failed",
     "store_forgot",
+    "store_reader_changed",
     "store_watch_overdue",
 ];
 /// Fields with server addresses.
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -4,12 +4,16 @@
 //! Only one instance per failure domain reads the store; the others use that instance's
 //! state and fall back to the store when it grows old.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use rookferry_core::StartQueue;
 use rookferry_net::clock;
+use slog::info;
 
+use crate::event_log::Weight;
+use crate::event_log::millis;
 use crate::mutex::lock;
 use crate::peers::advertised_ms;
 use crate::refusal::Refusal;
@@ -120,6 +124,21 @@
         self.relies_on_peers() || self.awaits_peers()
     }
 
+    /// Records whether this instance reads the server list from the store itself, and logs
+    /// a change.
+    pub(crate) fn record_store_reader(&self, reads: bool) {
+        if self.reads_store.swap(reads, Ordering::Relaxed) == reads {
+            return;
+        }
+        let now = clock::now();
+        let age_ms = self.store.contact().age(now).map(millis);
+        if let Some(log) = self.events.line(Weight::Notable) {
+            info!(log, "store: the reading of the server list changes";
+                "event" => "store_reader_changed", "reads" => reads,
+                "rank" => self.rank(now), "store_age_ms" => age_ms);
+        }
+    }
+
     /// This instance's rank in its failure domain: how many instances precede it for the
     /// domain's duties, such as reading the store.
     pub(crate) fn rank(&self, now: Instant) -> usize {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -98,6 +98,8 @@
     /// Whether this instance's last read of the configuration failed. Other reads then
     /// wait for the next one that succeeds.
     pub(crate) is_store_unavailable: AtomicBool,
+    /// Whether this instance reads the server list from the store itself.
+    pub(crate) reads_store: AtomicBool,
     pub(crate) started_at: Instant,
     leaving_since: OnceLock<Instant>,
     pub(crate) config_age: Mutex<ConfigAge>,
@@ -142,6 +144,7 @@
             offered_at: Mutex::default(),
             holds_lease: AtomicBool::new(false),
             is_store_unavailable: AtomicBool::new(false),
+            reads_store: AtomicBool::new(false),
             started_at: clock::now(),
             leaving_since: OnceLock::new(),
             config_age: Mutex::default(),
@@ -262,10 +265,15 @@
         self.view.load().servers_version()
     }
 
-    /// Replaces the table of backend servers.
-    pub(crate) fn adopt_servers(&self, servers: ServerTable, source: &'static str) {
+    /// Replaces the table of backend servers, which is the newest as of `newest_at`.
+    pub(crate) fn adopt_servers(
+        &self,
+        servers: ServerTable,
+        source: &'static str,
+        newest_at: Option<Instant>,
+    ) {
         let servers = Arc::new(servers);
-        self.log_servers(&servers, source);
+        self.log_servers(&servers, source, newest_at);
         lock(&self.list_history).set_current(servers.version(), servers.listed());
         self.states
             .apply_list(self.view.load().servers.as_deref(), &servers);
@@ -282,12 +290,13 @@
 
     /// Logs the newly active server list, and the servers that leave or are removed with
     /// it.
-    fn log_servers(&self, servers: &ServerTable, source: &'static str) {
+    fn log_servers(&self, servers: &ServerTable, source: &'static str, newest_at: Option<Instant>) {
         if let Some(log) = self.events.line(Weight::Notable) {
             let before = self.view.load();
             let departed = servers.departed_since(before.servers.as_deref(), MAX_DEPARTED_LOGGED);
             info!(log, "directory: a list of servers is active"; "event" => "servers_adopted",
                 "version" => %servers.version(), "source" => source, "servers" => servers.all().len(),
+                "age_ms" => newest_at.map(|at| millis(clock::since(at))),
                 "leaving" => departed.leaving.join(","), "gone" => departed.removed.join(","));
         }
     }
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -181,7 +181,7 @@
             self.version = self.version.changed();
         }
         if is_changed || !expired.is_empty() {
-            self.activate(source);
+            self.activate(source, newest_at);
         }
         if let Some(newest_at) = newest_at {
             self.relay.confirm_servers(self.version, newest_at);
@@ -222,14 +222,14 @@
         is_changed
     }
 
-    fn activate(&mut self, source: &'static str) {
+    fn activate(&mut self, source: &'static str, newest_at: Option<Instant>) {
         let view = self.relay.view.load_full();
         let is_usable = |server: &BackendServer| view.is_usable(server);
         let unusable = self.directory.unusable(is_usable).cloned().collect();
         let servers = self.directory.in_use(is_usable);
         let table = ServerTable::new(self.version, servers, unusable);
         self.filtered_by = view.config_version();
-        self.relay.adopt_servers(table, source);
+        self.relay.adopt_servers(table, source, newest_at);
     }
 }
 
@@ -326,7 +326,9 @@
     is_outage: bool,
 ) -> Result<ListUpdate, StoreError> {
     loop {
-        if !relay.skips_store() {
+        let skips_store = relay.skips_store();
+        relay.record_store_reader(!skips_store);
+        if !skips_store {
             if !relay.is_store_unavailable.load(Ordering::Relaxed) {
                 break;
             }
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -150,8 +150,10 @@
     ) -> Result<Versioned<T>, StoreError> {
         let (era_at_request, requested_at) = (self.era(), clock::now());
         let answer = record_call(call, answer).await;
-        if matches!(answer, Err(StoreError::Forgotten)) {
-            self.log_forgotten(call);
+        match &answer {
+            Ok(_) => {}
+            Err(StoreError::Forgotten) => self.log_forgotten(call),
+            Err(error) => self.log_failed_call(call, error, clock::since(requested_at)),
         }
         self.versioned(answer?, era_at_request, requested_at)
     }
@@ -245,6 +247,14 @@
         }
     }
 
+    /// Logs a failed call with the time that it took.
+    fn log_failed_call(&self, call: &'static str, error: &StoreError, took: Duration) {
+        if let Some(log) = self.events.line(Weight::Notable) {
+            warn!(log, "store: a call failed"; "event" => "store_call_failed",
+                "call" => call, "cause" => %error, "took_ms" => millis(took));
+        }
+    }
+
     pub(crate) async fn config(&self) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
         let read = self.read("config", self.inner.config()).await?;
         lock(&self.contact).record_config_read(read.requested_at);
