fix(relay): an overdue watch is followed by a list, not by another watch

What callers saw: requests reached a server for longer than the bound after the store had acknowledged that it leaves.

Cause: a watch that got no answer in time was followed by servers_since, a watch without a wait over a new connection. That helps against a dead connection only. Where the store returns no watch at all, as for a second or so before it drops its history, both get no answer; the departure is known only once the watches have been cut, a pause is over, a watch has been refused and a list has been read. Any further fault on that way passes the bound. Class: a fallback that shares the failure it is meant for.

Now the second call is a list over a new connection, for the servers and for the configuration. A list that changes nothing makes no new version, so that a list each 0.7 s causes no transfers between instances.

Evidence: a_leaving_server_is_excluded_while_no_watch_returns failed before (both cases; requests reached the server until the configuration was too old).

--- a/crates/rookferry_core/src/serving/directory.rs
+++ b/crates/rookferry_core/src/serving/directory.rs
@@ -197,14 +197,16 @@
         })
     }
 
-    /// Applies a whole list. If absent servers may merely have expired, they stay until
-    /// [`Directory::expire`] removes them after the grace period.
+    /// Applies a whole list; returns whether an entry changed, counts of writes aside. If
+    /// absent servers may merely have expired, they stay until [`Directory::expire`]
+    /// removes them after the grace period.
     pub fn replace(
         &mut self,
         list: Vec<BackendServer>,
         uncertainty: ListUncertainty,
         now: Instant,
-    ) {
+    ) -> bool {
+        let before = self.entries.clone();
         self.read_count += 1;
         let uncertainty = ListUncertainty {
             // On the first list no server counts as removed before.
@@ -229,6 +231,7 @@
                 self.remove(&id, now);
             }
         }
+        !has_same_content(&before, &self.entries)
     }
 
     fn apply_listed(&mut self, server: BackendServer, uncertainty: ListUncertainty, now: Instant) {
@@ -346,6 +349,15 @@
     }
 }
 
+/// Whether both contain the same entries, counts of writes aside.
+fn has_same_content(left: &BTreeMap<EngineId, Listed>, right: &BTreeMap<EngineId, Listed>) -> bool {
+    let servers = left.values().zip(right.values());
+    left.len() == right.len()
+        && servers
+            .map(|(left, right)| (&left.server, &right.server))
+            .all(|(left, right)| left.has_same_content(right))
+}
+
 impl Listed {
     /// Whether this is the entry of a later start than `other` at the same address: by
     /// the incarnations if both have one; else by the read in which each was first seen;
--- a/crates/rookferry_core/tests/support/propagation_site.rs
+++ b/crates/rookferry_core/tests/support/propagation_site.rs
@@ -34,8 +34,13 @@
         /// Whether its connection is dead.
         is_stalled: bool,
     },
-    /// A call that checks the store while a watch is overdue.
-    Checking { sent_ms: u64, watch_sent_ms: u64 },
+    /// A list that is sent while a watch is overdue.
+    Checking {
+        sent_ms: u64,
+        watch_sent_ms: u64,
+        /// Whether its response is lost.
+        is_lost: bool,
+    },
     /// A list, since the store no longer has the history that a watch resumes from.
     Listing {
         sent_ms: u64,
@@ -226,21 +231,24 @@
                     self.read_states[index] = ReadState::Checking {
                         sent_ms: now_ms,
                         watch_sent_ms: sent_ms,
+                        is_lost: std::mem::take(&mut self.loses_list[index]),
                     };
                 }
             }
             ReadState::Checking {
                 sent_ms,
                 watch_sent_ms,
+                is_lost,
             } => {
                 if self.links[index] == StoreLink::Refused && now_ms >= sent_ms + STORE_RESPONSE_MS
                 {
                     return self.fail(index);
                 }
                 if self.links[index] == StoreLink::Connected
-                    && self.deaf_until_ms == 0
+                    && !is_lost
                     && now_ms >= sent_ms + STORE_RESPONSE_MS
                 {
+                    self.must_list[index] = false;
                     return self.on_store_response(index, sent_ms);
                 }
                 let watch_timeout_ms = watch_sent_ms + wait_ms + WATCH_GRACE_MS;
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -66,6 +66,7 @@
 pub use settings::RelaySettings;
 pub use settings::SettingsError;
 pub use store::SiteStore;
+pub use store::StoreConnection;
 pub use store::StoreError;
 pub use store::StoreFuture;
 pub use store::StoreResponse;
--- a/crates/rookferry_relay/src/store.rs
+++ b/crates/rookferry_relay/src/store.rs
@@ -74,13 +74,22 @@
     }
 }
 
+/// The connection that a call to the store uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreConnection {
+    /// One that is kept between calls; it may have died silently.
+    Kept,
+    /// One of its own.
+    New,
+}
+
 /// A call to the store.
 pub type StoreFuture<'a, T> = BoxFuture<'a, Result<StoreResponse<T>, StoreError>>;
 
 /// The platform's store. The relay calls it concurrently from several tasks.
 pub trait SiteStore: Send + Sync {
     /// Reads the configuration; `None` if there is none yet.
-    fn config(&self) -> StoreFuture<'_, Option<ServingConfig>>;
+    fn config(&self, connection: StoreConnection) -> StoreFuture<'_, Option<ServingConfig>>;
 
     /// Waits for a configuration newer than a revision; `None` if none came within
     /// `wait`.
@@ -90,12 +99,8 @@
         wait: Duration,
     ) -> StoreFuture<'_, Option<ServingConfig>>;
 
-    /// Reads the newest configuration after a revision without waiting; `None` if there
-    /// is none. Uses a connection of its own, as a kept one may be dead.
-    fn config_since(&self, after: ObjectVersion) -> StoreFuture<'_, Option<ServingConfig>>;
-
     /// Lists the backend servers.
-    fn servers(&self) -> StoreFuture<'_, Vec<BackendServer>>;
+    fn servers(&self, connection: StoreConnection) -> StoreFuture<'_, Vec<BackendServer>>;
 
     /// Waits up to `wait` for changes of the backend servers after a revision.
     fn watch_servers(
@@ -104,10 +109,6 @@
         wait: Duration,
     ) -> StoreFuture<'_, Vec<DirectoryChange>>;
 
-    /// Reads the changes of the backend servers after a revision without waiting. Uses a
-    /// connection of its own, as a kept one may be dead.
-    fn servers_since(&self, after: ObjectVersion) -> StoreFuture<'_, Vec<DirectoryChange>>;
-
     /// Reads the quarantined requests; `None` if there never were any.
     fn quarantine(&self) -> StoreFuture<'_, Option<Object>>;
 
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -28,6 +28,7 @@
 use crate::event_log::Weight;
 use crate::relay::Relay;
 use crate::store::StoreError;
+use crate::tracked_store::ServersRead;
 use crate::tracked_store::Versioned;
 use crate::view::ServerTable;
 
@@ -210,8 +211,10 @@
             self.uncertain.record_era(&self.relay, store.era, now);
             self.after = Some(store);
         }
+        let is_first = version.is_some_and(|version| self.is_first_of_era(version));
         let is_changed =
             update_directory(&self.relay, &mut self.directory, read, &self.uncertain, now);
+        let is_changed = is_changed || is_first;
         if let Some(version) = version.filter(|_| is_changed) {
             self.version = version;
         }
@@ -222,6 +225,13 @@
         is_changed
     }
 
+    /// Whether a version is the first of its era here; its list is activated even if it
+    /// changes nothing.
+    fn is_first_of_era(&self, version: ListVersion) -> bool {
+        let known = self.version;
+        known == ListVersion::default() || known.store.era != version.store.era
+    }
+
     fn activate(&mut self, source: &'static str, newest_at: Option<Instant>) {
         let view = self.relay.view.load_full();
         let is_usable = |server: &BackendServer| view.is_usable(server);
@@ -342,8 +352,8 @@
     match after {
         None => relay.store.servers().await.map(ListUpdate::List),
         Some(after) => {
-            let changes = relay.store.watch_servers(after, wait).await;
-            changes.map(ListUpdate::Changes)
+            let read = relay.store.watch_servers(after, wait).await?;
+            Ok(ListUpdate::from_watch(read))
         }
     }
 }
@@ -364,6 +374,26 @@
 }
 
 impl ListUpdate {
+    fn from_watch(read: Versioned<ServersRead>) -> Self {
+        let Versioned {
+            version,
+            value,
+            requested_at,
+        } = read;
+        match value {
+            ServersRead::Changes(value) => Self::Changes(Versioned {
+                version,
+                value,
+                requested_at,
+            }),
+            ServersRead::All(value) => Self::List(Versioned {
+                version,
+                value,
+                requested_at,
+            }),
+        }
+    }
+
     /// The version of the resulting list.
     const fn version(&self) -> Option<ListVersion> {
         match self {
@@ -412,10 +442,7 @@
     now: Instant,
 ) -> bool {
     match read {
-        ListUpdate::List(list) => {
-            directory.replace(list.value, uncertain.for_store_list(now), now);
-            true
-        }
+        ListUpdate::List(list) => directory.replace(list.value, uncertain.for_store_list(now), now),
         ListUpdate::Peer(list) => {
             directory.replace(list.servers, uncertain.for_peer_list(now), now);
             true
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -33,6 +33,7 @@
 use crate::event_log::millis;
 use crate::mutex::lock;
 use crate::store::SiteStore;
+use crate::store::StoreConnection;
 use crate::store::StoreError;
 use crate::store::StoreResponse;
 
@@ -46,6 +47,26 @@
     pub(crate) requested_at: Instant,
 }
 
+impl<T> Versioned<T> {
+    /// Converts the value; its version stays the same.
+    pub(crate) fn map<U>(self, change: impl FnOnce(T) -> U) -> Versioned<U> {
+        Versioned {
+            version: self.version,
+            value: change(self.value),
+            requested_at: self.requested_at,
+        }
+    }
+}
+
+/// What a watch of the servers returns.
+#[derive(Clone, Debug)]
+pub(crate) enum ServersRead {
+    /// The changes since the watched version.
+    Changes(Vec<DirectoryChange>),
+    /// All servers, by the list that is sent once the watch is overdue.
+    All(Vec<BackendServer>),
+}
+
 /// A store whose calls are counted and whose restores are detected.
 pub(crate) struct TrackedStore {
     inner: Arc<dyn SiteStore>,
@@ -180,7 +201,8 @@
     }
 
     /// The answer of a watch that should end within `wait`, or of a fallback call that is
-    /// sent once the watch is overdue: its connection may have died silently.
+    /// sent once the watch is overdue. The connection may have died silently, or the store
+    /// returns no watch at all; so the fallback is a list over another connection.
     async fn first_response<T>(
         &self,
         wait: Duration,
@@ -256,7 +278,8 @@
     }
 
     pub(crate) async fn config(&self) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
-        let read = self.read("config", self.inner.config()).await?;
+        let config = self.inner.config(StoreConnection::Kept);
+        let read = self.read("config", config).await?;
         lock(&self.contact).record_config_read(read.requested_at);
         Ok(read)
     }
@@ -268,7 +291,7 @@
     ) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
         let inner = &self.inner;
         let watch = self.read("watch_config", inner.watch_config(after.revision, wait));
-        let fallback = self.read("config_since", inner.config_since(after.revision));
+        let fallback = self.read("config", inner.config(StoreConnection::New));
         let answer = self.first_response(wait, watch, fallback);
         let read = self.watch(after, answer).await?;
         lock(&self.contact).record_config_read(read.requested_at);
@@ -276,7 +299,8 @@
     }
 
     pub(crate) async fn servers(&self) -> Result<Versioned<Vec<BackendServer>>, StoreError> {
-        let read = self.read("servers", self.inner.servers()).await?;
+        let servers = self.inner.servers(StoreConnection::Kept);
+        let read = self.read("servers", servers).await?;
         lock(&self.contact).record_servers_read(read.requested_at);
         Ok(read)
     }
@@ -285,10 +309,17 @@
         &self,
         after: StoreVersion,
         wait: Duration,
-    ) -> Result<Versioned<Vec<DirectoryChange>>, StoreError> {
+    ) -> Result<Versioned<ServersRead>, StoreError> {
         let inner = &self.inner;
-        let watch = self.read("watch_servers", inner.watch_servers(after.revision, wait));
-        let fallback = self.read("servers_since", inner.servers_since(after.revision));
+        let watch = async {
+            let changes = inner.watch_servers(after.revision, wait);
+            let changes = self.read("watch_servers", changes).await?;
+            Ok(changes.map(ServersRead::Changes))
+        };
+        let fallback = async {
+            let list = inner.servers(StoreConnection::New);
+            Ok(self.read("servers", list).await?.map(ServersRead::All))
+        };
         let answer = self.first_response(wait, watch, fallback);
         let read = self.watch(after, answer).await?;
         lock(&self.contact).record_servers_read(read.requested_at);
