fix(relay): a watch that is cut is no outage in which entries lapse

What callers saw: requests reached a server for 2.3 to 2.5 s (bound 2 s) after the store had acknowledged that its entry was removed.

Cause: entries of live servers lapse while the store is away, so a server that the first list after an outage lacks stays in use for a grace period of 2 s. Any failed call counted as such an outage, also a single watch that the store cuts before it drops its history. Whatever was removed shortly before then stayed in use for the grace period on top of the time until the list was read. Class: a failure of one call that is taken for one of the store.

Entries lapse when several heartbeats are missed. So a server is only retained if the store may not have answered anyone of the domain for a heartbeat or longer, as of the last failure; what peers have read counts.

Evidence: a_server_removed_while_a_watch_is_cut_is_excluded_at_once failed before (the entry was retained).

--- a/crates/rookferry_relay/src/sync/outage.rs
+++ b/crates/rookferry_relay/src/sync/outage.rs
@@ -4,6 +4,7 @@
 //! repeatedly is spaced like a failed call.
 
 use std::fmt::Display;
+use std::time::Duration;
 use std::time::Instant;
 
 use rookferry_core::ranked_pause;
@@ -16,6 +17,8 @@
 pub(super) struct Outage {
     name: &'static str,
     since: Option<Instant>,
+    /// When the store was last known to answer, as of the last failure.
+    contact_at: Option<Instant>,
     failed_calls: Failures,
     /// Consecutive refused watches.
     refused_watches: Failures,
@@ -59,6 +62,7 @@
         Self {
             name,
             since: None,
+            contact_at: None,
             failed_calls: Failures::none(),
             refused_watches: Failures::none(),
         }
@@ -76,16 +80,15 @@
         }
     }
 
-    /// Records a successful call; returns whether it ends an outage.
-    pub(super) fn record_success(&mut self, relay: &Relay) -> bool {
+    /// Records a successful call. If it ends an outage, returns for how long the store may
+    /// not have answered anyone.
+    pub(super) fn record_success(&mut self, relay: &Relay) -> Option<Duration> {
         self.failed_calls.count = 0;
-        let Some(since) = self.since.take() else {
-            return false;
-        };
+        let since = self.since.take()?;
         relay
             .events
             .dependency_regained(self.name, clock::since(since));
-        true
+        Some(self.contact_at.map_or(Duration::MAX, clock::since))
     }
 
     /// Records that the store lacks the revision that a watch resumes from; a list
@@ -111,6 +114,7 @@
     pub(super) fn begin(&mut self, relay: &Relay, cause: &dyn Display) {
         if self.since.is_none() {
             self.since = Some(clock::now());
+            self.contact_at = None;
             relay.events.dependency_lost(self.name, cause);
         }
     }
@@ -118,6 +122,9 @@
     /// Records a failed call.
     pub(super) fn record_failure(&mut self, relay: &Relay, error: &StoreError) {
         self.begin(relay, error);
+        let now = clock::now();
+        let age = relay.store.contact().age(now);
+        self.contact_at = age.and_then(|age| now.checked_sub(age));
         self.failed_calls = Failures {
             count: self.failed_calls.count.saturating_add(1),
             last_at: clock::now(),
