fix(relay): whether entries may have lapsed goes by gaps between all answers

If a peer was answered first after an outage, its relay made the outage look short to the others, and they would have dropped servers whose entries had only lapsed. Also, an instance that had been cut off and failed once more long after others read again counted the whole time.

StoreContact now records gaps in the answers to reads of the servers, its own and those of peers of the domain.

--- a/crates/rookferry_core/src/serving/store_contact.rs
+++ b/crates/rookferry_core/src/serving/store_contact.rs
@@ -45,6 +45,11 @@
     is_overdue: bool,
     /// Decaying maximum of the answers' delays.
     delay: Duration,
+    /// As of when the store last answered a read of the servers, here or by a peer.
+    answered_at: Option<Instant>,
+    min_gap: Duration,
+    /// The end of the last gap between answers.
+    gap_ended_at: Option<Instant>,
 }
 
 impl StoreContact {
@@ -54,6 +59,13 @@
         Self::default()
     }
 
+    /// Sets the shortest time without an answer that counts as a gap.
+    #[must_use]
+    pub const fn min_gap(mut self, min_gap: Duration) -> Self {
+        self.min_gap = min_gap;
+        self
+    }
+
     /// Records that the configuration was read by a call that was sent at `at`.
     pub fn record_config_read(&mut self, at: Instant) {
         self.config_at = self.config_at.max(Some(at));
@@ -63,6 +75,7 @@
     /// Records that the servers were read by a call that was sent at `at`.
     pub fn record_servers_read(&mut self, at: Instant) {
         self.servers_at = self.servers_at.max(Some(at));
+        self.record_answer(at);
         self.is_overdue = false;
     }
 
@@ -70,6 +83,7 @@
     pub fn merge_peer(&mut self, at: Instant, reader: SocketAddr) {
         if self.relayed.is_none_or(|relayed| relayed.at < at) {
             self.relayed = Some(RelayedRead { at, reader });
+            self.record_answer(at);
         }
     }
 
@@ -105,6 +119,24 @@
         Some(now.saturating_duration_since(known_at))
     }
 
+    /// Whether a gap of at least the minimum length ended after `since`: a time in which the
+    /// store may have answered no instance of the domain.
+    #[must_use]
+    pub fn had_gap_since(&self, since: Instant) -> bool {
+        self.gap_ended_at.is_some_and(|ended_at| ended_at > since)
+    }
+
+    /// Records that the store answered a read of the servers that was sent at `at`.
+    fn record_answer(&mut self, at: Instant) {
+        let gap = self
+            .answered_at
+            .map(|answered_at| at.saturating_duration_since(answered_at));
+        if gap.is_none_or(|gap| gap >= self.min_gap) {
+            self.gap_ended_at = Some(at);
+        }
+        self.answered_at = self.answered_at.max(Some(at));
+    }
+
     /// When this instance last read all of it.
     fn read_at(&self) -> Option<Instant> {
         self.config_at.min(self.servers_at)
--- a/crates/rookferry_core/tests/propagation_budget.rs
+++ b/crates/rookferry_core/tests/propagation_budget.rs
@@ -96,6 +96,29 @@
     assert_eq!(contact.advertised(now), None);
 }
 
+/// Entries may lapse while the store answers no one, also if a peer is the first to be
+/// answered again.
+#[rstest]
+#[case::by_own_read(true)]
+#[case::by_a_peer(false)]
+fn a_time_without_answers_is_a_gap(#[case] is_own: bool) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut contact = StoreContact::new().min_gap(Duration::from_millis(1_200));
+    contact.record_servers_read(at(0));
+    contact.merge_peer(at(1_000), reader());
+    contact.record_servers_read(at(2_000));
+    assert!(!contact.had_gap_since(at(100)));
+    if is_own {
+        contact.record_servers_read(at(3_300));
+    } else {
+        contact.merge_peer(at(3_300), reader());
+        contact.record_servers_read(at(3_400));
+    }
+    assert!(contact.had_gap_since(at(2_500)));
+    assert!(!contact.had_gap_since(at(3_500)));
+}
+
 /// Peers take over at once, not only when the reader's report has expired.
 #[test]
 fn a_reader_with_an_overdue_watch_advertises_no_age() {
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -115,14 +115,13 @@
         events: EventLog,
     ) -> Self {
         let events = Arc::new(events);
-        let budget = settings.bounds.propagation_budget();
         let link_mbps = settings.machine.link_mbps.unwrap_or_default();
         let peers = PeerTable::new(settings.listen.peers, settings.domain.clone())
             .capacity(settings.machine.capacity());
         Self {
+            store: TrackedStore::new(store, events.clone(), &settings.bounds),
             settings,
             protocol,
-            store: TrackedStore::new(store, events.clone(), budget),
             pool: UpstreamPool::new(),
             view: ArcSwap::default(),
             states: ServerStates::new(rand::random()),
--- a/crates/rookferry_relay/src/sync/outage.rs
+++ b/crates/rookferry_relay/src/sync/outage.rs
@@ -4,7 +4,6 @@
 //! repeatedly is spaced like a failed call.
 
 use std::fmt::Display;
-use std::time::Duration;
 use std::time::Instant;
 
 use rookferry_core::ranked_pause;
@@ -17,8 +16,8 @@
 pub(super) struct Outage {
     name: &'static str,
     since: Option<Instant>,
-    /// When the store was last known to answer, as of the last failure.
-    contact_at: Option<Instant>,
+    /// When a call last succeeded; at first, when the series began.
+    succeeded_at: Instant,
     failed_calls: Failures,
     /// Consecutive refused watches.
     refused_watches: Failures,
@@ -62,7 +61,7 @@
         Self {
             name,
             since: None,
-            contact_at: None,
+            succeeded_at: clock::now(),
             failed_calls: Failures::none(),
             refused_watches: Failures::none(),
         }
@@ -80,15 +79,18 @@
         }
     }
 
-    /// Records a successful call. If it ends an outage, returns for how long the store may
-    /// not have answered anyone.
-    pub(super) fn record_success(&mut self, relay: &Relay) -> Option<Duration> {
+    /// Records a successful call; returns whether it ends an outage in which the store may
+    /// have answered no one.
+    pub(super) fn record_success(&mut self, relay: &Relay) -> bool {
         self.failed_calls.count = 0;
-        let since = self.since.take()?;
+        let succeeded_before = std::mem::replace(&mut self.succeeded_at, clock::now());
+        let Some(since) = self.since.take() else {
+            return false;
+        };
         relay
             .events
             .dependency_regained(self.name, clock::since(since));
-        Some(self.contact_at.map_or(Duration::MAX, clock::since))
+        relay.store.contact().had_gap_since(succeeded_before)
     }
 
     /// Records that the store lacks the revision that a watch resumes from; a list
@@ -114,7 +116,6 @@
     pub(super) fn begin(&mut self, relay: &Relay, cause: &dyn Display) {
         if self.since.is_none() {
             self.since = Some(clock::now());
-            self.contact_at = None;
             relay.events.dependency_lost(self.name, cause);
         }
     }
@@ -122,9 +123,6 @@
     /// Records a failed call.
     pub(super) fn record_failure(&mut self, relay: &Relay, error: &StoreError) {
         self.begin(relay, error);
-        let now = clock::now();
-        let age = relay.store.contact().age(now);
-        self.contact_at = age.and_then(|age| now.checked_sub(age));
         self.failed_calls = Failures {
             count: self.failed_calls.count.saturating_add(1),
             last_at: clock::now(),
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -197,10 +197,7 @@
         let is_from_store = read.is_from_store();
         if is_from_store {
             self.read_at = now;
-            let away = self.outage.record_success(&self.relay);
-            let heartbeat = Duration::from_millis(self.relay.settings.bounds.heartbeat_ms);
-            // No entry lapses for a single heartbeat that is missed.
-            if away.is_some_and(|away| away >= heartbeat) {
+            if self.outage.record_success(&self.relay) {
                 self.uncertain.record_outage_end(now);
             }
             if matches!(read, ListUpdate::Changes(_)) {
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -33,6 +33,7 @@
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::mutex::lock;
+use crate::settings::BoundSettings;
 use crate::store::SiteStore;
 use crate::store::StoreConnection;
 use crate::store::StoreError;
@@ -83,14 +84,16 @@
     pub(crate) fn new(
         inner: Arc<dyn SiteStore>,
         events: Arc<EventLog>,
-        budget: PropagationBudget,
+        bounds: &BoundSettings,
     ) -> Self {
+        // An entry doesn't lapse for a single heartbeat that is missed.
+        let heartbeat = Duration::from_millis(bounds.heartbeat_ms);
         Self {
             inner,
             events,
-            budget,
+            budget: bounds.propagation_budget(),
             eras: Mutex::new(EraTracker::new()),
-            contact: Mutex::default(),
+            contact: Mutex::new(StoreContact::new().min_gap(heartbeat)),
             era_changes: watch::Sender::new(0),
         }
     }
