fix(relay): the first read after a failure doesn't wait for changes

While the configuration can't be read, the servers aren't read either. The first read of the configuration after a failure was a watch that waits for 600 ms, so a single failed call, such as a watch that the store cuts, kept the servers unread for 0.7 s. In the same way an instance that takes over the reading told its domain only when its first watch had ended, and in a large domain all the others read meanwhile. Class: a step that others wait for and that itself waits for news.

The first read after a failure, or after a time without reading, now has no wait.

Evidence: the_first_read_after_a_failure_does_not_wait_for_changes failed before (600, not 0).

--- a/crates/rookferry_core/tests/support/propagation_site.rs
+++ b/crates/rookferry_core/tests/support/propagation_site.rs
@@ -31,13 +31,14 @@
     IdleUntil(u64),
     Watching {
         sent_ms: u64,
+        wait_ms: u64,
         /// Whether its connection is dead.
         is_stalled: bool,
     },
     /// A list that is sent while a watch is overdue.
     Checking {
         sent_ms: u64,
-        watch_sent_ms: u64,
+        watch_timeout_ms: u64,
         /// Whether its response is lost.
         is_lost: bool,
     },
@@ -219,16 +220,17 @@
 
     fn step(&mut self, index: usize) {
         let now_ms = self.site.now_ms;
-        let wait_ms = millis(self.budget.watch_wait());
         match self.read_states[index] {
             ReadState::IdleUntil(at_ms) if at_ms > now_ms => {}
             ReadState::IdleUntil(_) if self.relies_on_peers(index) => {
                 self.read_states[index] =
                     ReadState::IdleUntil(now_ms + millis(self.budget.poll_interval()));
             }
-            ReadState::IdleUntil(_) => self.watch(index),
+            // The first read after a time without one doesn't wait.
+            ReadState::IdleUntil(_) => self.watch(index, 0),
             ReadState::Watching {
                 sent_ms,
+                wait_ms,
                 is_stalled,
             } => {
                 if self.links[index] == StoreLink::Refused && now_ms >= sent_ms + STORE_RESPONSE_MS
@@ -252,14 +254,14 @@
                     self.calls += 1;
                     self.read_states[index] = ReadState::Checking {
                         sent_ms: now_ms,
-                        watch_sent_ms: sent_ms,
+                        watch_timeout_ms: sent_ms + wait_ms + WATCH_GRACE_MS,
                         is_lost: std::mem::take(&mut self.loses_list[index]),
                     };
                 }
             }
             ReadState::Checking {
                 sent_ms,
-                watch_sent_ms,
+                watch_timeout_ms,
                 is_lost,
             } => {
                 if self.links[index] == StoreLink::Refused && now_ms >= sent_ms + STORE_RESPONSE_MS
@@ -273,7 +275,6 @@
                     self.must_list[index] = false;
                     return self.on_store_response(index, sent_ms);
                 }
-                let watch_timeout_ms = watch_sent_ms + wait_ms + WATCH_GRACE_MS;
                 if now_ms >= watch_timeout_ms.max(sent_ms + CALL_TIMEOUT_MS) {
                     self.fail(index);
                 }
@@ -310,10 +311,11 @@
         };
     }
 
-    fn watch(&mut self, index: usize) {
+    fn watch(&mut self, index: usize, wait_ms: u64) {
         self.calls += 1;
         self.read_states[index] = ReadState::Watching {
             sent_ms: self.site.now_ms,
+            wait_ms,
             is_stalled: false,
         };
     }
@@ -348,7 +350,7 @@
         if self.relies_on_peers(index) {
             self.read_states[index] = ReadState::IdleUntil(self.site.now_ms);
         } else {
-            self.watch(index);
+            self.watch(index, millis(self.budget.watch_wait()));
         }
     }
 
--- a/crates/rookferry_relay/src/readiness.rs
+++ b/crates/rookferry_relay/src/readiness.rs
@@ -125,10 +125,10 @@
     }
 
     /// Records whether this instance reads the server list from the store itself, and logs
-    /// a change.
-    pub(crate) fn record_store_reader(&self, reads: bool) {
+    /// a change; returns whether it changed.
+    pub(crate) fn record_store_reader(&self, reads: bool) -> bool {
         if self.reads_store.swap(reads, Ordering::Relaxed) == reads {
-            return;
+            return false;
         }
         let now = clock::now();
         let age_ms = self.store.contact().age(now).map(millis);
@@ -137,6 +137,7 @@
                 "event" => "store_reader_changed", "reads" => reads,
                 "rank" => self.rank(now), "store_age_ms" => age_ms);
         }
+        true
     }
 
     /// This instance's rank in its failure domain: how many instances precede it for the
--- a/crates/rookferry_relay/src/sync/config.rs
+++ b/crates/rookferry_relay/src/sync/config.rs
@@ -29,17 +29,26 @@
 pub(crate) async fn sync_config(relay: Arc<Relay>) {
     let mut stored = StoredConfig::default();
     let mut outage = Outage::none("store: configuration");
+    let mut is_first = true;
     loop {
         if relay.skips_store() {
+            is_first = true;
             // The result of an earlier call is meaningless by the time of the next one.
             relay.is_store_unavailable.store(false, Ordering::Relaxed);
             tokio::time::sleep(poll_interval(&relay)).await;
             continue;
         }
+        // The servers aren't read until the first read after a failure has succeeded.
+        let wait = if is_first {
+            Duration::ZERO
+        } else {
+            CONFIG_WATCH_WAIT
+        };
         let read = match stored.after {
             None => relay.store.config().await,
-            Some(after) => relay.store.watch_config(after, CONFIG_WATCH_WAIT).await,
+            Some(after) => relay.store.watch_config(after, wait).await,
         };
+        is_first = read.is_err();
         match read {
             Ok(read) => {
                 outage.record_success(&relay);
--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -335,9 +335,10 @@
     after: Option<StoreVersion>,
     is_outage: bool,
 ) -> Result<ListUpdate, StoreError> {
+    let mut is_first = is_outage;
     loop {
         let skips_store = relay.skips_store();
-        relay.record_store_reader(!skips_store);
+        is_first |= relay.record_store_reader(!skips_store);
         if !skips_store {
             if !relay.is_store_unavailable.load(Ordering::Relaxed) {
                 break;
@@ -348,7 +349,12 @@
         }
         tokio::time::sleep(poll_interval(relay)).await;
     }
-    let wait = relay.settings.bounds.propagation_budget().watch_wait();
+    let wait = if is_first {
+        // The others of the domain wait for it, and the changes so far are known at once.
+        Duration::ZERO
+    } else {
+        relay.settings.bounds.propagation_budget().watch_wait()
+    };
     match after {
         None => relay.store.servers().await.map(ListUpdate::List),
         Some(after) => {
