fix(platform): a list without a response is requested again over a new connection

Cause: a list waits for up to 900 ms for each page, on a kept connection that may have died silently, whatever is left of the bound. Watches had a second call beside them, lists had none. Class: a step with a timeout of its own that knows nothing of the deadline.

Each page of a list is now requested again over a new connection if its response hasn't begun when an answer is overdue (a tenth of the bound, longer while the store is slow). The body isn't raced, since a small machine's link would carry it twice. It holds for the configuration, the servers, the quarantined requests and the lease.

--- a/crates/rookferry_core/tests/support/propagation_site.rs
+++ b/crates/rookferry_core/tests/support/propagation_site.rs
@@ -269,8 +269,7 @@
                     return self.fail(index);
                 }
                 if self.links[index] == StoreLink::Connected
-                    && !is_lost
-                    && now_ms >= sent_ms + STORE_RESPONSE_MS
+                    && now_ms >= sent_ms + self.list_ms(index, is_lost)
                 {
                     self.must_list[index] = false;
                     return self.on_store_response(index, sent_ms);
@@ -286,7 +285,7 @@
                 {
                     return self.fail(index);
                 }
-                if link == StoreLink::Connected && !is_lost && now_ms >= sent_ms + STORE_RESPONSE_MS
+                if link == StoreLink::Connected && now_ms >= sent_ms + self.list_ms(index, is_lost)
                 {
                     self.must_list[index] = false;
                     self.on_store_response(index, sent_ms);
@@ -295,6 +294,14 @@
         }
     }
 
+    /// Duration of a list; it is sent again if the first response is lost.
+    fn list_ms(&self, index: usize, is_lost: bool) -> u64 {
+        let contact = &self.site.instances[index].contact;
+        let hedge_after = contact.overdue_after(self.budget.overdue());
+        let hedge_ms = if is_lost { millis(hedge_after) } else { 0 };
+        hedge_ms + STORE_RESPONSE_MS
+    }
+
     /// Pauses after a failed call.
     fn fail(&mut self, index: usize) {
         self.failures[index] += 1;
--- a/crates/rookferry_net/src/client.rs
+++ b/crates/rookferry_net/src/client.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -245,6 +247,51 @@
             .await
     }
 
+    /// Like [`HttpClient::get_raw`], but if no response has begun after `hedge_after`, the
+    /// request is sent again over a new connection; the first response counts.
+    ///
+    /// A connection that has died silently then costs `hedge_after` instead of `wait`.
+    ///
+    /// # Errors
+    ///
+    /// If there is no successful response within `wait`.
+    pub async fn get_hedged(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        hedge_after: Duration,
+        wait: Duration,
+    ) -> Result<ClientResponse, ClientError> {
+        let whole = async {
+            let response = self.send_hedged(addr, path, hedge_after, wait).await?;
+            read_response(addr, response).await
+        };
+        let Ok(result) = tokio::time::timeout(wait, whole).await else {
+            return Err(ClientError::TimedOut { addr, wait });
+        };
+        result
+    }
+
+    /// The response to the first of both requests that succeeds.
+    async fn send_hedged(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        hedge_after: Duration,
+        wait: Duration,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let request = || build_request(Method::GET, addr, path, Bytes::new());
+        let first = self.send(addr, request()?, wait);
+        tokio::pin!(first);
+        if let Ok(response) = tokio::time::timeout(hedge_after, &mut first).await {
+            return response;
+        }
+        let client = Self::without_pool();
+        let second = client.send(addr, request()?, wait);
+        let (response, _) = future::select_ok([first.boxed(), second.boxed()]).await?;
+        Ok(response)
+    }
+
     /// Sends a GET request and returns the response body as text.
     ///
     /// # Errors
@@ -309,20 +356,7 @@
     ) -> Result<ClientResponse, ClientError> {
         let whole = async {
             let response = self.send(addr, request, wait).await?;
-            let (head, body) = response.into_parts();
-            let status = head.status;
-            let retry_after = parse_retry_after(&head.headers);
-            let body = read_body(addr, body).await?;
-            if status.is_success() {
-                let headers = head.headers;
-                return Ok(ClientResponse { headers, body });
-            }
-            Err(ClientError::Status {
-                addr,
-                status,
-                body: String::from_utf8_lossy(&body).into_owned(),
-                retry_after,
-            })
+            read_response(addr, response).await
         };
         let Ok(result) = tokio::time::timeout(wait, whole).await else {
             return Err(ClientError::TimedOut { addr, wait });
@@ -331,6 +365,27 @@
     }
 }
 
+/// Reads a response to its end; a status other than success is an error.
+async fn read_response(
+    addr: SocketAddr,
+    response: Response<Incoming>,
+) -> Result<ClientResponse, ClientError> {
+    let (head, body) = response.into_parts();
+    let status = head.status;
+    let retry_after = parse_retry_after(&head.headers);
+    let body = read_body(addr, body).await?;
+    if status.is_success() {
+        let headers = head.headers;
+        return Ok(ClientResponse { headers, body });
+    }
+    Err(ClientError::Status {
+        addr,
+        status,
+        body: String::from_utf8_lossy(&body).into_owned(),
+        retry_after,
+    })
+}
+
 async fn read_body(addr: SocketAddr, body: Incoming) -> Result<Bytes, ClientError> {
     let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let collected = collected.map_err(|error| ClientError::Broken {
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -65,6 +65,7 @@
 pub use settings::MachineSettings;
 pub use settings::RelaySettings;
 pub use settings::SettingsError;
+pub use store::ListOptions;
 pub use store::SiteStore;
 pub use store::StoreConnection;
 pub use store::StoreError;
--- a/crates/rookferry_relay/src/store.rs
+++ b/crates/rookferry_relay/src/store.rs
@@ -83,13 +83,23 @@
     New,
 }
 
+/// How a list is read.
+#[derive(Clone, Copy, Debug)]
+pub struct ListOptions {
+    /// The connection of the first request.
+    pub connection: StoreConnection,
+    /// How long a request may have no response until it is sent again over a new
+    /// connection.
+    pub hedge_after: Duration,
+}
+
 /// A call to the store.
 pub type StoreFuture<'a, T> = BoxFuture<'a, Result<StoreResponse<T>, StoreError>>;
 
 /// The platform's store. The relay calls it concurrently from several tasks.
 pub trait SiteStore: Send + Sync {
     /// Reads the configuration; `None` if there is none yet.
-    fn config(&self, connection: StoreConnection) -> StoreFuture<'_, Option<ServingConfig>>;
+    fn config(&self, options: ListOptions) -> StoreFuture<'_, Option<ServingConfig>>;
 
     /// Waits for a configuration newer than a revision; `None` if none came within
     /// `wait`.
@@ -100,7 +110,7 @@
     ) -> StoreFuture<'_, Option<ServingConfig>>;
 
     /// Lists the backend servers.
-    fn servers(&self, connection: StoreConnection) -> StoreFuture<'_, Vec<BackendServer>>;
+    fn servers(&self, options: ListOptions) -> StoreFuture<'_, Vec<BackendServer>>;
 
     /// Waits up to `wait` for changes of the backend servers after a revision.
     fn watch_servers(
@@ -110,7 +120,7 @@
     ) -> StoreFuture<'_, Vec<DirectoryChange>>;
 
     /// Reads the quarantined requests; `None` if there never were any.
-    fn quarantine(&self) -> StoreFuture<'_, Option<Object>>;
+    fn quarantine(&self, options: ListOptions) -> StoreFuture<'_, Option<Object>>;
 
     /// Waits for a change of the quarantined requests after a revision; `None` if none
     /// came within `wait`.
@@ -129,7 +139,7 @@
     ) -> StoreFuture<'a, ()>;
 
     /// Reads the lease of the placement controller.
-    fn lease(&self) -> StoreFuture<'_, Option<Object>>;
+    fn lease(&self, options: ListOptions) -> StoreFuture<'_, Option<Object>>;
 
     /// Writes the lease if its revision is the expected one (0: there is none); the
     /// answer has the new revision.
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -34,6 +34,7 @@
 use crate::event_log::millis;
 use crate::mutex::lock;
 use crate::settings::BoundSettings;
+use crate::store::ListOptions;
 use crate::store::SiteStore;
 use crate::store::StoreConnection;
 use crate::store::StoreError;
@@ -210,6 +211,14 @@
         Ok(read)
     }
 
+    /// How a list is read at the moment.
+    fn list_options(&self, connection: StoreConnection) -> ListOptions {
+        ListOptions {
+            connection,
+            hedge_after: self.contact().overdue_after(self.budget.overdue()),
+        }
+    }
+
     /// The answer of a watch that should end within `wait`, or of a fallback call that is
     /// sent once the watch is overdue. The connection may have died silently, or the store
     /// returns no watch at all; so the fallback is a list over another connection.
@@ -288,7 +297,7 @@
     }
 
     pub(crate) async fn config(&self) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
-        let config = self.inner.config(StoreConnection::Kept);
+        let config = self.inner.config(self.list_options(StoreConnection::Kept));
         let read = self.read("config", config).await?;
         lock(&self.contact).record_config_read(read.requested_at);
         Ok(read)
@@ -301,7 +310,10 @@
     ) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
         let inner = &self.inner;
         let watch = self.read("watch_config", inner.watch_config(after.revision, wait));
-        let fallback = self.read("config", inner.config(StoreConnection::New));
+        let fallback = self.read(
+            "config",
+            inner.config(self.list_options(StoreConnection::New)),
+        );
         let answer = self.first_response(wait, watch, fallback);
         let read = self.watch(after, answer).await?;
         lock(&self.contact).record_config_read(read.requested_at);
@@ -309,7 +321,7 @@
     }
 
     pub(crate) async fn servers(&self) -> Result<Versioned<Vec<BackendServer>>, StoreError> {
-        let servers = self.inner.servers(StoreConnection::Kept);
+        let servers = self.inner.servers(self.list_options(StoreConnection::Kept));
         let read = self.read("servers", servers).await?;
         lock(&self.contact).record_servers_read(read.requested_at);
         Ok(read)
@@ -327,7 +339,7 @@
             Ok(changes.map(ServersRead::Changes))
         };
         let fallback = async {
-            let list = inner.servers(StoreConnection::New);
+            let list = inner.servers(self.list_options(StoreConnection::New));
             Ok(self.read("servers", list).await?.map(ServersRead::All))
         };
         let answer = self.first_response(wait, watch, fallback);
@@ -337,7 +349,9 @@
     }
 
     pub(crate) async fn quarantine(&self) -> Result<Versioned<Option<Object>>, StoreError> {
-        self.read("quarantine", self.inner.quarantine()).await
+        let options = self.list_options(StoreConnection::Kept);
+        self.read("quarantine", self.inner.quarantine(options))
+            .await
     }
 
     pub(crate) async fn watch_quarantine(
@@ -360,7 +374,8 @@
     }
 
     pub(crate) async fn lease(&self) -> Result<Versioned<Option<Object>>, StoreError> {
-        self.read("lease", self.inner.lease()).await
+        let options = self.list_options(StoreConnection::Kept);
+        self.read("lease", self.inner.lease(options)).await
     }
 
     pub(crate) async fn write_lease(
