fix(core): an instance that reads the store advertises its own reads

The log showed the second-ranked one begin and end to read each 1.2 s. The first-ranked one, which read as well, had relayed the newest read it knew, that of the second-ranked one; since relays carry their reader, that one took it for its own and went on.

An own read now goes before a relayed one while it is younger than a report may be. a_recent_own_read_is_advertised_before_a_newer_relayed_one failed before.

--- a/crates/rookferry_core/src/serving/store_contact.rs
+++ b/crates/rookferry_core/src/serving/store_contact.rs
@@ -143,13 +143,19 @@
     }
 
     /// What to advertise; `None` while a watch is overdue.
+    ///
+    /// An own read that is younger than `max_own_age` goes before what peers have read
+    /// since, so that another instance that reads as well knows that it needn't.
     #[must_use]
-    pub fn advertised(&self, now: Instant) -> Option<AdvertisedContact> {
+    pub fn advertised(&self, now: Instant, max_own_age: Duration) -> Option<AdvertisedContact> {
         if self.is_overdue {
             return None;
         }
         let read_at = self.read_at();
-        let relayed = self.relayed.filter(|relayed| Some(relayed.at) > read_at);
+        let is_recent = read_at.is_some_and(|at| now.saturating_duration_since(at) < max_own_age);
+        let relayed = self
+            .relayed
+            .filter(|relayed| Some(relayed.at) > read_at && !is_recent);
         let known_at = relayed.map(|relayed| relayed.at).or(read_at)?;
         Some(AdvertisedContact {
             age: now.saturating_duration_since(known_at),
--- a/crates/rookferry_core/tests/propagation.rs
+++ b/crates/rookferry_core/tests/propagation.rs
@@ -234,6 +234,40 @@
     );
 }
 
+/// The reads of an instance that took over for a moment are relayed by the reader.
+#[rstest]
+#[case::six(3, 2, 2)]
+#[case::nine(3, 3, 2)]
+#[case::sixty(3, 20, 3)]
+#[case::three_hundred(5, 60, 4)]
+fn a_single_reader_remains_after_another_took_over(
+    #[case] domains: usize,
+    #[case] per_domain: usize,
+    #[case] bound_s: u64,
+) {
+    let bound = Duration::from_secs(bound_s);
+    let mut simulation = PropagationSite::start(domains, per_domain, bound, 1);
+    let first_ranked = simulation.readers();
+    for reader in &first_ranked {
+        simulation.links[*reader] = StoreLink::Refused;
+    }
+    simulation.run_for(bound_s * 2_000);
+    for reader in &first_ranked {
+        simulation.links[*reader] = StoreLink::Connected;
+    }
+    simulation.run_for(bound_s * 2_000);
+    let before = simulation.calls;
+    simulation.run_for(10_000);
+    let calls = simulation.calls - before;
+    let watch_ms = u64::try_from(PropagationBudget::new(bound).watch_wait().as_millis()).unwrap();
+    let expected = 10_000 / watch_ms * u64::try_from(domains).unwrap();
+    println!("{domains} x {per_domain}: {calls} calls, {expected} expected");
+    assert!(
+        calls <= expected * 6 / 5,
+        "{calls} calls, {expected} expected"
+    );
+}
+
 /// One instance of each domain reads the store, however many there are.
 #[rstest]
 #[case::nine(3, 3)]
--- a/crates/rookferry_core/tests/propagation_budget.rs
+++ b/crates/rookferry_core/tests/propagation_budget.rs
@@ -12,6 +12,8 @@
 use rookferry_core::ranked_pause;
 use rstest::rstest;
 
+const MAX_OWN_AGE: Duration = Duration::from_millis(1_400);
+
 fn reader() -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 7_000))
 }
@@ -77,14 +79,33 @@
         age: Duration::from_millis(400),
         reader: Some(reader()),
     };
-    assert_eq!(contact.advertised(at(500)), Some(relayed));
+    assert_eq!(contact.advertised(at(500), MAX_OWN_AGE), Some(relayed));
     contact.record_config_read(at(200));
     contact.record_servers_read(at(300));
     let own = AdvertisedContact {
         age: Duration::from_millis(300),
         reader: None,
     };
-    assert_eq!(contact.advertised(at(500)), Some(own));
+    assert_eq!(contact.advertised(at(500), MAX_OWN_AGE), Some(own));
+}
+
+/// Two instances that read would each take the other's relay for one of its own reads, and
+/// both go on.
+#[test]
+fn a_recent_own_read_is_advertised_before_a_newer_relayed_one() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut contact = StoreContact::new();
+    contact.record_config_read(at(100));
+    contact.record_servers_read(at(100));
+    contact.merge_peer(at(300), reader());
+    let reader_at = |ms| {
+        contact
+            .advertised(at(ms), MAX_OWN_AGE)
+            .map(|contact| contact.reader)
+    };
+    assert_eq!(reader_at(500), Some(None));
+    assert_eq!(reader_at(1_600), Some(Some(reader())));
 }
 
 #[test]
@@ -93,7 +114,7 @@
     let mut contact = StoreContact::new();
     contact.record_bodies(now);
     assert_eq!(contact.age(now), Some(Duration::ZERO));
-    assert_eq!(contact.advertised(now), None);
+    assert_eq!(contact.advertised(now, MAX_OWN_AGE), None);
 }
 
 /// Entries may lapse while the store answers no one, also if a peer is the first to be
@@ -128,13 +149,13 @@
     contact.record_servers_read(start);
     contact.merge_peer(start, reader());
     contact.record_watch_overdue();
-    assert_eq!(contact.advertised(start), None);
+    assert_eq!(contact.advertised(start, MAX_OWN_AGE), None);
     assert!(
         contact.age(start).is_some(),
         "it goes on serving with what it knows"
     );
     contact.record_servers_read(start);
-    assert!(contact.advertised(start).is_some());
+    assert!(contact.advertised(start, MAX_OWN_AGE).is_some());
 }
 
 #[test]
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -38,6 +38,8 @@
 /// Share of datagrams that are lost.
 pub const LOSS_RATE: f64 = 0.01;
 pub const SEED_COUNT: usize = 3;
+/// Age up to which an instance advertises its own read of the store.
+const MAX_OWN_AGE: Duration = Duration::from_millis(1_400);
 
 pub struct Instance {
     pub addr: SocketAddr,
@@ -540,7 +542,7 @@
 
 /// What an instance advertises of the store.
 fn store_state(contact: &StoreContact, now: Instant) -> Option<StoreState> {
-    let contact = contact.advertised(now)?;
+    let contact = contact.advertised(now, MAX_OWN_AGE)?;
     Some(StoreState {
         age_ms: u64::try_from(contact.age.as_millis()).ok()?,
         reader: contact.reader,
--- a/crates/rookferry_relay/src/peers/builder.rs
+++ b/crates/rookferry_relay/src/peers/builder.rs
@@ -216,7 +216,9 @@
 
     /// What this instance knows of the store.
     fn store_state(&self, now: Instant) -> Option<StoreState> {
-        let contact = self.relay.store.contact().advertised(now)?;
+        let budget = self.relay.settings.bounds.propagation_budget();
+        let contact = self.relay.store.contact();
+        let contact = contact.advertised(now, budget.max_report_age())?;
         Some(StoreState {
             age_ms: advertised_ms(contact.age),
             reader: contact.reader,
