--- a/crates/rookferry_core/src/serving/store_contact.rs
+++ b/crates/rookferry_core/src/serving/store_contact.rs
@@ -47,6 +47,7 @@
     delay: Duration,
     /// As of when the store last answered a read of the servers, here or by a peer.
     answered_at: Option<Instant>,
+    /// Shortest time between two answers that counts as a gap.
     min_gap: Duration,
     /// The end of the last gap between answers.
     gap_ended_at: Option<Instant>,
