--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -7,7 +7,8 @@
 //! engines to load layers.
 //!
 //! External formats are behind two traits: [`SiteStore`] for the platform's
-//! store, [`ServerProtocol`] for headers and calls of backend servers. The
+//! store, [`ServerProtocol`] for headers and calls of backend servers. A third,
+//! [`ServerConnector`], opens the connections to those. The
 //! decision logic is in `rookferry_core`, which has no sockets and no clocks.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -18,6 +19,7 @@
 mod event_log;
 mod event_splitter;
 mod exchange;
+mod links;
 mod liveness;
 mod load;
 mod mutex;
@@ -51,6 +53,10 @@
 mod view;
 
 pub use event_log::EVENTS;
+pub use links::ConnectFuture;
+pub use links::ServerConnector;
+pub use links::ServerStream;
+pub use links::TcpConnector;
 pub use node::Node;
 pub use node::NodeAddrs;
 pub use node::StartError;
--- /dev/null
+++ b/crates/rookferry_relay/src/links/connector.rs
@@ -0,0 +1,46 @@
+//! Opens connections to backend servers: the border between the relay and the network.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net::TcpStream;
+
+/// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the
+/// connection counts as dead. It covers more lost packets in a row than a connect may
+/// lose.
+const TCP_USER_TIMEOUT_MS: u32 = 1_500;
+
+/// An open connection to a backend server.
+pub trait ServerStream: AsyncRead + AsyncWrite + Send + Unpin + 'static {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin + 'static> ServerStream for T {}
+
+/// A connection that is being opened. Fails with `ConnectionRefused` if nothing listens
+/// at the address.
+pub type ConnectFuture<'a> =
+    Pin<Box<dyn Future<Output = io::Result<Box<dyn ServerStream>>> + Send + 'a>>;
+
+/// Opens connections to backend servers.
+pub trait ServerConnector: Send + Sync + 'static {
+    /// Opens a connection to a server; the caller bounds the time.
+    fn connect(&self, addr: SocketAddr) -> ConnectFuture<'_>;
+}
+
+/// Opens TCP connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpConnector;
+
+impl ServerConnector for TcpConnector {
+    fn connect(&self, addr: SocketAddr) -> ConnectFuture<'_> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(addr).await?;
+            stream.set_nodelay(true)?;
+            rustix::net::sockopt::set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)?;
+            let stream: Box<dyn ServerStream> = Box::new(stream);
+            Ok(stream)
+        })
+    }
+}
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -38,6 +38,7 @@
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
+use crate::links::ServerConnector;
 use crate::peers::HeartbeatTask;
 use crate::peers::serve_peers;
 use crate::placement::Placement;
@@ -120,6 +121,7 @@
         mut settings: RelaySettings,
         protocol: Arc<dyn ServerProtocol>,
         store: Arc<dyn SiteStore>,
+        connector: Arc<dyn ServerConnector>,
         log: Logger,
     ) -> Result<Self, StartError> {
         let listen = settings.listen;
@@ -133,7 +135,7 @@
         let (socket, listener, peers) = bind_peers(listen.peers).await?;
         // Instances are ranked by this address.
         settings.listen.peers = peers;
-        let relay = Arc::new(Relay::new(settings, protocol, store, events));
+        let relay = Arc::new(Relay::new(settings, protocol, store, connector, events));
         let stop = Arc::new(Notify::new());
         let limits = ConnectionLimits::default();
         let callers = bind(listen.callers, limits, "callers").await?;
--- a/crates/rookferry_relay/src/pool.rs
+++ b/crates/rookferry_relay/src/pool.rs
@@ -25,17 +25,13 @@
 use rookferry_core::ServerKey;
 use rookferry_net::clock;
 use snafu::Snafu;
-use tokio::net::TcpStream;
 
+use crate::links::ServerConnector;
 use crate::mutex::lock;
 
 /// Timeout for a connect. Within a site a round trip takes under a millisecond, and a
 /// lost packet is retransmitted after about 200 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the
-/// connection counts as dead. It covers more lost packets in a row than
-/// [`CONNECT_TIMEOUT`].
-const TCP_USER_TIMEOUT_MS: u32 = 1_500;
 /// How long an idle connection is retained if the server states no timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// How long before the stated timeout a connection is no longer used.
@@ -69,8 +65,8 @@
 
 /// The connections of an instance, by server process: those to a former process
 /// can't be used for its successor.
-#[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
+    connector: Arc<dyn ServerConnector>,
     servers: ArcSwap<HashMap<ServerKey, Arc<ServerPool>>>,
 }
 
@@ -95,8 +91,11 @@
 }
 
 impl UpstreamPool {
-    pub(crate) fn new() -> Self {
-        Self::default()
+    pub(crate) fn new(connector: Arc<dyn ServerConnector>) -> Self {
+        Self {
+            connector,
+            servers: ArcSwap::default(),
+        }
     }
 
     /// Takes an idle connection, or opens one if fewer than `limit` are open.
@@ -123,7 +122,7 @@
         let guard = OpenConnectionGuard {
             open: pool.open.clone(),
         };
-        let sender = connect(addr, guard).await?;
+        let sender = connect(&*self.connector, addr, guard).await?;
         Ok(Connection {
             sender,
             is_reused: false,
@@ -221,11 +220,12 @@
 
 /// Opens a connection and spawns the task that drives it; `guard` lives as long.
 async fn connect(
+    connector: &dyn ServerConnector,
     addr: SocketAddr,
     guard: OpenConnectionGuard,
 ) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
     let failed = |message: String| ConnectError::Failed { addr, message };
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(addr)).await;
     let stream = match connecting {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
@@ -239,11 +239,6 @@
             )));
         }
     };
-    stream
-        .set_nodelay(true)
-        .map_err(|error| failed(error.to_string()))?;
-    rustix::net::sockopt::set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)
-        .map_err(|error| failed(error.to_string()))?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -36,6 +36,7 @@
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
+use crate::links::ServerConnector;
 use crate::mutex::lock;
 use crate::permits::Permits;
 use crate::pool::UpstreamPool;
@@ -112,6 +113,7 @@
         settings: RelaySettings,
         protocol: Arc<dyn ServerProtocol>,
         store: Arc<dyn SiteStore>,
+        connector: Arc<dyn ServerConnector>,
         events: EventLog,
     ) -> Self {
         let events = Arc::new(events);
@@ -122,7 +124,7 @@
             store: TrackedStore::new(store, events.clone(), &settings.bounds),
             settings,
             protocol,
-            pool: UpstreamPool::new(),
+            pool: UpstreamPool::new(connector),
             view: ArcSwap::default(),
             states: ServerStates::new(rand::random()),
             quarantine: RequestQuarantine::default(),
