--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -18,7 +18,7 @@
 //! | [`PathFinder`], [`LayoutPlanner`] | which engines form a pipeline that forwards activations directly? |
 //! | [`PeerTable`], [`Fanout`] | which instances are alive, and what is sent to which of them? |
 //! | [`ServerLimits`], [`PermitGranter`] | do all instances together stay within a server's limit? |
-//! | [`ServingIndex`], [`Directory`], [`ServerHealth`] | to which server may this request go now? |
+//! | [`ServingIndex`], [`Directory`], [`ServerHealth`], [`DirectPaths`] | to which server may this request go now? |
 //! | [`throughput_bound`], [`WindowCount`] | what is the highest possible throughput, and how fast are error budgets spent? |
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -140,6 +140,8 @@
 pub use peers::StoreState;
 pub use peers::SuspectedServers;
 pub use peers::Targets;
+pub use peers::TunnelChooser;
+pub use peers::TunnelPeer;
 pub use pipeline::AcceleratorKind;
 pub use pipeline::ArrivalTracker;
 pub use pipeline::ChainForecast;
@@ -194,6 +196,7 @@
 pub use serving::AdvertisedContact;
 pub use serving::BackendServer;
 pub use serving::Backoffs;
+pub use serving::BrokenPath;
 pub use serving::BrokenRun;
 pub use serving::BrokenRunStatus;
 pub use serving::BrokenRuns;
@@ -203,6 +206,7 @@
 pub use serving::DepartedServers;
 pub use serving::Departure;
 pub use serving::DepartureObservation;
+pub use serving::DirectPaths;
 pub use serving::Directory;
 pub use serving::DirectoryChange;
 pub use serving::EraTracker;
@@ -217,6 +221,8 @@
 pub use serving::ListVersion;
 pub use serving::Overload;
 pub use serving::Overloaded;
+pub use serving::PathChange;
+pub use serving::PathFailure;
 pub use serving::PropagationBudget;
 pub use serving::PropagationPath;
 pub use serving::Quarantine;
--- a/crates/rookferry_core/src/peers/message.rs
+++ b/crates/rookferry_core/src/peers/message.rs
@@ -10,6 +10,7 @@
 use rookferry_wire::DomainId;
 use rookferry_wire::Incarnation;
 use rookferry_wire::InstanceId;
+use rookferry_wire::ServiceId;
 use rookferry_wire::SiteId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -73,6 +74,11 @@
     pub instances: u32,
     /// Whether the sender has just started and asks for the members of its domain.
     pub is_joining: bool,
+    /// Services whose servers the sender doesn't reach by its own connections, while
+    /// peers reach some.
+    pub unreached: Vec<ServiceId>,
+    /// Whether the sender is stopping.
+    pub is_leaving: bool,
 }
 
 /// Requests and tokens that a failure domain has in flight at servers.
--- a/crates/rookferry_core/src/peers/mod.rs
+++ b/crates/rookferry_core/src/peers/mod.rs
@@ -27,6 +27,8 @@
 mod permits;
 mod suspected;
 mod table;
+mod tunnel_chooser;
+mod tunnel_peers;
 
 pub use aggregate::AggregatedLoads;
 pub use body_source::BodyOffer;
@@ -50,3 +52,5 @@
 pub use suspected::ProbeRole;
 pub use suspected::SuspectedServers;
 pub use table::PeerTable;
+pub use tunnel_chooser::TunnelChooser;
+pub use tunnel_peers::TunnelPeer;
--- a/crates/rookferry_core/src/peers/peer.rs
+++ b/crates/rookferry_core/src/peers/peer.rs
@@ -8,6 +8,7 @@
 use rookferry_wire::DomainId;
 use rookferry_wire::Incarnation;
 use rookferry_wire::InstanceId;
+use rookferry_wire::ServiceId;
 
 use super::Capacity;
 use super::DomainLoads;
@@ -57,6 +58,10 @@
     pub(super) loads: Vec<LoadEntry>,
     /// Servers that the peer reports as unresponsive.
     pub(super) unresponsive: BTreeMap<ServerKey, UnresponsiveReport>,
+    /// Services whose servers the peer reports that it doesn't reach.
+    pub(super) unreached: Vec<ServiceId>,
+    /// Whether the peer reports that it is stopping.
+    pub(super) is_leaving: bool,
     /// Its domain's loads and when they were received, if it acts as an aggregator.
     pub(super) sums: Option<(DomainLoads, Instant)>,
 }
@@ -76,6 +81,8 @@
             store: None,
             loads: Vec::new(),
             unresponsive: BTreeMap::new(),
+            unreached: Vec::new(),
+            is_leaving: false,
             sums: None,
         }
     }
--- a/crates/rookferry_core/src/peers/table.rs
+++ b/crates/rookferry_core/src/peers/table.rs
@@ -153,6 +153,8 @@
         peer.received_at = Some(now);
         peer.seen_at = now;
         peer.clock = Some((beat.sent_ms, now));
+        peer.unreached.clone_from(&beat.unreached);
+        peer.is_leaving = beat.is_leaving;
         peer.config_version = beat.config.map(|config| config.version);
         peer.store = beat.store.and_then(|store| {
             Some(KnownStore {
--- /dev/null
+++ b/crates/rookferry_core/src/peers/tunnel_peers.rs
@@ -0,0 +1,52 @@
+//! Peers that may open connections to servers for an instance that can't.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rookferry_wire::ServiceId;
+
+use super::PeerTable;
+use super::table::LOAD_TIMEOUT;
+
+/// How long ago any instance may have heard of a peer that sends this one no heartbeats;
+/// instances of other domains send them to a few only.
+const SEEN_WITHIN: Duration = Duration::from_secs(5);
+
+/// A peer that may be asked to open a connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TunnelPeer {
+    /// Its address for connections of peers.
+    pub addr: SocketAddr,
+    /// Whether it is in the own failure domain.
+    pub is_local: bool,
+    /// Whether it reports itself that it reaches the service.
+    pub is_confirmed: bool,
+}
+
+impl PeerTable {
+    /// The peers that may reach a service's servers: all that are alive, without those
+    /// that report that they don't reach them or that they are stopping.
+    #[must_use]
+    pub fn tunnel_peers(&self, service: &ServiceId, now: Instant) -> Vec<TunnelPeer> {
+        let peers = self.peers.iter().filter_map(|(addr, peer)| {
+            let domain = peer.domain.as_ref()?;
+            let is_confirmed = peer.received_within(now, LOAD_TIMEOUT);
+            let is_seen = now.saturating_duration_since(peer.seen_at) < SEEN_WITHIN;
+            let is_able = !peer.is_leaving && !peer.unreached.contains(service);
+            (is_seen && is_able).then_some(TunnelPeer {
+                addr: *addr,
+                is_local: *domain == self.own_domain,
+                is_confirmed,
+            })
+        });
+        peers.collect()
+    }
+
+    /// Whether a live peer reports that it reaches a service's servers.
+    #[must_use]
+    pub fn has_peer_in_reach(&self, service: &ServiceId, now: Instant) -> bool {
+        let peers = self.tunnel_peers(service, now);
+        peers.iter().any(|peer| peer.is_confirmed)
+    }
+}
--- a/crates/rookferry_core/tests/support/peer_site.rs
+++ b/crates/rookferry_core/tests/support/peer_site.rs
@@ -499,6 +499,8 @@
         members: Vec::new(),
         instances: 2,
         is_joining: false,
+        unreached: Vec::new(),
+        is_leaving: false,
     }
 }
 
@@ -526,6 +528,8 @@
         members: table.members(members_from, members, now),
         instances: u32::try_from(table.instances()).unwrap(),
         is_joining: instance.is_joining(now),
+        unreached: Vec::new(),
+        is_leaving: false,
         capacity: instance.capacity,
         servers: list_state(instance.has_list),
         ..bare_heartbeat(instance.addr, instance.domain)
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -34,6 +34,7 @@
 use crate::event_log::Weight;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use crate::upstream::Dial;
 use crate::upstream::Upstream;
 use crate::view::ServerTable;
 
@@ -303,6 +304,8 @@
         };
         Upstream {
             server,
+            service: service.name.clone(),
+            dial: Dial::Any,
             max_connections: floor_to_usize(share).max(MIN_CONNECTIONS),
         }
     }
--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -41,7 +41,9 @@
     "order_sent",
     "order_failed",
     "panicked",
+    "path_broken",
     "path_repaired",
+    "path_restored",
     "path_stalled",
     "path_unusable",
     "peer_joined",
@@ -79,6 +81,8 @@
     "stopping",
     "stream_cut",
     "stream_resumed",
+    "tunnel_failed",
+    "tunnel_opened",
 ];
 
 /// Which rate limit a line falls under.
--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -68,7 +68,7 @@
     /// sent. Backoffs and permits are checked again at that point.
     pub(crate) async fn send(
         &self,
-        upstream: Upstream,
+        upstream: &Upstream,
         request: Request<Full<Bytes>>,
         purpose: Purpose<'_>,
         may_send: impl Fn() -> bool,
@@ -82,7 +82,7 @@
         };
         self.check_sendable(server, purpose)?;
         let sent_at = clock::now();
-        let mut answer = self.pool.send(upstream, request, may_send).await?;
+        let mut answer = self.send_over_link(upstream, request, may_send).await?;
         let notice = self.read_notice(server, answer.status, &answer.headers);
         answer.backoff = notice.backoff;
         self.apply_notice(server, notice);
@@ -127,7 +127,7 @@
     /// Sends a call of the relay's own and reads the whole answer within `wait`.
     pub(crate) async fn call(
         &self,
-        upstream: Upstream,
+        upstream: &Upstream,
         request: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<WholeAnswer, UpstreamError> {
--- a/crates/rookferry_relay/src/links/connector.rs
+++ b/crates/rookferry_relay/src/links/connector.rs
@@ -3,14 +3,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 
+/// Timeout for a connect. Within a site a round trip takes under a millisecond, and a
+/// lost packet is retransmitted after about 200 ms.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the
-/// connection counts as dead. It covers more lost packets in a row than a connect may
-/// lose.
+/// connection counts as dead. It covers more lost packets in a row than
+/// [`CONNECT_TIMEOUT`].
 const TCP_USER_TIMEOUT_MS: u32 = 1_500;
 
 /// An open connection to a backend server.
--- /dev/null
+++ b/crates/rookferry_relay/src/links/dial.rs
@@ -0,0 +1,346 @@
+//! Opens connections to servers, directly or through a peer.
+//!
+//! A direct connect that fails or takes long has sent nothing, so a peer is asked for the
+//! same connection at once. If it has one, the path from here is broken, and further
+//! connections go through peers first.
+
+use std::io;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use metrics::counter;
+use rookferry_core::BrokenPath;
+use rookferry_core::PathChange;
+use rookferry_core::PathFailure;
+use rookferry_core::ServerKey;
+use rookferry_net::clock;
+use rookferry_wire::ServiceId;
+use slog::info;
+use slog::warn;
+use tokio::sync::oneshot;
+
+use super::CONNECT_TIMEOUT;
+use super::ServerStream;
+use super::tunnel::PeerVerdict;
+use crate::event_log::Weight;
+use crate::event_log::millis;
+use crate::pool::ConnectError;
+use crate::relay::Relay;
+use crate::upstream::Dial;
+use crate::upstream::Upstream;
+
+/// How long a direct connect may take until a peer is asked as well: many round trips
+/// within a site, and a small part of the usual latency objectives.
+const ASK_PEER_AFTER: Duration = Duration::from_millis(40);
+
+/// How long ago an open connection may have broken to show that open ones don't work.
+const RECENT_BREAK: Duration = Duration::from_secs(1);
+/// Least time between two checks of a path for requests without an answer.
+const PATH_CHECK_PAUSE: Duration = Duration::from_millis(300);
+
+/// How a connection reaches its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// From this instance.
+    Direct,
+    /// Through the peer at this address.
+    Peer(SocketAddr),
+}
+
+impl Way {
+    /// The peer, if it goes through one.
+    pub(crate) const fn peer(self) -> Option<SocketAddr> {
+        match self {
+            Self::Direct => None,
+            Self::Peer(peer) => Some(peer),
+        }
+    }
+}
+
+/// A connection that was opened.
+pub(crate) struct OpenedStream {
+    pub(crate) stream: Box<dyn ServerStream>,
+    pub(crate) way: Way,
+}
+
+/// The outcome of a direct connect that nobody waited for.
+pub(super) struct LateConnect {
+    pub(super) service: ServiceId,
+    pub(super) server: ServerKey,
+    /// Whether a peer had reached the server meanwhile.
+    pub(super) is_reached_by_peer: bool,
+    pub(super) outcome: io::Result<Box<dyn ServerStream>>,
+}
+
+/// A direct connect in progress; it goes on when this is dropped.
+pub(super) struct DirectConnect {
+    outcome: oneshot::Receiver<io::Result<Box<dyn ServerStream>>>,
+    is_reached_by_peer: Arc<AtomicBool>,
+}
+
+impl DirectConnect {
+    async fn outcome(&mut self) -> io::Result<Box<dyn ServerStream>> {
+        let outcome = (&mut self.outcome).await;
+        outcome.unwrap_or_else(|_| Err(io::Error::other("the connect was dropped")))
+    }
+}
+
+/// How the path is broken if a connect failed in this way and a peer reaches the server.
+pub(super) fn failure_of(error: &io::Error) -> PathFailure {
+    if error.kind() == ErrorKind::TimedOut {
+        PathFailure::AllConnections
+    } else {
+        PathFailure::NewConnections
+    }
+}
+
+impl Relay {
+    /// Opens a connection to a server, directly or through a peer.
+    pub(crate) async fn open_stream(
+        &self,
+        upstream: &Upstream,
+    ) -> Result<OpenedStream, ConnectError> {
+        if upstream.dial == Dial::ThroughPeer {
+            let opened = self.open_through_peer(upstream).await;
+            return opened.map_err(|_| ConnectError::Failed {
+                addr: upstream.server.addr,
+                message: "no peer has a connection to it".to_owned(),
+            });
+        }
+        let is_broken = self.broken_path(upstream).is_some();
+        if is_broken && let Ok(opened) = self.open_through_peer(upstream).await {
+            return Ok(opened);
+        }
+        let mut direct = self.start_direct(&upstream.service, upstream.server);
+        let early = tokio::select! {
+            outcome = direct.outcome() => Some(outcome),
+            () = tokio::time::sleep(ASK_PEER_AFTER), if !is_broken => None,
+        };
+        match early {
+            Some(Ok(stream)) => Ok(self.opened_directly(upstream, stream)),
+            Some(Err(error)) if is_broken => Err(self
+                .failed_connect(upstream, &error, PeerVerdict::Unknown)
+                .await),
+            Some(Err(error)) => self.open_after_failure(upstream, &error).await,
+            None => self.open_either_way(upstream, direct).await,
+        }
+    }
+
+    /// Starts a direct connect, whose outcome is recorded even if nobody waits for it.
+    pub(super) fn start_direct(&self, service: &ServiceId, server: ServerKey) -> DirectConnect {
+        let (reply, outcome) = oneshot::channel();
+        let is_reached_by_peer = Arc::new(AtomicBool::new(false));
+        let is_reached = is_reached_by_peer.clone();
+        let connector = self.links.connector.clone();
+        let late = self.links.late.clone();
+        let service = service.clone();
+        tokio::spawn(async move {
+            let connecting = connector.connect(server.addr);
+            let outcome = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+            let outcome = outcome.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+            if let Err(outcome) = reply.send(outcome) {
+                // Without room, a connection is closed, and a failure is found again.
+                let _ = late.try_send(LateConnect {
+                    service,
+                    server,
+                    is_reached_by_peer: is_reached.load(Ordering::Relaxed),
+                    outcome,
+                });
+            }
+        });
+        DirectConnect {
+            outcome,
+            is_reached_by_peer,
+        }
+    }
+
+    /// Asks peers after the direct connect has failed.
+    async fn open_after_failure(
+        &self,
+        upstream: &Upstream,
+        error: &io::Error,
+    ) -> Result<OpenedStream, ConnectError> {
+        match self.open_through_peer(upstream).await {
+            Ok(opened) => {
+                self.path_broke(&upstream.service, upstream.server, failure_of(error));
+                Ok(opened)
+            }
+            Err(verdict) => Err(self.failed_connect(upstream, error, verdict).await),
+        }
+    }
+
+    /// Asks peers while the direct connect goes on, and takes what is open first.
+    async fn open_either_way(
+        &self,
+        upstream: &Upstream,
+        mut direct: DirectConnect,
+    ) -> Result<OpenedStream, ConnectError> {
+        let through_peer = self.open_through_peer(upstream);
+        tokio::pin!(through_peer);
+        let verdict = tokio::select! {
+            outcome = direct.outcome() => {
+                let error = match outcome {
+                    Ok(stream) => return Ok(self.opened_directly(upstream, stream)),
+                    Err(error) => error,
+                };
+                match through_peer.await {
+                    Ok(opened) => {
+                        self.path_broke(&upstream.service, upstream.server, failure_of(&error));
+                        return Ok(opened);
+                    }
+                    Err(verdict) => return Err(self.failed_connect(upstream, &error, verdict).await),
+                }
+            }
+            opened = &mut through_peer => match opened {
+                Ok(opened) => {
+                    direct.is_reached_by_peer.store(true, Ordering::Relaxed);
+                    self.path_broke(&upstream.service, upstream.server, PathFailure::AllConnections);
+                    return Ok(opened);
+                }
+                Err(verdict) => verdict,
+            }
+        };
+        match direct.outcome().await {
+            Ok(stream) => Ok(self.opened_directly(upstream, stream)),
+            Err(error) => Err(self.failed_connect(upstream, &error, verdict).await),
+        }
+    }
+
+    fn opened_directly(&self, upstream: &Upstream, stream: Box<dyn ServerStream>) -> OpenedStream {
+        self.path_worked(&upstream.service, upstream.server);
+        OpenedStream {
+            stream,
+            way: Way::Direct,
+        }
+    }
+
+    /// Why there is no connection, neither directly nor through a peer. A refusal alone
+    /// doesn't show that the process has exited, as the link may be cut here.
+    async fn failed_connect(
+        &self,
+        upstream: &Upstream,
+        error: &io::Error,
+        verdict: PeerVerdict,
+    ) -> ConnectError {
+        let addr = upstream.server.addr;
+        let is_exit =
+            verdict == PeerVerdict::Exited || error.kind() == ErrorKind::ConnectionRefused;
+        if is_exit {
+            return ConnectError::Refused { addr };
+        }
+        let message = match error.kind() {
+            ErrorKind::TimedOut => format!("no answer in {} ms", CONNECT_TIMEOUT.as_millis()),
+            ErrorKind::ConnectionRefused => {
+                "refused here, as by other servers of the service".to_owned()
+            }
+            _ => error.to_string(),
+        };
+        ConnectError::Failed { addr, message }
+    }
+
+    /// The broken path to a server; none if it works as far as is known.
+    pub(crate) fn broken_path(&self, upstream: &Upstream) -> Option<BrokenPath> {
+        let paths = self.links.paths();
+        paths.broken(&upstream.service, upstream.server)
+    }
+
+    /// Records that a peer reaches a server while connections from here fail.
+    pub(crate) fn path_broke(&self, service: &ServiceId, server: ServerKey, failure: PathFailure) {
+        let now = clock::now();
+        let answered_at = self.latest(service, |server| self.pool.answered_directly_at(server));
+        let broke_at = self.latest(service, |server| self.pool.broke_directly_at(server));
+        let has_open_broken = broke_at.is_some_and(|at| {
+            now.saturating_duration_since(at) < RECENT_BREAK && Some(at) >= answered_at
+        });
+        let failure = if has_open_broken {
+            PathFailure::AllConnections
+        } else {
+            failure
+        };
+        let change = self
+            .links
+            .paths()
+            .broke(service, server, failure, answered_at, now);
+        if change == PathChange::Known {
+            return;
+        }
+        counter!("rookferry_paths_broken_total").increment(1);
+        if let Some(log) = self.events.line(Weight::Notable) {
+            warn!(log, "links: peers reach a server that this instance doesn't";
+                "event" => "path_broken", "server" => %server.addr, "service" => &**service,
+                "open_work" => failure == PathFailure::NewConnections,
+                "isolated" => change == PathChange::Isolated,
+                "answered_ms" => answered_at.map(|at| millis(clock::since(at))));
+        }
+        self.signal_fleet_change();
+        if change == PathChange::Broken {
+            self.links.has_broken.notify_one();
+        }
+        if change == PathChange::Isolated {
+            self.urgent_changes.send_modify(|changes| *changes += 1);
+        }
+    }
+
+    /// Records that a server answered through a peer, and not directly since it was asked.
+    /// A new connection shows at once whether only the open ones hang.
+    pub(crate) fn answered_through_peer(&self, upstream: &Upstream, asked_at: Instant) {
+        let answered_at = self.pool.answered_directly_at(upstream.server);
+        if answered_at.is_some_and(|at| at >= asked_at) {
+            return;
+        }
+        let (service, server) = (&upstream.service, upstream.server);
+        self.path_broke(service, server, PathFailure::AllConnections);
+        drop(self.start_direct(service, server));
+    }
+
+    /// Records that a connection to a server was opened directly.
+    pub(super) fn path_worked(&self, service: &ServiceId, server: ServerKey) {
+        if !self.links.paths().worked(service, server, clock::now()) {
+            return;
+        }
+        if let Some(log) = self.events.line(Weight::Notable) {
+            info!(log, "links: this instance reaches a server again"; "event" => "path_restored",
+                "server" => %server.addr, "service" => &**service);
+        }
+        self.urgent_changes.send_modify(|changes| *changes += 1);
+    }
+
+    /// The latest of some times of a service's servers.
+    fn latest(
+        &self,
+        service: &ServiceId,
+        time_of: impl Fn(ServerKey) -> Option<Instant>,
+    ) -> Option<Instant> {
+        let view = self.view.load();
+        let servers = view.servers.as_ref()?.of(service);
+        servers.filter_map(|server| time_of(server.key)).max()
+    }
+
+    /// Checks the own path to a server that hasn't answered a request since `sent_at`.
+    /// Returns whether it broke since then, so that the answer won't come.
+    pub(crate) async fn is_answer_cut_off(&self, upstream: &Upstream, sent_at: Instant) -> bool {
+        let answered_at = self.pool.answered_directly_at(upstream.server);
+        if answered_at.is_some_and(|at| at >= sent_at) {
+            return false;
+        }
+        let is_unknown = self.broken_path(upstream).is_none();
+        if is_unknown
+            && self
+                .pool
+                .begin_path_check(upstream.server, PATH_CHECK_PAUSE)
+        {
+            let upstream = upstream.clone().with_dial(Dial::New);
+            // A failure shows as a broken path, or concerns the server.
+            if let Ok(connection) = self.connection(&upstream).await {
+                connection.keep();
+            }
+        }
+        self.broken_path(upstream)
+            .is_some_and(|path| path.failure == PathFailure::AllConnections && path.since > sent_at)
+    }
+}
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -39,6 +39,7 @@
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::links::ServerConnector;
+use crate::links::monitor_paths;
 use crate::peers::HeartbeatTask;
 use crate::peers::serve_peers;
 use crate::placement::Placement;
@@ -169,6 +170,7 @@
         tokio::spawn(sync::sync_servers(relay.clone()));
         tokio::spawn(quarantine_sync::sync_quarantine(relay.clone()));
         tokio::spawn(probe::probe_unresponsive(relay.clone()));
+        tokio::spawn(monitor_paths(relay.clone()));
         tokio::spawn(Placement::new(relay.clone(), incarnation).run());
         tokio::spawn(log_dropped_lines(relay.clone()));
         Ok(Self {
@@ -211,6 +213,7 @@
             let _ = tokio::time::timeout(accept_left, self.callers.wait_idle()).await;
             self.stop.notify_one();
             self.callers.wait_idle().await;
+            self.relay.links.wait_unused().await;
         };
         let is_drained = tokio::time::timeout(bound, finish).await.is_ok();
         if let Some(log) = self.relay.events.line(Weight::Notable) {
@@ -280,6 +283,9 @@
     gauge!("rookferry_instances").set(instances as f64);
     let holds_lease = metrics_endpoint.relay.holds_lease.load(Ordering::Relaxed);
     gauge!("rookferry_holds_lease").set(f64::from(u8::from(holds_lease)));
+    gauge!("rookferry_tunnels_for_peers").set(metrics_endpoint.relay.links.served_tunnels() as f64);
+    gauge!("rookferry_services_unreached")
+        .set(metrics_endpoint.relay.links.paths().isolated().len() as f64);
     gauge!("rookferry_servers_out")
         .set(metrics_endpoint.relay.states.health().unresponsive_count() as f64);
     text_response(StatusCode::OK, metrics_endpoint.handle.render())
--- a/crates/rookferry_relay/src/path_supervisor/mod.rs
+++ b/crates/rookferry_relay/src/path_supervisor/mod.rs
@@ -123,7 +123,7 @@
 pub(crate) enum PathCheck {
     /// The path needs no action, or none is possible now.
     NoAction,
-    /// The first engine is lost, and the run with it.
+    /// The first engine is lost, or the own path to it, and the run with it.
     FirstEngineLost,
     /// No engine is lost, but no event has arrived for too long.
     Hung,
@@ -296,9 +296,20 @@
             RunPhase::Waiting => SILENT_BEFORE_FIRST,
             RunPhase::Running | RunPhase::Hung => SILENT_AFTER,
         };
+        let first = self.path.first().server;
+        // Peers' evidence says nothing of the own path to the first engine.
+        let upstream = self.relay.upstream(first, &self.service);
+        let is_path_broken = self.relay.broken_path(&upstream).is_some();
+        let is_path_silent = |server: ServerKey| {
+            let answered_at = self.relay.pool.answered_directly_at(server);
+            let since = |at| now.saturating_duration_since(at);
+            server == first
+                && !is_path_broken
+                && answered_at.is_some_and(|at| since(at) >= silent_after)
+        };
         let is_asked = |server: ServerKey, seen: &LastSeen| {
             let is_slow = stalled >= SLOW_AFTER && signs.report_age(server, now) >= MIN_REPORT_AGE;
-            (is_slow || seen.age(now) >= silent_after)
+            (is_slow || seen.age(now) >= silent_after || is_path_silent(server))
                 && signs.begin_probe(server, probe::PROBE_REUSE, now)
         };
         let probes = silent
--- a/crates/rookferry_relay/src/path_supervisor/repair.rs
+++ b/crates/rookferry_relay/src/path_supervisor/repair.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use metrics::counter;
 use metrics::histogram;
+use rookferry_core::PathFailure;
 use rookferry_core::PathFinder;
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
@@ -63,6 +64,9 @@
                     PathCheck::NoAction
                 };
             }
+            if self.is_cut_from_first() {
+                return PathCheck::FirstEngineLost;
+            }
             // A quarantined request is not moved to further servers.
             if self.relay.is_quarantined(&self.request) {
                 return PathCheck::NoAction;
@@ -113,6 +117,18 @@
         PathCheck::NoAction
     }
 
+    /// Whether the stream stands still because the own path to its first engine has broken
+    /// since the run began. The engine itself is alive.
+    fn is_cut_from_first(&self) -> bool {
+        let first = self.path.first().server;
+        let upstream = self.relay.upstream(first, &self.service);
+        let broken = self.relay.broken_path(&upstream);
+        let is_silent = broken.is_some_and(|path| {
+            path.failure == PathFailure::AllConnections && path.since > self.joined_at(first)
+        });
+        is_silent && clock::since(self.stalled_since) >= STALL_AFTER
+    }
+
     /// Records when the run reached the engines of a new path; those it already
     /// passed keep their time.
     fn record_joined(&mut self, path: &PipelinePath, at: Instant) {
@@ -217,7 +233,7 @@
         let upstream = self.relay.upstream(path.first().server, &self.service);
         let request = call.request(upstream.server.addr);
         self.relay.record_unpermitted(permits);
-        let answer = self.relay.call(upstream, request, REPATH_TIMEOUT).await;
+        let answer = self.relay.call(&upstream, request, REPATH_TIMEOUT).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(error) => {
--- a/crates/rookferry_relay/src/peers/builder.rs
+++ b/crates/rookferry_relay/src/peers/builder.rs
@@ -152,6 +152,8 @@
             members,
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
             is_joining,
+            unreached: self.relay.links.paths().isolated(),
+            is_leaving: self.relay.is_leaving(),
         }
     }
 
--- a/crates/rookferry_relay/src/peers/handler.rs
+++ b/crates/rookferry_relay/src/peers/handler.rs
@@ -47,6 +47,9 @@
             let newly_out = table.newly_unresponsive(from, beat, now);
             (is_new, newly_out)
         };
+        if beat.is_leaving && self.relay.links.uses_peer(from) {
+            self.relay.pool.close_idle_through(from);
+        }
         self.relay
             .store
             .record_peer_era(beat.servers.version.store.era);
--- a/crates/rookferry_relay/src/peers/message.rs
+++ b/crates/rookferry_relay/src/peers/message.rs
@@ -8,10 +8,13 @@
 use rookferry_core::ListVersion;
 use rookferry_core::PermitAnswer;
 use rookferry_core::PermitRequest;
+use rookferry_core::ServerKey;
 use rookferry_core::ServingConfig;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::links::TunnelRefusal;
+
 /// A datagram between instances; `H` is a heartbeat, or a reference to one when sent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerDatagram<H> {
@@ -38,6 +41,8 @@
     Config { newer_than: u64 },
     /// The backend servers, if their list is newer than the one the requester has.
     Servers { had: ListFingerprint },
+    /// A connection to a server, whose bytes follow the response on the same connection.
+    Connect { server: ServerKey },
 }
 
 /// The response to a [`PeerRequest`].
@@ -68,4 +73,8 @@
     /// There is a newer body, which these peers have too; empty while only the responding
     /// instance has it.
     Elsewhere(Vec<SocketAddr>),
+    /// The connection to the server is open.
+    Connected,
+    /// There is no connection to the server.
+    NotConnected(TunnelRefusal),
 }
--- a/crates/rookferry_relay/src/peers/transfer.rs
+++ b/crates/rookferry_relay/src/peers/transfer.rs
@@ -31,6 +31,7 @@
 use super::message::PeerQuery;
 use super::message::PeerRequest;
 use super::message::PeerResponse;
+use crate::links::ServedTunnel;
 use crate::mutex::lock;
 use crate::relay::Relay;
 use crate::sync::PeerList;
@@ -56,31 +57,47 @@
         };
         let relay = relay.clone();
         tokio::spawn(async move {
-            // The peer sees a failure as a missing response.
-            let _ = tokio::time::timeout(REQUEST_TIMEOUT, serve(&relay, stream)).await;
+            // The peer sees a failure as a missing response, or as a broken tunnel.
+            let served = tokio::time::timeout(REQUEST_TIMEOUT, serve(&relay, stream)).await;
+            if let Ok(Ok(Some((tunnel, stream)))) = served {
+                let _ = tunnel.run(stream).await;
+            }
         });
     }
 }
 
-async fn serve(relay: &Relay, mut stream: TcpStream) -> io::Result<()> {
+/// Responds to a request; returns the tunnel that is to be served next, if any.
+async fn serve(
+    relay: &Relay,
+    mut stream: TcpStream,
+) -> io::Result<Option<(ServedTunnel, TcpStream)>> {
     let query: PeerQuery = receive(&mut stream).await?;
     let from = query.from;
     match query.request {
+        PeerRequest::Connect { server } => match relay.serve_tunnel(server).await {
+            Ok(tunnel) => {
+                send(&mut stream, &PeerResponse::Connected).await?;
+                return Ok(Some((tunnel, stream)));
+            }
+            Err(refusal) => send(&mut stream, &PeerResponse::NotConnected(refusal)).await?,
+        },
         PeerRequest::Config { newer_than } => {
             let version = relay.config_version();
             let newer = version.filter(|own| *own > newer_than);
             let body = || config_response(relay);
-            send_body(&mut stream, &relay.config_source, newer, from, body).await
+            send_body(&mut stream, &relay.config_source, newer, from, body).await?;
         }
         PeerRequest::Servers { had } => {
             if let Some(changes) = changes_response(relay, had) {
-                return send(&mut stream, &changes).await;
+                send(&mut stream, &changes).await?;
+                return Ok(None);
             }
             let newer = Some(relay.servers_version()).filter(|own| *own > had.version);
             let body = || servers_response(relay);
-            send_body(&mut stream, &relay.servers_source, newer, from, body).await
+            send_body(&mut stream, &relay.servers_source, newer, from, body).await?;
         }
     }
+    Ok(None)
 }
 
 /// Sends a body, or redirects the requester to peers that have it.
@@ -293,14 +310,16 @@
     response.ok()?.ok()
 }
 
-async fn send<T: Serialize>(stream: &mut TcpStream, message: &T) -> io::Result<()> {
+/// Sends a message: its length, then its encoding.
+pub(crate) async fn send<T: Serialize>(stream: &mut TcpStream, message: &T) -> io::Result<()> {
     let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     stream.write_all(&length.to_be_bytes()).await?;
     stream.write_all(&bytes).await
 }
 
-async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+/// Receives a message, and no byte of what follows.
+pub(crate) async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await?;
     let length = u32::from_be_bytes(length);
--- a/crates/rookferry_relay/src/placement/orders.rs
+++ b/crates/rookferry_relay/src/placement/orders.rs
@@ -119,7 +119,7 @@
         });
         let polled = within_round(overdue).map(async |engine| {
             let upstream = self.relay.upstream(engine, service);
-            (engine, self.report(upstream).await)
+            (engine, self.report(&upstream).await)
         });
         let calls = stream::iter(polled).buffer_unordered(MAX_CONCURRENT_CALLS);
         let reports: Vec<(ServerKey, Option<EngineReport>)> = calls.collect().await;
@@ -142,7 +142,7 @@
     }
 
     /// An engine's report, if it answers.
-    async fn report(&self, upstream: Upstream) -> Option<EngineReport> {
+    async fn report(&self, upstream: &Upstream) -> Option<EngineReport> {
         let protocol = &self.relay.protocol;
         let request = protocol.report_call().request(upstream.server.addr);
         let answer = self.relay.call(upstream, request, ORDER_TIMEOUT).await;
@@ -164,7 +164,7 @@
             layers: placement.layers,
         };
         let upstream = self.relay.upstream(server.key, service);
-        let report = self.report(upstream).await?;
+        let report = self.report(&upstream).await?;
         if !report.is_same_incarnation(server) {
             // The plan was made for the previous process, which held other layers.
             self.relay.other_incarnation_answered(server.key, &report);
@@ -179,7 +179,7 @@
         }
         let call = protocol.place_call(placement.layers, Some(report.sequence));
         let request = call.request(server.addr());
-        let answer = self.relay.call(upstream, request, ORDER_TIMEOUT).await;
+        let answer = self.relay.call(&upstream, request, ORDER_TIMEOUT).await;
         // An engine is seldom ordered again, and keeping a connection to each of
         // thousands of engines would take most of this process's memory.
         self.relay.pool.close_idle(server.key);
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -26,6 +26,8 @@
 use crate::request_handler::ServeOutcome;
 use crate::request_handler::record_served;
 use crate::server_loss::ServerLoss;
+use crate::upstream::Dial;
+use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
 use crate::upstream::WholeAnswer;
 use crate::upstream::is_signed;
@@ -41,6 +43,9 @@
 const MAX_TRIES: usize = 4;
 /// Servers or paths per try for which permits are requested.
 pub(crate) const MAX_PERMIT_TRIES: usize = 16;
+/// Time without an answer after which the own path to the server is checked, and time
+/// between checks. Most plain requests are answered by then.
+const STALL_CHECK_AFTER: Duration = Duration::from_millis(150);
 /// A request with less time left is not sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 
@@ -68,6 +73,7 @@
     let mut runs = 0;
     let mut reached = 0;
     let mut last_answer = None;
+    let mut is_connection_broken = false;
     for _ in 0..MAX_TRIES {
         if request.time_left() < MIN_TIME_LEFT {
             break;
@@ -84,7 +90,11 @@
         };
         avoided.push(server.key);
         let sent_at = clock::now();
-        match send(relay, &request, service, server, &permits).await {
+        let mut upstream = relay.upstream(server.key, service);
+        if is_connection_broken {
+            upstream.dial = Dial::New;
+        }
+        match send(relay, &request, &upstream, server, &permits).await {
             SendOutcome::Answer(answer) => {
                 runs += 1;
                 reached += 1;
@@ -120,6 +130,8 @@
             SendOutcome::Failed(error) => {
                 runs += 1;
                 reached += 1;
+                // Other open connections may be broken as well.
+                is_connection_broken = true;
                 log_failed_try(relay, &request, server, &error.to_string());
                 if error.may_be_crash() {
                     let broken = RunBreak {
@@ -131,7 +143,9 @@
                     };
                     relay.record_broken_run(&request, broken);
                 }
-                relay.states.health().failed(server.key, clock::now());
+                if error.is_server_failure() {
+                    relay.states.health().failed(server.key, clock::now());
+                }
             }
             SendOutcome::TimedOut => return ServeOutcome::Refused(Refusal::TimedOut),
         }
@@ -213,7 +227,7 @@
 async fn send(
     relay: &Relay,
     request: &CallerRequest,
-    service: &ServingService,
+    upstream: &Upstream,
     server: &BackendServer,
     permits: &PathPermits,
 ) -> SendOutcome {
@@ -223,7 +237,6 @@
         .loads
         .track(vec![(server.key, request.tokens())]);
     let outbound = request.to_server(names, &server.id, None);
-    let upstream = relay.upstream(server.key, service);
     let may_send = || may_send(relay, request, &[server.key]);
     let exchange = async {
         let purpose = Purpose::CallerRequest(permits);
@@ -239,7 +252,13 @@
         }
         answer.collect(server.addr()).await.map(Some)
     };
-    match clock::timeout_at(request.deadline, exchange).await {
+    let answered = async {
+        tokio::select! {
+            answer = exchange => answer,
+            cut_off = await_cut_off(relay, request, upstream) => Err(cut_off),
+        }
+    };
+    match clock::timeout_at(request.deadline, answered).await {
         Some(Ok(Some(answer))) if is_signed(answer.status, &answer.headers, names) => {
             relay.server_answered(server.key);
             SendOutcome::Answer(answer)
@@ -254,6 +273,24 @@
     }
 }
 
+/// Waits until the own path to the server has broken under a request that may be repeated.
+/// One that may run only once keeps its run, as the answer may still come.
+async fn await_cut_off(
+    relay: &Relay,
+    request: &CallerRequest,
+    upstream: &Upstream,
+) -> UpstreamError {
+    let sent_at = clock::now();
+    loop {
+        tokio::time::sleep(STALL_CHECK_AFTER).await;
+        let is_cut_off = relay.is_answer_cut_off(upstream, sent_at).await;
+        if is_cut_off && request.route.repeatability.may_repeat() {
+            let addr = upstream.server.addr;
+            return UpstreamError::PathLost { addr };
+        }
+    }
+}
+
 /// Whether a request may still be sent: the configuration in force admits it, none of
 /// the servers is leaving, and it isn't quarantined.
 pub(crate) fn may_send(relay: &Relay, request: &CallerRequest, servers: &[ServerKey]) -> bool {
--- a/crates/rookferry_relay/src/pool.rs
+++ b/crates/rookferry_relay/src/pool.rs
@@ -6,10 +6,10 @@
 //! may have run.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -26,16 +26,18 @@
 use rookferry_net::clock;
 use snafu::Snafu;
 
-use crate::links::ServerConnector;
+use crate::links::OpenedStream;
+use crate::links::Way;
 use crate::mutex::lock;
+use crate::upstream::Upstream;
 
-/// Timeout for a connect. Within a site a round trip takes under a millisecond, and a
-/// lost packet is retransmitted after about 200 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long an idle connection is retained if the server states no timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// How long before the stated timeout a connection is no longer used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// Age from which a connection through a peer isn't used again: the own path may work by
+/// then, and connections move back to it one by one.
+const MAX_TUNNEL_AGE: Duration = Duration::from_secs(10);
 
 /// Why there is no connection; no byte of a request has left.
 #[derive(Debug, Snafu)]
@@ -43,10 +45,11 @@
     /// This instance's share of the server's connections is in use.
     #[snafu(display("all {limit} connections to {addr} are in use"))]
     Full { addr: SocketAddr, limit: usize },
-    /// Nothing listens at the address.
+    /// The process has exited: it refuses connections, while others of its service accept
+    /// them on the same way.
     #[snafu(display("{addr} refuses connections"))]
     Refused { addr: SocketAddr },
-    /// The connect failed or timed out.
+    /// Neither this instance nor a peer could connect; that proves nothing of the server.
     #[snafu(display("could not connect to {addr}: {message}"))]
     Failed { addr: SocketAddr, message: String },
 }
@@ -55,18 +58,29 @@
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     use_until: Instant,
+    way: Way,
+    opened_at: Instant,
 }
 
+/// The connections to one server. Times are in milliseconds since the pool's epoch, 0 if
+/// there is none.
 #[derive(Debug, Default)]
 struct ServerPool {
     idle: Mutex<Vec<Idle>>,
     open: Arc<AtomicUsize>,
+    /// When the server last sent anything over a direct connection.
+    answered_directly_ms: AtomicU64,
+    /// When a direct connection last broke under a request.
+    broke_directly_ms: AtomicU64,
+    /// When the path was last checked for a request without an answer.
+    checked_ms: AtomicU64,
 }
 
 /// The connections of an instance, by server process: those to a former process
 /// can't be used for its successor.
+#[derive(Debug)]
 pub(crate) struct UpstreamPool {
-    connector: Arc<dyn ServerConnector>,
+    epoch: Instant,
     servers: ArcSwap<HashMap<ServerKey, Arc<ServerPool>>>,
 }
 
@@ -75,61 +89,134 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) is_reused: bool,
+    pub(crate) way: Way,
+    opened_at: Instant,
+    epoch: Instant,
     pool: Arc<ServerPool>,
 }
 
-/// Counts an open connection until its task ends.
+/// Room for one connection to a server, until it closes.
 #[derive(Debug)]
-struct OpenConnectionGuard {
-    open: Arc<AtomicUsize>,
+pub(crate) struct ConnectionSlot {
+    pool: Arc<ServerPool>,
 }
 
-impl Drop for OpenConnectionGuard {
+impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
+        self.pool.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl UpstreamPool {
-    pub(crate) fn new(connector: Arc<dyn ServerConnector>) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            connector,
+            epoch: clock::now(),
             servers: ArcSwap::default(),
         }
     }
 
-    /// Takes an idle connection, or opens one if fewer than `limit` are open.
-    pub(crate) async fn checkout(
+    /// Takes an idle connection; a direct one only if `allows_direct`.
+    pub(crate) async fn take_idle(
         &self,
         server: ServerKey,
-        limit: usize,
-    ) -> Result<Connection, ConnectError> {
-        let addr = server.addr;
+        allows_direct: bool,
+    ) -> Option<Connection> {
         let pool = self.server(server);
-        while let Some(mut idle) = pool.take_idle() {
+        while let Some(mut idle) = pool.take_idle(allows_direct) {
             if idle.sender.ready().await.is_ok() {
-                return Ok(Connection {
+                return Some(Connection {
                     sender: idle.sender,
                     is_reused: true,
+                    way: idle.way,
+                    opened_at: idle.opened_at,
+                    epoch: self.epoch,
                     pool,
                 });
             }
         }
+        None
+    }
+
+    /// Takes room for a new connection, if fewer than the server's limit are open.
+    pub(crate) fn reserve(&self, upstream: &Upstream) -> Result<ConnectionSlot, ConnectError> {
+        let pool = self.server(upstream.server);
+        let limit = upstream.max_connections;
         if pool.open.fetch_add(1, Ordering::Relaxed) >= limit {
             pool.open.fetch_sub(1, Ordering::Relaxed);
+            let addr = upstream.server.addr;
             return Err(ConnectError::Full { addr, limit });
         }
-        let guard = OpenConnectionGuard {
-            open: pool.open.clone(),
-        };
-        let sender = connect(&*self.connector, addr, guard).await?;
+        Ok(ConnectionSlot { pool })
+    }
+
+    /// Begins to use an opened stream, and spawns the task that drives it.
+    pub(crate) async fn begin(
+        &self,
+        addr: SocketAddr,
+        slot: ConnectionSlot,
+        opened: OpenedStream,
+    ) -> Result<Connection, ConnectError> {
+        let OpenedStream { stream, way } = opened;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| ConnectError::Failed {
+            addr,
+            message: error.to_string(),
+        })?;
+        let pool = slot.pool.clone();
+        tokio::spawn(async move {
+            // The request in flight or the next use notices that it has closed.
+            let _ = connection.await;
+            drop(slot);
+        });
         Ok(Connection {
             sender,
             is_reused: false,
+            way,
+            opened_at: clock::now(),
+            epoch: self.epoch,
             pool,
         })
     }
 
+    /// Keeps an opened stream as an idle connection, if there is room for it.
+    pub(crate) async fn keep(&self, upstream: &Upstream, opened: OpenedStream) {
+        let Ok(slot) = self.reserve(upstream) else {
+            return;
+        };
+        // A connection that fails here is closed.
+        if let Ok(connection) = self.begin(upstream.server.addr, slot, opened).await {
+            connection.keep();
+        }
+    }
+
+    /// When a server last sent anything over a direct connection.
+    pub(crate) fn answered_directly_at(&self, server: ServerKey) -> Option<Instant> {
+        self.time(&self.servers.load().get(&server)?.answered_directly_ms)
+    }
+
+    /// When a direct connection to a server last broke under a request.
+    pub(crate) fn broke_directly_at(&self, server: ServerKey) -> Option<Instant> {
+        self.time(&self.servers.load().get(&server)?.broke_directly_ms)
+    }
+
+    /// Records that the path to a server is checked, unless that was less than `pause`
+    /// ago; returns whether it is to be checked.
+    pub(crate) fn begin_path_check(&self, server: ServerKey, pause: Duration) -> bool {
+        let pool = self.server(server);
+        let now = clock::now();
+        let last = self.time(&pool.checked_ms);
+        if last.is_some_and(|at| now.saturating_duration_since(at) < pause) {
+            return false;
+        }
+        record_time(&pool.checked_ms, self.epoch, now);
+        true
+    }
+
+    fn time(&self, at_ms: &AtomicU64) -> Option<Instant> {
+        let at_ms = at_ms.load(Ordering::Relaxed);
+        (at_ms > 0).then(|| self.epoch + Duration::from_millis(at_ms))
+    }
+
     /// Closes the idle connection to a server that was last returned, if any.
     pub(crate) fn close_idle(&self, server: ServerKey) {
         if let Some(pool) = self.servers.load().get(&server) {
@@ -138,6 +225,13 @@
         }
     }
 
+    /// Closes the idle connections through a peer.
+    pub(crate) fn close_idle_through(&self, peer: SocketAddr) {
+        for pool in self.servers.load().values() {
+            lock(&pool.idle).retain(|idle| idle.way != Way::Peer(peer));
+        }
+    }
+
     /// Drops expired idle connections, and the pools of servers for which `is_known`
     /// is false.
     pub(crate) fn evict(&self, now: Instant, is_known: impl Fn(ServerKey) -> bool) {
@@ -172,35 +266,70 @@
 }
 
 impl ServerPool {
-    /// The most recently returned connection that may still be used.
-    fn take_idle(&self) -> Option<Idle> {
+    /// The most recently returned connection that may still be used. Direct ones that
+    /// aren't allowed stay, as their path may work again.
+    fn take_idle(&self, allows_direct: bool) -> Option<Idle> {
         let now = clock::now();
         let mut idle = lock(&self.idle);
-        while let Some(last) = idle.pop() {
-            if last.use_until > now && !last.sender.is_closed() {
-                return Some(last);
-            }
-        }
-        None
+        idle.retain(|idle| idle.use_until > now && !idle.sender.is_closed());
+        let last = idle
+            .iter()
+            .rposition(|idle| allows_direct || idle.way != Way::Direct)?;
+        Some(idle.remove(last))
     }
 }
 
 impl Connection {
+    /// Records that the server sent something.
+    pub(crate) fn record_activity(&self, now: Instant) {
+        if self.way == Way::Direct {
+            record_time(&self.pool.answered_directly_ms, self.epoch, now);
+        }
+    }
+
+    /// Records that the connection broke under a request.
+    pub(crate) fn record_break(&self, now: Instant) {
+        if self.way == Way::Direct {
+            record_time(&self.pool.broke_directly_ms, self.epoch, now);
+        }
+    }
+
     /// Returns the connection to the pool, as the answer's headers allow; the answer
     /// must have been read whole.
     pub(crate) fn return_to_pool(self, headers: &HeaderMap) {
+        let is_worn = self.way != Way::Direct && clock::since(self.opened_at) >= MAX_TUNNEL_AGE;
         let reusable_for = keep_alive(headers);
-        if reusable_for.is_zero() || self.sender.is_closed() {
-            return;
+        if !reusable_for.is_zero() && !is_worn && !self.sender.is_closed() {
+            self.keep_for(reusable_for);
         }
+    }
+
+    /// Makes the connection idle for the default time.
+    pub(crate) fn keep(self) {
+        self.keep_for(DEFAULT_KEEP_ALIVE);
+    }
+
+    /// Makes the connection idle for a time.
+    fn keep_for(self, time: Duration) {
         let idle = Idle {
-            use_until: clock::now() + reusable_for,
+            use_until: clock::now() + time,
             sender: self.sender,
+            way: self.way,
+            opened_at: self.opened_at,
         };
         lock(&self.pool.idle).push(idle);
     }
 }
 
+/// Stores a time in milliseconds since the epoch, at least 1.
+fn record_time(at_ms: &AtomicU64, epoch: Instant, now: Instant) {
+    let at = now.saturating_duration_since(epoch).as_millis();
+    at_ms.fetch_max(
+        u64::try_from(at).unwrap_or(u64::MAX).max(1),
+        Ordering::Relaxed,
+    );
+}
+
 /// How long the connection may be reused by an answer's headers; zero if not at all.
 fn keep_alive(headers: &HeaderMap) -> Duration {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
@@ -217,35 +346,3 @@
         Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN)
     })
 }
-
-/// Opens a connection and spawns the task that drives it; `guard` lives as long.
-async fn connect(
-    connector: &dyn ServerConnector,
-    addr: SocketAddr,
-    guard: OpenConnectionGuard,
-) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
-    let failed = |message: String| ConnectError::Failed { addr, message };
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(addr)).await;
-    let stream = match connecting {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return Err(ConnectError::Refused { addr });
-        }
-        Ok(Err(error)) => return Err(failed(error.to_string())),
-        Err(_) => {
-            return Err(failed(format!(
-                "no answer in {} ms",
-                CONNECT_TIMEOUT.as_millis()
-            )));
-        }
-    };
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| failed(error.to_string()))?;
-    tokio::spawn(async move {
-        // The request in flight or the next checkout notices that it has closed.
-        let _ = connection.await;
-        drop(guard);
-    });
-    Ok(sender)
-}
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -23,6 +23,7 @@
 use crate::protocol::set_host;
 use crate::relay::Relay;
 use crate::server_loss::ServerLoss;
+use crate::upstream::Dial;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamError;
 use crate::upstream::WholeAnswer;
@@ -33,6 +34,8 @@
 /// How long a probe of an engine serves other streams too; they are notified if it finds
 /// the engine lost.
 pub(crate) const PROBE_REUSE: Duration = Duration::from_millis(110);
+/// Age of a probe from which the engine is asked through a peer as well.
+const ASK_PEER_AFTER: Duration = Duration::from_millis(30);
 /// Least time to wait for an answer that has already arrived.
 const MIN_LATE_WAIT: Duration = Duration::from_millis(20);
 /// Factor of the additional wait, relative to how late this process itself noticed that
@@ -53,43 +56,76 @@
 
 /// Probes an engine; returns whether it answers in time and matches its entry. Marks it
 /// lost if not.
+///
+/// If its answer is late, it is also asked through a peer: if that answers, the engine is
+/// alive and the own path is broken.
 pub(crate) async fn check(relay: &Relay, upstream: Upstream) -> bool {
-    if relay.states.health().is_unresponsive(upstream.server) {
+    let server = upstream.server;
+    if relay.states.health().is_unresponsive(server) {
         return false;
     }
-    let request = relay.protocol.report_call().request(upstream.server.addr);
     let due = clock::now() + PROBE_TIMEOUT;
-    let pending = relay.call(upstream, request, CALL_TIMEOUT);
+    let pending = call_for_report(relay, &upstream);
     tokio::pin!(pending);
     let answer = tokio::select! {
         answer = &mut pending => answer,
-        () = clock::sleep_until(due) => wait_late(upstream.server.addr, pending, due).await,
+        answer = report_through_peer(relay, &upstream) => Ok(answer),
+        () = clock::sleep_until(due) => wait_late(server.addr, pending, due).await,
     };
     match answer {
         Ok(answer) => {
             let now = clock::now();
-            relay.states.liveness.last_seen(upstream.server).record(now);
-            let Some(report) = read_report(relay, upstream.server, &answer) else {
+            relay.states.liveness.last_seen(server).record(now);
+            let Some(report) = read_report(relay, server, &answer) else {
                 return true;
             };
             relay
                 .states
                 .liveness
-                .record_report(upstream.server, report.slowdown, now);
-            let is_listed = matches_entry(relay, upstream.server, &report);
+                .record_report(server, report.slowdown, now);
+            let is_listed = matches_entry(relay, server, &report);
             if is_listed {
-                relay.states.broken_runs.server_answered(upstream.server);
+                relay.states.broken_runs.server_answered(server);
             }
             is_listed
         }
         Err(error) if error.is_local_refusal() => true,
         Err(error) => {
-            relay.server_lost(upstream.server, &ServerLoss::from(&error));
+            relay.server_lost(server, &ServerLoss::from(&error));
             false
         }
     }
 }
 
+/// Asks an engine for its report; over a new connection if an open one breaks.
+async fn call_for_report(relay: &Relay, upstream: &Upstream) -> Result<WholeAnswer, UpstreamError> {
+    let request = || relay.protocol.report_call().request(upstream.server.addr);
+    match relay.call(upstream, request(), CALL_TIMEOUT).await {
+        Err(error) if error.may_be_crash() => {
+            let upstream = upstream.clone().with_dial(Dial::New);
+            relay.call(&upstream, request(), CALL_TIMEOUT).await
+        }
+        answer => answer,
+    }
+}
+
+/// Asks an engine for its report through a peer, if its answer is late and the own path
+/// isn't known to be broken. Never returns without an answer.
+async fn report_through_peer(relay: &Relay, upstream: &Upstream) -> WholeAnswer {
+    let asked_at = clock::now();
+    tokio::time::sleep(ASK_PEER_AFTER).await;
+    let upstream = upstream.clone().with_dial(Dial::ThroughPeer);
+    if relay.broken_path(&upstream).is_none() {
+        let request = relay.protocol.report_call().request(upstream.server.addr);
+        let answer = relay.call(&upstream, request, CALL_TIMEOUT).await;
+        if let Ok(answer) = answer {
+            relay.answered_through_peer(&upstream, asked_at);
+            return answer;
+        }
+    }
+    std::future::pending().await
+}
+
 /// Spawns a probe of an engine that another engine or instance reported trouble with,
 /// unless one is in flight.
 pub(crate) fn spawn_check(relay: &Arc<Relay>, server: ServerKey) {
@@ -137,18 +173,19 @@
 async fn check_plain(relay: &Relay, upstream: Upstream, health_path: &str) {
     let server = upstream.server;
     // The first call may use a connection whose close hasn't been read yet.
+    let mut upstream = upstream;
     for _ in 0..MAX_EXIT_CHECKS {
         let Some(request) = health_request(server.addr, health_path) else {
             return;
         };
-        match relay.call(upstream, request, PROBE_TIMEOUT).await {
+        match relay.call(&upstream, request, PROBE_TIMEOUT).await {
             Ok(_) => return relay.states.broken_runs.server_answered(server),
             Err(error) if error.shows_exit() => {
                 return relay.server_lost(server, &ServerLoss::Refused);
             }
             // Nothing was sent, and an immediate retry would fail in the same way.
             Err(error) if error.is_local_refusal() => return,
-            Err(_) => {}
+            Err(_) => upstream.dial = Dial::New,
         }
     }
 }
@@ -226,7 +263,7 @@
     };
     let upstream = relay.upstream(server, service);
     // Any answer shows that it is alive; an overloaded server answers too.
-    match relay.call(upstream, request, PROBE_TIMEOUT * 3).await {
+    match relay.call(&upstream, request, PROBE_TIMEOUT * 3).await {
         Ok(answer) if is_engine && contradicts_entry(&relay, server, &answer) => {}
         Ok(_) | Err(UpstreamError::WrongAttempt { .. }) => relay.server_answered(server),
         Err(error) if error.shows_exit() => relay.record_server_exit(server),
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -36,6 +36,7 @@
 use crate::event_log::EventLog;
 use crate::event_log::Weight;
 use crate::event_log::millis;
+use crate::links::LinkTable;
 use crate::links::ServerConnector;
 use crate::mutex::lock;
 use crate::permits::Permits;
@@ -62,6 +63,7 @@
     pub(crate) protocol: Arc<dyn ServerProtocol>,
     pub(crate) store: TrackedStore,
     pub(crate) pool: UpstreamPool,
+    pub(crate) links: LinkTable,
     pub(crate) view: ArcSwap<SiteView>,
     /// What this instance currently assumes about each server.
     pub(crate) states: ServerStates,
@@ -124,7 +126,8 @@
             store: TrackedStore::new(store, events.clone(), &settings.bounds),
             settings,
             protocol,
-            pool: UpstreamPool::new(connector),
+            pool: UpstreamPool::new(),
+            links: LinkTable::new(connector),
             view: ArcSwap::default(),
             states: ServerStates::new(rand::random()),
             quarantine: RequestQuarantine::default(),
@@ -285,6 +288,7 @@
         let is_known = |server| servers.get(server).is_some();
         self.pool.evict(clock::now(), is_known);
         self.permits.retain(is_known);
+        self.links.paths().retain(is_known);
         self.signal_fleet_change();
         self.urgent_changes.send_modify(|changes| *changes += 1);
     }
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::event_log::Weight;
 use crate::event_log::millis;
 use crate::event_splitter::EventSplitter;
+use crate::links::Way;
 use crate::path_supervisor::PathCheck;
 use crate::path_supervisor::PathSupervisor;
 use crate::refusal::Refusal;
@@ -197,13 +198,13 @@
                     self.resume("the first engine is lost").await;
                 }
                 Step::Broken(cause) => {
+                    self.answer.record_break(clock::now());
                     self.supervisor.record_broken_at_first();
                     let first = self.supervisor.path().first().server;
-                    self.target
-                        .relay
-                        .states
-                        .health()
-                        .failed(first, clock::now());
+                    if self.answer.way == Way::Direct {
+                        let mut health = self.target.relay.states.health();
+                        health.failed(first, clock::now());
+                    }
                     self.avoided.push(first);
                     if !self.resume(&cause).await {
                         return Some(self.cut(&cause));
@@ -248,6 +249,7 @@
         let now = clock::now();
         let stalled = self.supervisor.stalled_for(now);
         self.supervisor.record_progress(now);
+        self.answer.record_activity(now);
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
             let service = &self.target.service.name;
@@ -285,6 +287,7 @@
                 "longest_gap_ms" => millis(self.longest_gap),
                 "took_ms" => millis(clock::since(request.received_at)),
                 "runs" => self.runs, "repairs" => self.supervisor.repairs(),
+                "through" => self.answer.way.peer().map(|peer| peer.to_string()),
                 "config_version" => request.config_version);
         }
     }
--- a/crates/rookferry_relay/src/stream_opener/mod.rs
+++ b/crates/rookferry_relay/src/stream_opener/mod.rs
@@ -42,6 +42,7 @@
 use crate::request_handler::ServeOutcome;
 use crate::request_handler::record_served;
 use crate::server_loss::ServerLoss;
+use crate::upstream::Dial;
 use crate::upstream::UpstreamAnswer;
 use crate::upstream::UpstreamError;
 use crate::upstream::is_signed;
@@ -87,6 +88,8 @@
     reached: usize,
     /// Whether the next try has already been taken out of the retry budget.
     is_budgeted: bool,
+    /// Whether a run broke with its connection, as other open ones may have.
+    is_connection_broken: bool,
 }
 
 impl<'a> StreamOpener<'a> {
@@ -98,6 +101,7 @@
             runs: 0,
             reached: 0,
             is_budgeted: false,
+            is_connection_broken: false,
         }
     }
 
@@ -113,6 +117,7 @@
             runs,
             reached: 1,
             is_budgeted: false,
+            is_connection_broken: true,
         }
     }
 
@@ -223,6 +228,7 @@
         }
         self.reached += 1;
         self.runs += 1;
+        self.is_connection_broken = true;
         if error.may_be_crash() {
             let broken = RunBreak {
                 server: first,
@@ -233,7 +239,9 @@
             };
             relay.record_broken_run(request, broken);
         }
-        relay.states.health().failed(first, now);
+        if error.is_server_failure() {
+            relay.states.health().failed(first, now);
+        }
         request.route.repeatability.may_repeat() && self.runs < request.route.max_servers.max(1)
     }
 
@@ -340,7 +348,10 @@
         let Some(server) = server else {
             return SendOutcome::Failed(UpstreamError::Withdrawn);
         };
-        let upstream = relay.upstream(first.server, &self.target.service);
+        let mut upstream = relay.upstream(first.server, &self.target.service);
+        if self.is_connection_broken {
+            upstream.dial = Dial::New;
+        }
         let stages = supervisor.path().stages().iter();
         let servers: Vec<ServerKey> = stages.map(|stage| stage.server).collect();
         let has_run = self.runs > 0;
@@ -353,7 +364,7 @@
             }
         };
         let purpose = Purpose::CallerRequest(permits);
-        let sending = relay.send(upstream, outbound, purpose, may_send);
+        let sending = relay.send(&upstream, outbound, purpose, may_send);
         tokio::pin!(sending);
         let sent = loop {
             tokio::select! {
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -17,13 +18,17 @@
 use http_body_util::Limited;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
+use rookferry_core::PathFailure;
 use rookferry_core::ServerKey;
+use rookferry_net::clock;
+use rookferry_wire::ServiceId;
 use snafu::Snafu;
 
+use crate::links::Way;
 use crate::pool::ConnectError;
 use crate::pool::Connection;
-use crate::pool::UpstreamPool;
 use crate::protocol::HeaderNames;
+use crate::relay::Relay;
 use crate::request::end_to_end_headers;
 
 /// Pooled connections that may turn out closed before a request fails.
@@ -49,6 +54,18 @@
     /// The connection failed or the answer was invalid; the request may have run.
     #[snafu(display("the answer of {addr} is lost: {message}"))]
     Lost { addr: SocketAddr, message: String },
+    /// The connection through a peer failed; the request may have run. That proves
+    /// nothing of the server.
+    #[snafu(display("the answer of {addr} through {peer} is lost: {message}"))]
+    TunnelLost {
+        addr: SocketAddr,
+        peer: SocketAddr,
+        message: String,
+    },
+    /// This instance's path to the server broke after the request was sent, so that the
+    /// answer won't come; the request may have run.
+    #[snafu(display("the path to {addr} has broken"))]
+    PathLost { addr: SocketAddr },
     /// The relay abandoned the run, which may still go on.
     #[snafu(display("the run at {addr} was abandoned: {message}"))]
     Abandoned { addr: SocketAddr, message: String },
@@ -58,6 +75,18 @@
 }
 
 impl UpstreamError {
+    /// The loss of an answer on a connection.
+    const fn lost(addr: SocketAddr, way: Way, message: String) -> Self {
+        match way {
+            Way::Direct => Self::Lost { addr, message },
+            Way::Peer(peer) => Self::TunnelLost {
+                addr,
+                peer,
+                message,
+            },
+        }
+    }
+
     /// Whether this instance's share of the server's connections is in use, which
     /// is no evidence about the server.
     pub(crate) const fn is_connection_limit(&self) -> bool {
@@ -79,10 +108,18 @@
     /// Whether the exchange broke after the request was sent, so that the server may
     /// have crashed.
     pub(crate) const fn may_be_crash(&self) -> bool {
-        matches!(self, Self::Lost { .. } | Self::WrongAttempt { .. })
+        matches!(
+            self,
+            Self::Lost { .. } | Self::TunnelLost { .. } | Self::WrongAttempt { .. }
+        )
     }
 
-    /// Whether the connection was refused, which shows that the process has exited.
+    /// Whether the failure is the server's, as far as is known.
+    pub(crate) const fn is_server_failure(&self) -> bool {
+        !matches!(self, Self::TunnelLost { .. } | Self::PathLost { .. })
+    }
+
+    /// Whether the process is known to have exited.
     pub(crate) const fn shows_exit(&self) -> bool {
         matches!(
             self,
@@ -112,6 +149,8 @@
     pub(crate) body: Incoming,
     /// The backoff that the server asked this instance for.
     pub(crate) backoff: Option<Duration>,
+    /// How the connection reaches the server.
+    pub(crate) way: Way,
     /// Returned to the pool once the body is read whole.
     connection: Option<Connection>,
 }
@@ -124,21 +163,44 @@
     pub(crate) body: Bytes,
 }
 
-/// A server, and the most connections that this instance may open to it.
-#[derive(Clone, Copy, Debug)]
+/// Which connections an exchange may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Dial {
+    /// An idle one, else a new one.
+    Any,
+    /// A new one.
+    New,
+    /// A new one through a peer.
+    ThroughPeer,
+}
+
+/// A server, and the connections to it that an exchange may use.
+#[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub(crate) server: ServerKey,
+    pub(crate) service: ServiceId,
+    /// The most connections that this instance may open to it.
     pub(crate) max_connections: usize,
+    pub(crate) dial: Dial,
 }
 
-impl UpstreamPool {
+impl Upstream {
+    /// The same server over other connections.
+    #[must_use]
+    pub(crate) fn with_dial(mut self, dial: Dial) -> Self {
+        self.dial = dial;
+        self
+    }
+}
+
+impl Relay {
     /// Sends a request and waits for the answer's head.
     ///
     /// `may_send` is called with a connection at hand, right before the first byte
     /// is sent, and again for each pooled connection that proved closed.
-    pub(crate) async fn send(
+    pub(crate) async fn send_over_link(
         &self,
-        upstream: Upstream,
+        upstream: &Upstream,
         mut request: Request<Full<Bytes>>,
         may_send: impl Fn() -> Result<(), UpstreamError>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
@@ -146,19 +208,21 @@
         let mut stale = 0;
         loop {
             let mut connection = self
-                .checkout(upstream.server, upstream.max_connections)
+                .connection(upstream)
                 .await
                 .map_err(|source| UpstreamError::NotConnected { source })?;
             may_send()?;
             let sent = connection.sender.try_send_request(request).await;
             let mut error = match sent {
                 Ok(response) => {
+                    connection.record_activity(clock::now());
                     let (parts, body) = response.into_parts();
                     return Ok(UpstreamAnswer {
                         status: parts.status,
                         headers: parts.headers,
                         body,
                         backoff: None,
+                        way: connection.way,
                         connection: Some(connection),
                     });
                 }
@@ -176,12 +240,30 @@
                     return Err(UpstreamError::NotConnected { source });
                 }
                 None => {
+                    connection.record_break(clock::now());
                     let message = error.error().to_string();
-                    return Err(UpstreamError::Lost { addr, message });
+                    return Err(UpstreamError::lost(addr, connection.way, message));
                 }
             }
         }
     }
+
+    /// An idle connection to a server, or a new one. While the own path is silent, open
+    /// direct connections would probably hang with whatever is sent.
+    pub(crate) async fn connection(&self, upstream: &Upstream) -> Result<Connection, ConnectError> {
+        let server = upstream.server;
+        if upstream.dial == Dial::Any {
+            let broken = self.broken_path(upstream);
+            let is_silent = broken.is_some_and(|path| path.failure == PathFailure::AllConnections);
+            if let Some(idle) = self.pool.take_idle(server, !is_silent).await {
+                return Ok(idle);
+            }
+        }
+        let slot = self.pool.reserve(upstream)?;
+        // Boxed, as most exchanges use an idle connection.
+        let opened = Box::pin(self.open_stream(upstream)).await?;
+        self.pool.begin(server.addr, slot, opened).await
+    }
 }
 
 /// Whether an answer may be passed on: a success needs the server's signature header.
@@ -217,6 +299,20 @@
         self.status == StatusCode::MISDIRECTED_REQUEST || self.headers.contains_key(&names.not_run)
     }
 
+    /// Records that another part of the body has arrived.
+    pub(crate) fn record_activity(&self, now: Instant) {
+        if let Some(connection) = &self.connection {
+            connection.record_activity(now);
+        }
+    }
+
+    /// Records that the answer broke off.
+    pub(crate) fn record_break(&self, now: Instant) {
+        if let Some(connection) = &self.connection {
+            connection.record_break(now);
+        }
+    }
+
     /// Returns the connection to the pool; the body must have been read to its end.
     pub(crate) fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
@@ -232,16 +328,14 @@
             status,
             headers,
             body,
+            way,
             connection,
             ..
         } = self;
         let body = Limited::new(body, MAX_ANSWER_BYTES)
             .collect()
             .await
-            .map_err(|error| UpstreamError::Lost {
-                addr,
-                message: error.to_string(),
-            })?
+            .map_err(|error| UpstreamError::lost(addr, way, error.to_string()))?
             .to_bytes();
         if let Some(connection) = connection {
             connection.return_to_pool(&headers);
