fix(relay): a refused connection alone is no proof of a server's exit

Cause: 'connection refused' was taken as the word of the server, though a link that is cut refuses as well. Now whoever concludes an exit, the instance itself or the peer that it asks, first opens a connection to another server of the same service after the refusal, and keeps it for use. If all of the service refuse, peers must all say that they don't reach it either, and another service must accept connections; nobody has evidence against the loss then, as before.

refusals_at_all_instances_are_no_exits failed before ("ended":true while all three instances were cut off) and passes.

--- a/crates/rookferry_relay/src/links/dial.rs
+++ b/crates/rookferry_relay/src/links/dial.rs
@@ -26,6 +26,7 @@
 
 use super::CONNECT_TIMEOUT;
 use super::ServerStream;
+use super::exit_check::OwnPath;
 use super::tunnel::PeerVerdict;
 use crate::event_log::Weight;
 use crate::event_log::millis;
@@ -228,8 +229,9 @@
         verdict: PeerVerdict,
     ) -> ConnectError {
         let addr = upstream.server.addr;
-        let is_exit =
-            verdict == PeerVerdict::Exited || error.kind() == ErrorKind::ConnectionRefused;
+        let is_refused = error.kind() == ErrorKind::ConnectionRefused;
+        let is_exit = verdict == PeerVerdict::Exited
+            || (is_refused && self.has_exited(upstream, verdict).await);
         if is_exit {
             return ConnectError::Refused { addr };
         }
@@ -243,6 +245,19 @@
         ConnectError::Failed { addr, message }
     }
 
+    /// Whether a server that refuses connections here has exited. If all servers of its
+    /// service refuse them, none of the peers may be in doubt.
+    async fn has_exited(&self, upstream: &Upstream, verdict: PeerVerdict) -> bool {
+        match self
+            .check_own_path(&upstream.service, upstream.server)
+            .await
+        {
+            OwnPath::Sound => true,
+            OwnPath::Doubtful => verdict == PeerVerdict::NoneReaches,
+            OwnPath::Unsound => false,
+        }
+    }
+
     /// The broken path to a server; none if it works as far as is known.
     pub(crate) fn broken_path(&self, upstream: &Upstream) -> Option<BrokenPath> {
         let paths = self.links.paths();
--- a/crates/rookferry_relay/src/links/mod.rs
+++ b/crates/rookferry_relay/src/links/mod.rs
@@ -8,6 +8,7 @@
 
 mod connector;
 mod dial;
+mod exit_check;
 mod link_table;
 mod monitor;
 mod served_tunnel;
--- a/crates/rookferry_relay/src/links/served_tunnel.rs
+++ b/crates/rookferry_relay/src/links/served_tunnel.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use futures_util::SinkExt;
 use metrics::counter;
+use rookferry_core::PathFailure;
 use rookferry_core::ServerKey;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,6 +21,8 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::ServerStream;
+use super::dial::failure_of;
+use super::exit_check::OwnPath;
 use super::tunnel::set_tunnel_options;
 use crate::relay::Relay;
 
@@ -92,6 +95,12 @@
                     _permit: permit,
                 })
             }
+            Err(error) if failure_of(&error) == PathFailure::NewConnections => {
+                match self.check_own_path(service, server).await {
+                    OwnPath::Sound => Err(TunnelRefusal::Exited),
+                    OwnPath::Doubtful | OwnPath::Unsound => Err(TunnelRefusal::NotReached),
+                }
+            }
             Err(_) => Err(TunnelRefusal::NotReached),
         }
     }
