fix(relay): the layers of an engine that is silent for a second aren't moved

A sound engine that fell silent for a second counted as lost for 2.1 s, and its layers were loaded elsewhere after 0.4 s.

Cause: the placement took any silence of 0.4 s for the end of the process, and probes of an unresponsive server followed after 0.3, 0.6 and 1.2 s. Now 0.4 s hold for servers that have exited, 2 s for silent ones, and the first five probes are 0.3 s apart.

a_second_of_silence_moves_no_layers failed before (layers 4-8 loaded on a second engine) and passes three times.

--- a/crates/rookferry_core/src/serving/broken_runs.rs
+++ b/crates/rookferry_core/src/serving/broken_runs.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Whether a server is known to have exited lately.
+    #[must_use]
+    pub fn has_exited(&self, server: ServerKey) -> bool {
+        self.exited.contains_key(&server)
+    }
+
     /// Records that a server has exited, and removes and returns its broken runs.
     pub fn server_exited(&mut self, server: ServerKey, now: Instant) -> Vec<BrokenRun> {
         self.expire(now);
--- a/crates/rookferry_relay/src/placement/inventory.rs
+++ b/crates/rookferry_relay/src/placement/inventory.rs
@@ -16,10 +16,12 @@
 use crate::relay::Relay;
 use crate::view::ServerTable;
 
-/// How long a server is unresponsive before its layers count as lost. A crashed engine
-/// comes back empty, so waiting longer gains nothing; a lost packet or a short pause is
-/// over by then.
-const LOST_AFTER: Duration = Duration::from_millis(400);
+/// How long a server that has exited is unresponsive before its layers count as lost. It
+/// comes back empty, so waiting longer gains nothing.
+const LOST_AFTER_EXIT: Duration = Duration::from_millis(400);
+/// The same for one that is only silent: a sound engine may be for a second or more, and
+/// is found to answer again some time later.
+const LOST_AFTER_SILENCE: Duration = Duration::from_secs(2);
 /// Share of a site's engines that may be unresponsive; above it, this instance is more
 /// likely partitioned than the engines lost.
 const MAX_LOST_SHARE: f64 = 0.34;
@@ -66,9 +68,15 @@
             .filter(|server| !self.relay.states.is_leaving(server))
             .collect();
         let health = self.relay.states.health();
+        let broken_runs = self.relay.states.broken_runs.lock();
         let is_lost = |server| {
+            let lost_after = if broken_runs.has_exited(server) {
+                LOST_AFTER_EXIT
+            } else {
+                LOST_AFTER_SILENCE
+            };
             let since = health.unresponsive_since(server);
-            since.is_some_and(|since| now.saturating_duration_since(since) >= LOST_AFTER)
+            since.is_some_and(|since| now.saturating_duration_since(since) >= lost_after)
         };
         let lost = staying.iter().filter(|server| is_lost(server.key)).count();
         let trusts_health = lost as f64 <= staying.len() as f64 * MAX_LOST_SHARE;
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -47,6 +47,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// First interval between probes of an unresponsive server; it doubles.
 const INITIAL_PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of first probes in that interval. A sound server may be silent for a second or
+/// so, and is used again soon after.
+const INITIAL_PROBES: u32 = 5;
 /// Longest interval between such probes.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Most checks in a row of a plain server after a run broke there.
@@ -225,24 +228,51 @@
     })
 }
 
+/// When an unresponsive server is probed next.
+#[derive(Clone, Copy, Debug)]
+struct ProbeSchedule {
+    at: Instant,
+    interval: Duration,
+    probes: u32,
+}
+
+impl ProbeSchedule {
+    fn new(now: Instant) -> Self {
+        Self {
+            at: now + INITIAL_PROBE_INTERVAL,
+            interval: INITIAL_PROBE_INTERVAL,
+            probes: 0,
+        }
+    }
+
+    /// Whether a probe is due; schedules the next one if so.
+    fn take_due(&mut self, now: Instant) -> bool {
+        if self.at > now {
+            return false;
+        }
+        self.probes += 1;
+        if self.probes >= INITIAL_PROBES {
+            self.interval = (self.interval * 2).min(MAX_PROBE_INTERVAL);
+        }
+        self.at = now + self.interval;
+        true
+    }
+}
+
 /// Probes unresponsive servers until they answer again.
 pub(crate) async fn probe_unresponsive(relay: Arc<Relay>) {
-    let mut due: HashMap<ServerKey, (Instant, Duration)> = HashMap::new();
+    let mut due: HashMap<ServerKey, ProbeSchedule> = HashMap::new();
     loop {
         tokio::time::sleep(SCAN_INTERVAL).await;
         let out = relay.states.health().unresponsive();
         due.retain(|server, _| out.contains(server));
         let now = clock::now();
         for server in out {
-            let (at, interval) = due
-                .entry(server)
-                .or_insert((now + INITIAL_PROBE_INTERVAL, INITIAL_PROBE_INTERVAL));
-            if *at > now {
-                continue;
+            let schedule = due.entry(server);
+            let schedule = schedule.or_insert_with(|| ProbeSchedule::new(now));
+            if schedule.take_due(now) {
+                tokio::spawn(probe_server(relay.clone(), server));
             }
-            *interval = (*interval * 2).min(MAX_PROBE_INTERVAL);
-            *at = now + *interval;
-            tokio::spawn(probe_server(relay.clone(), server));
         }
     }
 }
