fix(relay): an isolated instance reports no servers and plans no placement by its own losses

What an instance without a path to a service's servers takes for unresponsive says nothing to peers, and nothing of which layers are missing. Probes of unresponsive servers use new connections, as open ones may hang where new ones work; a connection may be silent for 3 s instead of 1.5 s, since a sound engine may be for a second or more and retransmissions come late.

--- a/crates/rookferry_relay/src/links/connector.rs
+++ b/crates/rookferry_relay/src/links/connector.rs
@@ -13,9 +13,9 @@
 /// lost packet is retransmitted after about 200 ms.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the
-/// connection counts as dead. It covers more lost packets in a row than
-/// [`CONNECT_TIMEOUT`].
-const TCP_USER_TIMEOUT_MS: u32 = 1_500;
+/// connection counts as dead. The other end may be silent for a second or more and go on,
+/// and retransmissions are up to twice as late.
+pub(super) const TCP_USER_TIMEOUT_MS: u32 = 3_000;
 
 /// An open connection to a backend server.
 pub trait ServerStream: AsyncRead + AsyncWrite + Send + Unpin + 'static {}
--- a/crates/rookferry_relay/src/links/tunnel.rs
+++ b/crates/rookferry_relay/src/links/tunnel.rs
@@ -35,6 +35,7 @@
 use super::OpenedStream;
 use super::TunnelRefusal;
 use super::Way;
+use super::connector::TCP_USER_TIMEOUT_MS;
 use super::link_table::TunnelGuard;
 use crate::event_log::Weight;
 use crate::event_log::millis;
@@ -58,8 +59,6 @@
 /// doesn't reach the server.
 const SILENT_PEER_PAUSE: Duration = Duration::from_secs(1);
 const UNABLE_PEER_PAUSE: Duration = Duration::from_millis(300);
-/// `TCP_USER_TIMEOUT` of connections between instances.
-const TCP_USER_TIMEOUT_MS: u32 = 1_500;
 /// Silence after which a connection between instances is probed, and the interval of
 /// the probes.
 const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(1);
--- a/crates/rookferry_relay/src/peers/builder.rs
+++ b/crates/rookferry_relay/src/peers/builder.rs
@@ -97,16 +97,20 @@
         rotation: usize,
         now: Instant,
     ) -> Heartbeat {
+        let unreached = self.relay.links.paths().isolated();
         let config = self.relay.config_version().and_then(|version| {
             let age_ms = self.relay.config_age_ms(version, now)?;
             Some(ConfigState { version, age_ms })
         });
-        let (out, out_count) = {
+        let (out, out_count) = if unreached.is_empty() {
             let health = self.relay.states.health();
             (
                 health.advertised(MAX_UNUSABLE, rotation),
                 health.unresponsive_count(),
             )
+        } else {
+            // What doesn't answer an instance without a path says nothing to others.
+            (Vec::new(), 0)
         };
         let closed = self
             .relay
@@ -152,7 +156,7 @@
             members,
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
             is_joining,
-            unreached: self.relay.links.paths().isolated(),
+            unreached,
             is_leaving: self.relay.is_leaving(),
         }
     }
--- a/crates/rookferry_relay/src/placement/inventory.rs
+++ b/crates/rookferry_relay/src/placement/inventory.rs
@@ -79,7 +79,8 @@
             since.is_some_and(|since| now.saturating_duration_since(since) >= lost_after)
         };
         let lost = staying.iter().filter(|server| is_lost(server.key)).count();
-        let trusts_health = lost as f64 <= staying.len() as f64 * MAX_LOST_SHARE;
+        let is_isolated = self.relay.links.paths().is_isolated(&service.name);
+        let trusts_health = !is_isolated && lost as f64 <= staying.len() as f64 * MAX_LOST_SHARE;
         let layout = staying
             .iter()
             .filter(|server| !(trusts_health && is_lost(server.key)))
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -291,7 +291,8 @@
         };
         request
     };
-    let upstream = relay.upstream(server, service);
+    // Open connections may hang where new ones work.
+    let upstream = relay.upstream(server, service).with_dial(Dial::New);
     // Any answer shows that it is alive; an overloaded server answers too.
     match relay.call(&upstream, request, PROBE_TIMEOUT * 3).await {
         Ok(answer) if is_engine && contradicts_entry(&relay, server, &answer) => {}
