fix(relay): an exit is concluded only if a refusal repeats after the own path proved sound

And a cut that ends between the refusal and the check of the own path would have let the check vouch for a refusal from before it.

Peers don't judge exits any more; they only say whether they have a connection. The asking instance asks all it may ask, then checks its own path, then connects once more: only a second refusal counts. A peer that couldn't connect to one server stays usable for others.

--- a/crates/rookferry_relay/src/links/dial.rs
+++ b/crates/rookferry_relay/src/links/dial.rs
@@ -91,6 +91,16 @@
     }
 }
 
+/// The failure of a connect that proves nothing of the server.
+fn failed(addr: SocketAddr, error: &io::Error) -> ConnectError {
+    let message = match error.kind() {
+        ErrorKind::TimedOut => format!("no answer in {} ms", CONNECT_TIMEOUT.as_millis()),
+        ErrorKind::ConnectionRefused => "refused here, as by other servers".to_owned(),
+        _ => error.to_string(),
+    };
+    ConnectError::Failed { addr, message }
+}
+
 /// How the path is broken if a connect failed in this way and a peer reaches the server.
 pub(super) fn failure_of(error: &io::Error) -> PathFailure {
     if error.kind() == ErrorKind::TimedOut {
@@ -124,9 +134,10 @@
         };
         match early {
             Some(Ok(stream)) => Ok(self.opened_directly(upstream, stream)),
-            Some(Err(error)) if is_broken => Err(self
-                .failed_connect(upstream, &error, PeerVerdict::Unknown)
-                .await),
+            Some(Err(error)) if is_broken => {
+                self.after_failure(upstream, &error, PeerVerdict::Unknown)
+                    .await
+            }
             Some(Err(error)) => self.open_after_failure(upstream, &error).await,
             None => self.open_either_way(upstream, direct).await,
         }
@@ -171,7 +182,7 @@
                 self.path_broke(&upstream.service, upstream.server, failure_of(error));
                 Ok(opened)
             }
-            Err(verdict) => Err(self.failed_connect(upstream, error, verdict).await),
+            Err(verdict) => self.after_failure(upstream, error, verdict).await,
         }
     }
 
@@ -194,7 +205,7 @@
                         self.path_broke(&upstream.service, upstream.server, failure_of(&error));
                         return Ok(opened);
                     }
-                    Err(verdict) => return Err(self.failed_connect(upstream, &error, verdict).await),
+                    Err(verdict) => return self.after_failure(upstream, &error, verdict).await,
                 }
             }
             opened = &mut through_peer => match opened {
@@ -208,7 +219,7 @@
         };
         match direct.outcome().await {
             Ok(stream) => Ok(self.opened_directly(upstream, stream)),
-            Err(error) => Err(self.failed_connect(upstream, &error, verdict).await),
+            Err(error) => self.after_failure(upstream, &error, verdict).await,
         }
     }
 
@@ -220,34 +231,36 @@
         }
     }
 
-    /// Why there is no connection, neither directly nor through a peer. A refusal alone
-    /// doesn't show that the process has exited, as the link may be cut here.
-    async fn failed_connect(
+    /// What follows if there is no connection, neither directly nor through a peer. A
+    /// refusal alone doesn't show that the process has exited, as the link may be cut here.
+    async fn after_failure(
         &self,
         upstream: &Upstream,
         error: &io::Error,
         verdict: PeerVerdict,
-    ) -> ConnectError {
+    ) -> Result<OpenedStream, ConnectError> {
         let addr = upstream.server.addr;
         let is_refused = error.kind() == ErrorKind::ConnectionRefused;
-        let is_exit = verdict == PeerVerdict::Exited
-            || (is_refused && self.has_exited(upstream, verdict).await);
-        if is_exit {
-            return ConnectError::Refused { addr };
+        if is_refused && self.may_have_exited(upstream, verdict).await {
+            // The path may have come back since the refusal.
+            let again = self
+                .start_direct(&upstream.service, upstream.server)
+                .outcome()
+                .await;
+            return match again {
+                Ok(stream) => Ok(self.opened_directly(upstream, stream)),
+                Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                    Err(ConnectError::Refused { addr })
+                }
+                Err(error) => Err(failed(addr, &error)),
+            };
         }
-        let message = match error.kind() {
-            ErrorKind::TimedOut => format!("no answer in {} ms", CONNECT_TIMEOUT.as_millis()),
-            ErrorKind::ConnectionRefused => {
-                "refused here, as by other servers of the service".to_owned()
-            }
-            _ => error.to_string(),
-        };
-        ConnectError::Failed { addr, message }
+        Err(failed(addr, error))
     }
 
-    /// Whether a server that refuses connections here has exited. If all servers of its
-    /// service refuse them, none of the peers may be in doubt.
-    async fn has_exited(&self, upstream: &Upstream, verdict: PeerVerdict) -> bool {
+    /// Whether a refusal may be a server's own, by this instance's path to others. If all
+    /// servers of its service refuse connections, no peer may be in doubt.
+    async fn may_have_exited(&self, upstream: &Upstream, verdict: PeerVerdict) -> bool {
         match self
             .check_own_path(&upstream.service, upstream.server)
             .await
--- a/crates/rookferry_relay/src/links/served_tunnel.rs
+++ b/crates/rookferry_relay/src/links/served_tunnel.rs
@@ -8,7 +8,6 @@
 use bytes::BytesMut;
 use futures_util::SinkExt;
 use metrics::counter;
-use rookferry_core::PathFailure;
 use rookferry_core::ServerKey;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,8 +20,6 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::ServerStream;
-use super::dial::failure_of;
-use super::exit_check::OwnPath;
 use super::tunnel::set_tunnel_options;
 use crate::relay::Relay;
 
@@ -34,11 +31,10 @@
 /// Why a peer gets no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum TunnelRefusal {
-    /// The server's process has exited: it refuses connections, and others of its service
-    /// accept them.
-    Exited,
-    /// This instance doesn't reach the server either.
+    /// This instance couldn't connect to the server, which may be the server's fault.
     NotReached,
+    /// This instance's own path to the server is broken.
+    PathBroken,
     /// The server isn't in this instance's list.
     NotListed,
     /// This instance serves as many tunnels as it may.
@@ -62,8 +58,8 @@
         let opened = self.connect_for_peer(server).await;
         let outcome = match &opened {
             Ok(_) => "opened",
-            Err(TunnelRefusal::Exited) => "exited",
             Err(TunnelRefusal::NotReached) => "not_reached",
+            Err(TunnelRefusal::PathBroken) => "path_broken",
             Err(TunnelRefusal::NotListed) => "not_listed",
             Err(TunnelRefusal::Full) => "full",
             Err(TunnelRefusal::Stopping) => "stopping",
@@ -82,7 +78,7 @@
         let permit = self.links.served.clone().try_acquire_owned();
         let permit = permit.map_err(|_| TunnelRefusal::Full)?;
         if self.links.paths().broken(service, server).is_some() {
-            return Err(TunnelRefusal::NotReached);
+            return Err(TunnelRefusal::PathBroken);
         }
         let connecting = self.links.connector.connect(server.addr);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
@@ -95,12 +91,6 @@
                     _permit: permit,
                 })
             }
-            Err(error) if failure_of(&error) == PathFailure::NewConnections => {
-                match self.check_own_path(service, server).await {
-                    OwnPath::Sound => Err(TunnelRefusal::Exited),
-                    OwnPath::Doubtful | OwnPath::Unsound => Err(TunnelRefusal::NotReached),
-                }
-            }
             Err(_) => Err(TunnelRefusal::NotReached),
         }
     }
--- a/crates/rookferry_relay/src/links/tunnel.rs
+++ b/crates/rookferry_relay/src/links/tunnel.rs
@@ -50,6 +50,8 @@
 
 /// Peers that are asked for one connection.
 const MAX_PEERS: usize = 8;
+/// Peers that are asked at the same time once one has failed.
+const PEERS_AT_A_TIME: usize = 2;
 /// How long a peer may take until the next one is asked as well; it answers within a few
 /// milliseconds if it reaches the server.
 const ASK_NEXT_AFTER: Duration = Duration::from_millis(25);
@@ -71,8 +73,6 @@
     Unknown,
     /// None of those asked reaches the server either, or there are none.
     NoneReaches,
-    /// A peer that reaches other servers of the service found that it has exited.
-    Exited,
 }
 
 /// Why a peer has opened no connection.
@@ -103,14 +103,13 @@
         let peers = self.links.choose_peers(known, MAX_PEERS);
         let asked = peers.len();
         let mut peers = peers.into_iter();
-        let mut calls = FuturesUnordered::new();
+        let server = upstream.server;
+        let first = peers.next().into_iter();
+        let first = first.map(|peer| self.call_for_tunnel(peer, server));
+        let mut calls: FuturesUnordered<_> = first.collect();
         let mut verdict = PeerVerdict::NoneReaches;
         let mut last_cause = None;
-        loop {
-            if calls.is_empty() {
-                let Some(peer) = peers.next() else { break };
-                calls.push(self.call_for_tunnel(peer, upstream.server));
-            }
+        while !calls.is_empty() {
             tokio::select! {
                 Some((peer, called)) = calls.next() => match called {
                     Ok(stream) => {
@@ -121,19 +120,23 @@
                         });
                     }
                     Err(error) => {
-                        if matches!(error, TunnelError::Refused(TunnelRefusal::Exited)) {
-                            verdict = PeerVerdict::Exited;
-                            break;
-                        }
-                        if !matches!(error, TunnelError::Refused(TunnelRefusal::NotReached)) {
+                        let is_unreached = matches!(
+                            error,
+                            TunnelError::Refused(
+                                TunnelRefusal::NotReached | TunnelRefusal::PathBroken
+                            )
+                        );
+                        if !is_unreached {
                             verdict = PeerVerdict::Unknown;
                         }
                         last_cause = Some(self.record_failed_call(peer, &error));
+                        let next = peers.by_ref().take(PEERS_AT_A_TIME.saturating_sub(calls.len()));
+                        calls.extend(next.map(|peer| self.call_for_tunnel(peer, server)));
                     }
                 },
                 () = tokio::time::sleep(ASK_NEXT_AFTER) => {
                     if let Some(peer) = peers.next() {
-                        calls.push(self.call_for_tunnel(peer, upstream.server));
+                        calls.push(self.call_for_tunnel(peer, server));
                     }
                 }
             }
@@ -142,8 +145,7 @@
         if let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "links: no peer has a connection to a server"; "event" => "tunnel_failed",
                 "server" => %upstream.server.addr, "service" => &*upstream.service,
-                "peers" => asked, "exited" => verdict == PeerVerdict::Exited,
-                "cause" => last_cause, "took_ms" => millis(clock::since(began)));
+                "peers" => asked, "cause" => last_cause, "took_ms" => millis(clock::since(began)));
         }
         Err(verdict)
     }
@@ -160,6 +162,10 @@
     /// Leaves a peer alone for a while; returns the cause for logs.
     fn record_failed_call(&self, peer: SocketAddr, error: &TunnelError) -> String {
         let (pause, cause) = match error {
+            // It may well reach other servers.
+            TunnelError::Refused(
+                refusal @ (TunnelRefusal::NotReached | TunnelRefusal::NotListed),
+            ) => (Duration::ZERO, format!("{refusal:?}")),
             TunnelError::Refused(refusal) => (UNABLE_PEER_PAUSE, format!("{refusal:?}")),
             TunnelError::Failed(error) => (SILENT_PEER_PAUSE, error.to_string()),
         };
