--- a/crates/rookferry_core/src/peers/tunnel_peers.rs
+++ b/crates/rookferry_core/src/peers/tunnel_peers.rs
@@ -42,11 +42,4 @@
         });
         peers.collect()
     }
-
-    /// Whether a live peer reports that it reaches a service's servers.
-    #[must_use]
-    pub fn has_peer_in_reach(&self, service: &ServiceId, now: Instant) -> bool {
-        let peers = self.tunnel_peers(service, now);
-        peers.iter().any(|peer| peer.is_confirmed)
-    }
 }
--- a/crates/rookferry_core/tests/peers.rs
+++ b/crates/rookferry_core/tests/peers.rs
@@ -427,3 +427,48 @@
     assert_eq!(table.instances(), 3);
     assert_eq!(table.loads(now)[&engine_key(0)].requests, u32::MAX);
 }
+
+// Guards against asking peers for a connection that they have said they don't have.
+#[test]
+fn peers_that_stop_or_do_not_reach_a_service_are_not_asked_for_its_connections() {
+    let now = Instant::now();
+    let mut table = PeerTable::new(instance_addr(0, 1), domain_name(0).into());
+    let service = std::sync::Arc::from("a service");
+    let mut deliver = |member, domain, unreached: bool, is_leaving| {
+        let from = instance_addr(domain, member);
+        let beat = Heartbeat {
+            unreached: if unreached {
+                vec![std::sync::Arc::clone(&service)]
+            } else {
+                Vec::new()
+            },
+            is_leaving,
+            ..bare_heartbeat(from, domain)
+        };
+        table.on_heartbeat(from, &beat, now);
+    };
+    deliver(2, 0, false, false);
+    deliver(3, 0, true, false);
+    deliver(4, 0, false, true);
+    deliver(5, 1, false, false);
+    let asked = |service: &std::sync::Arc<str>, after_ms| {
+        let peers = table.tunnel_peers(service, now + Duration::from_millis(after_ms));
+        let peers = peers.iter();
+        peers
+            .map(|peer| (peer.addr, peer.is_local, peer.is_confirmed))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        asked(&service, 0),
+        [
+            (instance_addr(0, 2), true, true),
+            (instance_addr(1, 5), false, true)
+        ]
+    );
+    assert_eq!(asked(&std::sync::Arc::from("another"), 0).len(), 3);
+    assert_eq!(
+        asked(&service, 2_000)[0],
+        (instance_addr(0, 2), true, false)
+    );
+    assert_eq!(asked(&service, 6_000), []);
+}
--- a/crates/rookferry_relay/src/links/mod.rs
+++ b/crates/rookferry_relay/src/links/mod.rs
@@ -11,6 +11,7 @@
 mod exit_check;
 mod link_table;
 mod monitor;
+mod path_state;
 mod served_tunnel;
 mod tunnel;
 
