fix(relay): probes under way when the own path breaks find no server lost

When 8 of 9 instances were cut off at once, silently, they counted 48 servers as lost for up to 0.3 s, as the probes that had been sent over open connections got no answer while the path was already known to be broken. Such a probe decides nothing now.

--- a/crates/rookferry_relay/src/links/path_state.rs
+++ b/crates/rookferry_relay/src/links/path_state.rs
@@ -31,6 +31,13 @@
         paths.broken(&upstream.service, upstream.server)
     }
 
+    /// Whether the path to a server was found broken since a time, for open connections as
+    /// well, so that what was sent before has no answer.
+    pub(crate) fn path_broke_since(&self, upstream: &Upstream, time: Instant) -> bool {
+        self.broken_path(upstream)
+            .is_some_and(|path| path.failure == PathFailure::AllConnections && path.since >= time)
+    }
+
     /// Records that a peer reaches a server while connections from here fail.
     pub(crate) fn path_broke(&self, service: &ServiceId, server: ServerKey, failure: PathFailure) {
         let now = clock::now();
@@ -122,7 +129,6 @@
                 connection.keep();
             }
         }
-        self.broken_path(upstream)
-            .is_some_and(|path| path.failure == PathFailure::AllConnections && path.since > sent_at)
+        self.path_broke_since(upstream, sent_at)
     }
 }
--- a/crates/rookferry_relay/src/path_supervisor/repair.rs
+++ b/crates/rookferry_relay/src/path_supervisor/repair.rs
@@ -8,7 +8,6 @@
 use http::StatusCode;
 use metrics::counter;
 use metrics::histogram;
-use rookferry_core::PathFailure;
 use rookferry_core::PathFinder;
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
@@ -122,11 +121,10 @@
     fn is_cut_from_first(&self) -> bool {
         let first = self.path.first().server;
         let upstream = self.relay.upstream(first, &self.service);
-        let broken = self.relay.broken_path(&upstream);
-        let is_silent = broken.is_some_and(|path| {
-            path.failure == PathFailure::AllConnections && path.since > self.joined_at(first)
-        });
-        is_silent && clock::since(self.stalled_since) >= STALL_AFTER
+        let is_cut = self
+            .relay
+            .path_broke_since(&upstream, self.joined_at(first));
+        is_cut && clock::since(self.stalled_since) >= STALL_AFTER
     }
 
     /// Records when the run reached the engines of a new path; those it already
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -67,7 +67,8 @@
     if relay.states.health().is_unresponsive(server) {
         return false;
     }
-    let due = clock::now() + PROBE_TIMEOUT;
+    let asked_at = clock::now();
+    let due = asked_at + PROBE_TIMEOUT;
     let pending = call_for_report(relay, &upstream);
     tokio::pin!(pending);
     let answer = tokio::select! {
@@ -93,6 +94,8 @@
             is_listed
         }
         Err(error) if error.is_local_refusal() => true,
+        // The probe was on its way when the own path was found broken.
+        Err(error) if !error.shows_exit() && relay.path_broke_since(&upstream, asked_at) => true,
         Err(error) => {
             relay.server_lost(server, &ServerLoss::from(&error));
             false
