--- a/crates/rookferry_relay/src/links/exit_check.rs
+++ b/crates/rookferry_relay/src/links/exit_check.rs
@@ -29,34 +29,44 @@
     Unsound,
 }
 
+/// A server to connect to.
+struct Candidate {
+    service: ServiceId,
+    server: ServerKey,
+    is_near: bool,
+    is_unresponsive: bool,
+}
+
 impl Relay {
     /// Checks the own path to a service, one of whose servers refuses connections.
     pub(super) async fn check_own_path(&self, service: &ServiceId, refusing: ServerKey) -> OwnPath {
-        let same = self.servers_to_check(refusing, |server| server.service == *service);
-        let others = self.servers_to_check(refusing, |server| server.service != *service);
-        if same.is_empty() && others.is_empty() {
+        let same = self.candidates(refusing, |server| server.service == *service);
+        let has_same = !same.is_empty();
+        if self.any_accepts(same.into_iter().take(MAX_SERVERS)).await {
             return OwnPath::Sound;
         }
-        if self.any_accepts(&same[..same.len().min(MAX_SERVERS)]).await {
+        let others = self.candidates(refusing, |server| server.service != *service);
+        if !has_same && others.is_empty() {
             return OwnPath::Sound;
         }
-        if self
-            .any_accepts(&others[..others.len().min(MAX_OTHER_SERVERS)])
-            .await
-        {
+        let others = others.into_iter().take(MAX_OTHER_SERVERS);
+        if self.any_accepts(others).await {
             return OwnPath::Doubtful;
         }
         OwnPath::Unsound
     }
 
     /// Whether one of some servers accepts a connection, which is kept.
-    async fn any_accepts(&self, servers: &[BackendServer]) -> bool {
-        for server in servers {
-            let connecting = self.links.connector.connect(server.key.addr);
+    async fn any_accepts(&self, candidates: impl Iterator<Item = Candidate>) -> bool {
+        for Candidate {
+            service, server, ..
+        } in candidates
+        {
+            let connecting = self.links.connector.connect(server.addr);
             let connected = tokio::time::timeout(CHECK_TIMEOUT, connecting).await;
             if let Ok(Ok(stream)) = connected {
-                self.path_worked(&server.service, server.key);
-                self.keep_stream(&server.service, server.key, stream).await;
+                self.path_worked(&service, server);
+                self.keep_stream(&service, server, stream).await;
                 return true;
             }
         }
@@ -65,33 +75,35 @@
 
     /// Servers to connect to in place of the refusing one, those that answer first. The
     /// first is in its failure domain, the next in others, as a domain may fail as a whole.
-    fn servers_to_check(
+    fn candidates(
         &self,
         refusing: ServerKey,
         is_asked: impl Fn(&BackendServer) -> bool,
-    ) -> Vec<BackendServer> {
+    ) -> Vec<Candidate> {
         let view = self.view.load();
         let Some(table) = &view.servers else {
             return Vec::new();
         };
-        let domain = view.server(refusing).map(|entry| entry.domain.clone());
+        let domain = view.server(refusing).map(|entry| &entry.domain);
         let health = self.states.health();
-        let rank = |server: &BackendServer| {
-            let is_near = Some(&server.domain) == domain.as_ref();
-            (health.is_unresponsive(server.key), is_near)
-        };
-        let others = table.all().iter().filter(|server| {
+        let asked = table.all().iter().filter(|server| {
             is_asked(server) && server.key.addr != refusing.addr && !self.states.is_leaving(server)
         });
-        let mut others: Vec<BackendServer> = others.cloned().collect();
-        others.shuffle(&mut rand::rng());
-        others.sort_by_key(rank);
-        let nearest = others
-            .iter()
-            .position(|server| rank(server) == (false, true));
-        if let Some(nearest) = nearest {
-            others.swap(0, nearest);
+        let candidates = asked.map(|server| Candidate {
+            service: server.service.clone(),
+            server: server.key,
+            is_near: Some(&server.domain) == domain,
+            is_unresponsive: health.is_unresponsive(server.key),
+        });
+        let mut candidates: Vec<Candidate> = candidates.collect();
+        candidates.shuffle(&mut rand::rng());
+        candidates.sort_by_key(|candidate| (candidate.is_unresponsive, candidate.is_near));
+        let mut places = candidates.iter();
+        if let Some(nearest) =
+            places.position(|candidate| candidate.is_near && !candidate.is_unresponsive)
+        {
+            candidates.swap(0, nearest);
         }
-        others
+        candidates
     }
 }
--- a/crates/rookferry_relay/src/links/link_table.rs
+++ b/crates/rookferry_relay/src/links/link_table.rs
@@ -19,9 +19,7 @@
 use crate::mutex::lock;
 
 /// Most tunnels that an instance serves for its peers, at up to 20 KB of memory each.
-const MAX_SERVED_TUNNELS: usize = 768;
-/// The same as a count of permits.
-const ALL_PERMITS: u32 = 768;
+const MAX_SERVED_TUNNELS: u16 = 768;
 /// Most direct connects whose outcome waits to be recorded.
 const MAX_LATE_CONNECTS: usize = 256;
 
@@ -58,7 +56,7 @@
             connector,
             paths: Mutex::default(),
             chooser: Arc::default(),
-            served: Arc::new(Semaphore::new(MAX_SERVED_TUNNELS)),
+            served: Arc::new(Semaphore::new(MAX_SERVED_TUNNELS.into())),
             late,
             has_broken: Notify::new(),
             late_receiver: Mutex::new(Some(late_receiver)),
@@ -102,11 +100,11 @@
     /// Waits until this instance serves no tunnel.
     pub(crate) async fn wait_unused(&self) {
         // The semaphore is never closed.
-        let _ = self.served.acquire_many(ALL_PERMITS).await;
+        let _ = self.served.acquire_many(MAX_SERVED_TUNNELS.into()).await;
     }
 
     /// Number of tunnels that this instance serves.
     pub(crate) fn served_tunnels(&self) -> usize {
-        MAX_SERVED_TUNNELS - self.served.available_permits()
+        usize::from(MAX_SERVED_TUNNELS) - self.served.available_permits()
     }
 }
