fix(relay): the time left is stated when a request is sent

It was computed before the connection was opened, which takes up to 0.6 s if peers are asked in vain, by reading; the server could then work longer than the caller waits. Also: after a pause of the process a connection or answer that is there goes before asking a peer.

--- a/crates/rookferry_relay/src/links/dial.rs
+++ b/crates/rookferry_relay/src/links/dial.rs
@@ -118,6 +118,8 @@
         }
         let mut direct = self.start_direct(&upstream.service, upstream.server);
         let early = tokio::select! {
+            // After a pause of this process both may be ready.
+            biased;
             outcome = direct.outcome() => Some(outcome),
             () = tokio::time::sleep(ASK_PEER_AFTER), if refused_by_peers.is_none() => None,
         };
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -72,6 +72,8 @@
     let pending = call_for_report(relay, &upstream);
     tokio::pin!(pending);
     let answer = tokio::select! {
+        // After a pause of this process both may be ready.
+        biased;
         answer = &mut pending => answer,
         answer = report_through_peer(relay, &upstream) => Ok(answer),
         () = clock::sleep_until(due) => wait_late(server.addr, pending, due).await,
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -124,8 +124,8 @@
     /// Builds the request for a server.
     ///
     /// Hop-by-hop headers, content-length, expect, the caller's key and the caller's own
-    /// account and path headers are removed; the time left, the expected server, the
-    /// account and `extra` are set.
+    /// account and path headers are removed; the expected server, the account and `extra`
+    /// are set. The time left is set by [`set_time_left`] when the request is sent.
     pub(crate) fn to_server(
         &self,
         names: &HeaderNames,
@@ -138,8 +138,6 @@
         headers.remove(&names.path);
         headers.remove(http::header::CONTENT_LENGTH);
         headers.remove(http::header::EXPECT);
-        let left_ms = millis(self.time_left());
-        headers.insert(names.time_left_ms.clone(), HeaderValue::from(left_ms));
         insert_header(&mut headers, &names.expected_server, expected);
         if let Some(account) = &self.account {
             insert_header(&mut headers, &names.account, account);
@@ -152,10 +150,24 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = headers;
+        request.extensions_mut().insert(Deadline(self.deadline));
         request
     }
 }
 
+/// When a request to a server is no longer of use; kept beside it until it is sent.
+#[derive(Clone, Copy, Debug)]
+struct Deadline(Instant);
+
+/// Sets the time left of a request that is about to be sent, if it has a deadline.
+pub(crate) fn set_time_left(request: &mut Request<Full<Bytes>>, names: &HeaderNames) {
+    if let Some(Deadline(at)) = request.extensions().get().copied() {
+        let left_ms = millis(at.saturating_duration_since(clock::now()));
+        let headers = request.headers_mut();
+        headers.insert(names.time_left_ms.clone(), HeaderValue::from(left_ms));
+    }
+}
+
 /// The `Host` header; none if it is missing or no text.
 pub(crate) fn host_header(headers: &HeaderMap) -> Option<String> {
     let host = headers.get(http::header::HOST)?.to_str().ok()?;
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -30,6 +30,7 @@
 use crate::protocol::HeaderNames;
 use crate::relay::Relay;
 use crate::request::end_to_end_headers;
+use crate::request::set_time_left;
 
 /// Pooled connections that may turn out closed before a request fails.
 const MAX_STALE_CONNECTIONS: usize = 4;
@@ -212,6 +213,8 @@
                 .await
                 .map_err(|source| UpstreamError::NotConnected { source })?;
             may_send()?;
+            // Opening the connection may have taken a while.
+            set_time_left(&mut request, self.protocol.names());
             let sent = connection.sender.try_send_request(request).await;
             let mut error = match sent {
                 Ok(response) => {
