fix(relay): a run that goes through a peer isn't taken for cut off

Callers of plain requests that may be repeated got 502, and streams were run again, if their connection had been opened through a peer just as the own path was found broken and the answer took longer than 150 ms (plain) or paused for 90 ms (streams).

Cause: whether a request was cut off was told by when it began, though the time at which the path is found broken lies between that and the sending. Now each exchange records over which connection and when its request was sent, and only one sent directly before the path broke is cut off.

Also comments in the field's terms.

--- a/crates/rookferry_core/src/peers/tunnel_peers.rs
+++ b/crates/rookferry_core/src/peers/tunnel_peers.rs
@@ -9,8 +9,8 @@
 use super::PeerTable;
 use super::table::LOAD_TIMEOUT;
 
-/// How long ago any instance may have heard of a peer that sends this one no heartbeats;
-/// instances of other domains send them to a few only.
+/// Age up to which another instance's report of a peer counts if the peer sends this one
+/// no heartbeats; instances of other domains send them to a few only.
 const SEEN_WITHIN: Duration = Duration::from_secs(5);
 
 /// A peer that may be asked to open a connection to a server.
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -35,6 +35,7 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::upstream::Dial;
+use crate::upstream::SentRecord;
 use crate::upstream::Upstream;
 use crate::view::ServerTable;
 
@@ -306,6 +307,7 @@
             server,
             service: service.name.clone(),
             dial: Dial::Any,
+            sent: SentRecord::default(),
             max_connections: floor_to_usize(share).max(MIN_CONNECTIONS),
         }
     }
--- a/crates/rookferry_relay/src/links/connector.rs
+++ b/crates/rookferry_relay/src/links/connector.rs
@@ -9,8 +9,7 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 
-/// Timeout for a connect. Within a site a round trip takes under a millisecond, and a
-/// lost packet is retransmitted after about 200 ms.
+/// Timeout for a connect; covers the retransmission of one lost packet.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the
 /// connection counts as dead. The other end may be silent for a second or more and go on,
--- a/crates/rookferry_relay/src/links/dial.rs
+++ b/crates/rookferry_relay/src/links/dial.rs
@@ -55,7 +55,7 @@
     pub(crate) way: Way,
 }
 
-/// The outcome of a direct connect that nobody waited for.
+/// The outcome of a direct connect whose caller was cancelled or uses another connection.
 pub(super) struct LateConnect {
     pub(super) service: ServiceId,
     pub(super) server: ServerKey,
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Starts a direct connect, whose outcome is recorded even if nobody waits for it.
+    /// Starts a direct connect; its outcome is recorded also if the caller is cancelled.
     pub(super) fn start_direct(&self, service: &ServiceId, server: ServerKey) -> DirectConnect {
         let (reply, outcome) = oneshot::channel();
         let is_reached_by_peer = Arc::new(AtomicBool::new(false));
--- a/crates/rookferry_relay/src/links/link_table.rs
+++ b/crates/rookferry_relay/src/links/link_table.rs
@@ -18,7 +18,8 @@
 use super::dial::LateConnect;
 use crate::mutex::lock;
 
-/// Most tunnels that an instance serves for its peers, at up to 20 KB of memory each.
+/// Most tunnels that an instance serves for its peers at a time; bounds their memory and
+/// file descriptors.
 const MAX_SERVED_TUNNELS: u16 = 768;
 /// Most direct connects whose outcome waits to be recorded.
 const MAX_LATE_CONNECTS: usize = 256;
@@ -30,7 +31,7 @@
     chooser: Arc<Mutex<TunnelChooser>>,
     /// Room for tunnels that this instance serves.
     pub(super) served: Arc<Semaphore>,
-    /// Outcomes of direct connects that nobody waited for.
+    /// Outcomes of direct connects whose caller was cancelled or uses another connection.
     pub(super) late: mpsc::Sender<LateConnect>,
     /// Notified when a path is found broken, so that others are checked.
     pub(super) has_broken: Notify,
--- a/crates/rookferry_relay/src/links/path_state.rs
+++ b/crates/rookferry_relay/src/links/path_state.rs
@@ -17,6 +17,7 @@
 use crate::event_log::millis;
 use crate::relay::Relay;
 use crate::upstream::Dial;
+use crate::upstream::SentRecord;
 use crate::upstream::Upstream;
 
 /// How long ago an open connection may have broken to show that open ones don't work.
@@ -110,9 +111,19 @@
         servers.filter_map(|server| time_of(server.key)).max()
     }
 
-    /// Checks the own path to a server that hasn't answered a request since `sent_at`.
-    /// Returns whether it broke since then, so that the answer won't come.
-    pub(crate) async fn is_answer_cut_off(&self, upstream: &Upstream, sent_at: Instant) -> bool {
+    /// Whether a request was sent over a direct connection that has broken since, so that
+    /// its answer won't come.
+    pub(crate) fn is_cut_off(&self, upstream: &Upstream) -> bool {
+        let sent_at = upstream.sent.direct_at();
+        sent_at.is_some_and(|at| self.path_broke_since(upstream, at))
+    }
+
+    /// Checks the path of a request that was sent over a direct connection and has no
+    /// answer; returns whether it is cut off.
+    pub(crate) async fn is_answer_cut_off(&self, upstream: &Upstream) -> bool {
+        let Some(sent_at) = upstream.sent.direct_at() else {
+            return false;
+        };
         let answered_at = self.pool.answered_directly_at(upstream.server);
         if answered_at.is_some_and(|at| at >= sent_at) {
             return false;
@@ -123,12 +134,17 @@
                 .pool
                 .begin_path_check(upstream.server, PATH_CHECK_PAUSE)
         {
-            let upstream = upstream.clone().with_dial(Dial::New);
+            // Another record than that of the request that is checked.
+            let checked = Upstream {
+                dial: Dial::New,
+                sent: SentRecord::default(),
+                ..upstream.clone()
+            };
             // A failure shows as a broken path, or concerns the server.
-            if let Ok(connection) = self.connection(&upstream).await {
+            if let Ok(connection) = self.connection(&checked).await {
                 connection.keep();
             }
         }
-        self.path_broke_since(upstream, sent_at)
+        self.is_cut_off(upstream)
     }
 }
--- a/crates/rookferry_relay/src/path_supervisor/mod.rs
+++ b/crates/rookferry_relay/src/path_supervisor/mod.rs
@@ -35,6 +35,7 @@
 use crate::relay::Relay;
 use crate::request::CallerRequest;
 use crate::stream_opener::StreamTarget;
+use crate::upstream::Upstream;
 
 /// How long a stream may stall before its path is probed. Events arrive every 20 to
 /// 50 ms at the published step times; a pause of 200 ms makes an answer late, and
@@ -102,6 +103,8 @@
     run: RunId,
     /// When the run reached each engine of its path.
     joined: HashMap<ServerKey, Instant>,
+    /// The first engine, with the record of how the run was sent to it.
+    upstream: Option<Upstream>,
     /// The engines' liveness evidence, in the order of the stages.
     last_seen: Vec<LastSeen>,
     load: LoadGuard,
@@ -165,10 +168,16 @@
             broken_engines: Vec::new(),
             run: rand::random(),
             joined: joined(&path, now),
+            upstream: None,
             path,
         }
     }
 
+    /// Sets what the run is sent over.
+    pub(crate) fn set_upstream(&mut self, upstream: Upstream) {
+        self.upstream = Some(upstream);
+    }
+
     pub(crate) const fn path(&self) -> &PipelinePath {
         &self.path
     }
--- a/crates/rookferry_relay/src/path_supervisor/repair.rs
+++ b/crates/rookferry_relay/src/path_supervisor/repair.rs
@@ -116,15 +116,14 @@
         PathCheck::NoAction
     }
 
-    /// Whether the stream stands still because the own path to its first engine has broken
-    /// since the run began. The engine itself is alive.
+    /// Whether the stream stalls because the connection that it was sent over has broken,
+    /// while its first engine is alive.
     fn is_cut_from_first(&self) -> bool {
-        let first = self.path.first().server;
-        let upstream = self.relay.upstream(first, &self.service);
-        let is_cut = self
-            .relay
-            .path_broke_since(&upstream, self.joined_at(first));
-        is_cut && clock::since(self.stalled_since) >= STALL_AFTER
+        let is_cut_off = self
+            .upstream
+            .as_ref()
+            .is_some_and(|upstream| self.relay.is_cut_off(upstream));
+        is_cut_off && clock::since(self.stalled_since) >= STALL_AFTER
     }
 
     /// Records when the run reached the engines of a new path; those it already
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -280,10 +280,9 @@
     request: &CallerRequest,
     upstream: &Upstream,
 ) -> UpstreamError {
-    let sent_at = clock::now();
     loop {
         tokio::time::sleep(STALL_CHECK_AFTER).await;
-        let is_cut_off = relay.is_answer_cut_off(upstream, sent_at).await;
+        let is_cut_off = relay.is_answer_cut_off(upstream).await;
         if is_cut_off && request.route.repeatability.may_repeat() {
             let addr = upstream.server.addr;
             return UpstreamError::PathLost { addr };
--- a/crates/rookferry_relay/src/probe.rs
+++ b/crates/rookferry_relay/src/probe.rs
@@ -19,6 +19,7 @@
 use slog::warn;
 
 use crate::event_log::Weight;
+use crate::links::Way;
 use crate::protocol::EngineReport;
 use crate::protocol::set_host;
 use crate::relay::Relay;
@@ -96,8 +97,17 @@
             is_listed
         }
         Err(error) if error.is_local_refusal() => true,
-        // The probe was on its way when the own path was found broken.
-        Err(error) if !error.shows_exit() && relay.path_broke_since(&upstream, asked_at) => true,
+        // The probe didn't go through a peer, and the path has broken since.
+        Err(error)
+            if !error.shows_exit()
+                && relay.path_broke_since(&upstream, asked_at)
+                && upstream
+                    .sent
+                    .get()
+                    .is_none_or(|sent| sent.way == Way::Direct) =>
+        {
+            true
+        }
         Err(error) => {
             relay.server_lost(server, &ServerLoss::from(&error));
             false
--- a/crates/rookferry_relay/src/stream_opener/mod.rs
+++ b/crates/rookferry_relay/src/stream_opener/mod.rs
@@ -352,6 +352,7 @@
         if self.is_connection_broken {
             upstream.dial = Dial::New;
         }
+        supervisor.set_upstream(upstream.clone());
         let stages = supervisor.path().stages().iter();
         let servers: Vec<ServerKey> = stages.map(|stage| stage.server).collect();
         let has_run = self.runs > 0;
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -4,6 +4,8 @@
 //! have run.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,6 +27,7 @@
 use snafu::Snafu;
 
 use crate::links::Way;
+use crate::mutex::lock;
 use crate::pool::ConnectError;
 use crate::pool::Connection;
 use crate::protocol::HeaderNames;
@@ -183,6 +186,36 @@
     /// The most connections that this instance may open to it.
     pub(crate) max_connections: usize,
     pub(crate) dial: Dial,
+    /// How its last request was sent.
+    pub(crate) sent: SentRecord,
+}
+
+/// How a request was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentRequest {
+    pub(crate) way: Way,
+    pub(crate) at: Instant,
+}
+
+/// The last request sent to an upstream, if any; shared by its clones.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SentRecord(Arc<Mutex<Option<SentRequest>>>);
+
+impl SentRecord {
+    fn set(&self, way: Way, at: Instant) {
+        *lock(&self.0) = Some(SentRequest { way, at });
+    }
+
+    pub(crate) fn get(&self) -> Option<SentRequest> {
+        *lock(&self.0)
+    }
+
+    /// The time at which the request was sent over a direct connection; none if it was
+    /// sent through a peer or not yet.
+    pub(crate) fn direct_at(&self) -> Option<Instant> {
+        let sent = self.get()?;
+        (sent.way == Way::Direct).then_some(sent.at)
+    }
 }
 
 impl Upstream {
@@ -215,6 +248,7 @@
             may_send()?;
             // Opening the connection may have taken a while.
             set_time_left(&mut request, self.protocol.names());
+            upstream.sent.set(connection.way, clock::now());
             let sent = connection.sender.try_send_request(request).await;
             let mut error = match sent {
                 Ok(response) => {
