feat(admission): classes share the cache by urgency and lateness

Cause: refused callers that return are late whatever is done, and took the room of those that can be in time, also after the burst; the kind with the shorter objective was refused first; each instance filled the cache by loads that are 0.1 to 0.3 s old.

Change: each class may fill a share of the cache (trunk reservation) that path search sees as the engines' capacity; the queue orders by class; for all but the first class each instance assumes that its peers admitted as much as itself in the last 0.3 s; the fill is limited while first events take over half of their objective.

--- a/crates/rookferry_core/src/peers/mod.rs
+++ b/crates/rookferry_core/src/peers/mod.rs
@@ -18,6 +18,7 @@
 //! other may both act; correctness doesn't depend on which ones do.
 
 mod aggregate;
+mod assumed_load;
 mod body_source;
 mod capacity;
 mod fanout;
@@ -31,6 +32,7 @@
 mod tunnel_peers;
 
 pub use aggregate::AggregatedLoads;
+pub use assumed_load::AssumedLoad;
 pub use body_source::BodyOffer;
 pub use body_source::BodySource;
 pub use capacity::Capacity;
--- a/crates/rookferry_core/src/serving/admission_queue.rs
+++ b/crates/rookferry_core/src/serving/admission_queue.rs
@@ -1,7 +1,7 @@
 //! Queue of requests that wait for cache capacity on the engines.
 //!
 //! A request that finds no free cache can still meet its objective if some is released
-//! soon. More urgent requests come first, then earlier ones. The caller keeps a request
+//! soon. Requests are ordered by class (urgency, on time before late), then by arrival. The caller keeps a request
 //! waiting only while it can be in time by the observed times: from sending to the first
 //! event, and between two releases of cache. A request that can't is refused at once.
 
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::AdmissionClass;
+
 /// Weight of one observation in a running mean, which follows within some ten.
 const SAMPLE_WEIGHT: f64 = 0.125;
 /// Deviations above the mean within which a first event is expected, as for
@@ -31,7 +33,7 @@
 /// The position of a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AdmissionTicket {
-    urgency: Urgency,
+    class: AdmissionClass,
     number: u64,
 }
 
@@ -78,9 +80,9 @@
     }
 
     /// Adds a request.
-    pub fn join(&mut self, urgency: Urgency) -> AdmissionTicket {
+    pub fn join(&mut self, class: AdmissionClass) -> AdmissionTicket {
         let ticket = AdmissionTicket {
-            urgency,
+            class,
             number: self.next_number,
         };
         self.next_number += 1;
@@ -93,11 +95,11 @@
         self.waiting.remove(&ticket);
     }
 
-    /// Whether a request of this urgency would have to wait behind others.
+    /// Whether a request of this class would have to wait behind others.
     #[must_use]
-    pub fn would_wait(&self, urgency: Urgency) -> bool {
+    pub fn would_wait(&self, class: AdmissionClass) -> bool {
         let first = self.waiting.first();
-        first.is_some_and(|first| first.urgency <= urgency)
+        first.is_some_and(|first| first.class <= class)
     }
 
     /// Whether a request is the first in the queue.
--- a/crates/rookferry_core/src/serving/config.rs
+++ b/crates/rookferry_core/src/serving/config.rs
@@ -3,6 +3,7 @@
 //! [`ServingConfig`] is the form that is stored and passed between instances;
 //! [`ServingIndex`] adds the tables that an instance uses for each request.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Urgency;
 use crate::ModelShape;
 
 /// How often a request of a route may be executed.
@@ -152,6 +154,8 @@
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<String, usize>,
     by_service: HashMap<ServiceId, usize>,
+    /// The urgencies that the streams of each service can have, the most urgent first.
+    urgencies: HashMap<ServiceId, Vec<Urgency>>,
 }
 
 impl ServingIndex {
@@ -173,8 +177,10 @@
         let by_service = services
             .map(|(index, service)| (service.name.clone(), index))
             .collect();
+        let urgencies = stream_urgencies(&config);
         Self {
             config,
+            urgencies,
             by_host,
             by_key,
             by_service,
@@ -199,6 +205,15 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// How many urgencies of a service's streams are higher than this one; 0 if all its
+    /// streams are equally urgent.
+    #[must_use]
+    pub fn urgency_rank(&self, service: &ServiceId, urgency: Urgency) -> u8 {
+        let urgencies = self.urgencies.get(service).map_or(&[][..], Vec::as_slice);
+        let before = urgencies.partition_point(|known| *known < urgency);
+        u8::try_from(before).unwrap_or(u8::MAX)
+    }
+
     /// Whether requests need a key.
     #[must_use]
     pub const fn needs_keys(&self) -> bool {
@@ -220,6 +235,36 @@
     }
 }
 
+/// The urgencies that the streams of each service can have, the most urgent first.
+fn stream_urgencies(config: &ServingConfig) -> HashMap<ServiceId, Vec<Urgency>> {
+    let accounts: BTreeSet<u8> = config
+        .accounts
+        .iter()
+        .map(|account| account.priority)
+        .collect();
+    let mut urgencies: HashMap<ServiceId, BTreeSet<Urgency>> = HashMap::new();
+    let streams = config.routes.iter();
+    for route in streams.filter(|route| route.repeatability.is_stream()) {
+        for target in &route.targets {
+            let known = urgencies.entry(target.service.clone()).or_default();
+            if accounts.is_empty() || route.is_public {
+                known.insert(Urgency {
+                    account: route.priority,
+                    route: route.priority,
+                });
+            }
+            known.extend(accounts.iter().map(|account| Urgency {
+                account: *account,
+                route: route.priority,
+            }));
+        }
+    }
+    let sorted = urgencies.into_iter();
+    sorted
+        .map(|(service, known)| (service, known.into_iter().collect()))
+        .collect()
+}
+
 impl ServingRoute {
     /// The target of a request, by weight; `draw` must be uniform over all `u32` values.
     #[must_use]
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -29,6 +29,7 @@
 //! [`Quarantine`] withholds requests that crash servers, and [`BrokenRuns`] keeps broken
 //! runs until it is known whether their server exited.
 
+mod admission_class;
 mod admission_queue;
 mod age;
 mod backend_server;
@@ -39,6 +40,7 @@
 mod direct_paths;
 mod directory;
 mod era_tracker;
+mod fill_limit;
 mod finished_requests;
 mod health;
 mod link_rate;
@@ -59,6 +61,7 @@
 mod store_retry;
 mod store_version;
 
+pub use admission_class::AdmissionClass;
 pub use admission_queue::AdmissionQueue;
 pub use admission_queue::AdmissionTicket;
 pub use admission_queue::Urgency;
@@ -91,6 +94,7 @@
 pub use directory::ListUncertainty;
 pub use era_tracker::EraTracker;
 pub use era_tracker::EraVerdict;
+pub use fill_limit::FillLimit;
 pub use health::ServerHealth;
 pub use link_rate::LinkRateLimiter;
 pub use list_history::ListDelta;
--- a/crates/rookferry_core/tests/admission_queue.rs
+++ b/crates/rookferry_core/tests/admission_queue.rs
@@ -4,14 +4,27 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rookferry_core::AdmissionClass;
 use rookferry_core::AdmissionQueue;
 use rookferry_core::Urgency;
 use rstest::rstest;
 
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
-const fn urgency(account: u8, route: u8) -> Urgency {
-    Urgency { account, route }
+const fn urgency(account: u8, route: u8) -> AdmissionClass {
+    AdmissionClass {
+        urgency: Urgency { account, route },
+        rank: 0,
+        is_late: false,
+        is_over_share: false,
+    }
+}
+
+const fn late(class: AdmissionClass) -> AdmissionClass {
+    AdmissionClass {
+        is_late: true,
+        ..class
+    }
 }
 
 /// A queue that has recorded first events of one latency, and cache released at a steady
@@ -49,6 +62,22 @@
     assert!(!queue.would_wait(urgency(1, 0)));
 }
 
+/// Guards against refused callers that return and hold up those that can be in time: after
+/// a burst most callers at a calm site were late for seconds.
+#[test]
+fn late_requests_go_after_those_on_time_and_before_less_urgent_ones() {
+    let mut queue = AdmissionQueue::new();
+    let less_urgent = queue.join(urgency(1, 2));
+    let returned = queue.join(late(urgency(1, 1)));
+    assert!(!queue.would_wait(urgency(1, 1)));
+    assert!(queue.would_wait(late(urgency(1, 1))));
+    let on_time = queue.join(urgency(1, 1));
+    for ticket in [on_time, returned, less_urgent] {
+        assert!(queue.is_next(ticket));
+        queue.leave(ticket);
+    }
+}
+
 #[rstest]
 #[case::soon(Duration::from_millis(60), true)]
 #[case::late(Duration::from_millis(490), false)]
--- a/crates/rookferry_relay/src/admission_gate.rs
+++ b/crates/rookferry_relay/src/admission_gate.rs
@@ -1,6 +1,6 @@
 //! Admission queues for streams that wait for free cache on the engines.
 //!
-//! Each service has a queue, ordered by urgency. A stream is refused when it can't
+//! Each service has a queue, ordered by class. A stream is refused when it can't
 //! be expected to start within its latency objective; the refusal carries a retry
 //! time that grows with the length of the overload.
 
@@ -9,11 +9,15 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use metrics::gauge;
+use rookferry_core::AdmissionClass;
 use rookferry_core::AdmissionQueue;
 use rookferry_core::AdmissionTicket;
+use rookferry_core::AssumedLoad;
+use rookferry_core::FillLimit;
 use rookferry_core::Overload;
 use rookferry_core::Overloaded;
-use rookferry_core::Urgency;
+use rookferry_core::ServerKey;
 use rookferry_net::clock;
 use rookferry_wire::ServiceId;
 use tokio::sync::Notify;
@@ -24,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionGate {
     queues: Mutex<HashMap<ServiceId, AdmissionQueue>>,
+    fill_limits: Mutex<HashMap<ServiceId, FillLimit>>,
+    assumed: Mutex<AssumedLoad>,
     overload: Mutex<Overload>,
     changed: Notify,
 }
@@ -41,17 +47,17 @@
         Self::default()
     }
 
-    /// Whether a request of this urgency has to wait behind queued ones.
-    pub(crate) fn must_wait(&self, service: &ServiceId, urgency: Urgency) -> bool {
-        self.with(service, |queue| queue.would_wait(urgency))
+    /// Whether a request of this class has to wait behind queued ones.
+    pub(crate) fn must_wait(&self, service: &ServiceId, class: AdmissionClass) -> bool {
+        self.with(service, |queue| queue.would_wait(class))
     }
 
     /// Adds a request to the queue of a service.
-    pub(crate) fn join(self: &Arc<Self>, service: &ServiceId, urgency: Urgency) -> QueueEntry {
+    pub(crate) fn join(self: &Arc<Self>, service: &ServiceId, class: AdmissionClass) -> QueueEntry {
         QueueEntry {
             gate: self.clone(),
             service: service.clone(),
-            ticket: self.with(service, |queue| queue.join(urgency)),
+            ticket: self.with(service, |queue| queue.join(class)),
         }
     }
 
@@ -66,9 +72,39 @@
         self.changed.notify_waiters();
     }
 
-    /// Records the time from sending a stream to its first event.
-    pub(crate) fn record_first_event(&self, service: &ServiceId, took: Duration) {
+    /// Records the time from sending a stream to its first event, which was due within
+    /// `objective`.
+    pub(crate) fn record_first_event(
+        &self,
+        service: &ServiceId,
+        took: Duration,
+        objective: Duration,
+    ) {
         self.with(service, |queue| queue.record_first_event(took));
+        let mut limits = lock(&self.fill_limits);
+        let limit = limits.entry(service.clone()).or_default();
+        if limit.record_first_event(took, objective, clock::now()) {
+            gauge!("rookferry_cache_fill_limit", "service" => service.to_string())
+                .set(limit.fill());
+        }
+    }
+
+    /// The share of the engines' cache that may be filled.
+    pub(crate) fn max_fill(&self, service: &ServiceId) -> f64 {
+        lock(&self.fill_limits)
+            .get(service)
+            .map_or(1.0, FillLimit::fill)
+    }
+
+    /// Records that a stream was admitted at a server with some tokens.
+    pub(crate) fn record_admission(&self, server: ServerKey, tokens: f64) {
+        lock(&self.assumed).record(server, tokens, clock::now());
+    }
+
+    /// Tokens that `peers` other instances are assumed to have admitted at a server, beyond
+    /// the loads known of them.
+    pub(crate) fn assumed_tokens(&self, server: ServerKey, peers: usize) -> f64 {
+        lock(&self.assumed).tokens(server, peers, clock::now())
     }
 
     /// Records a refusal; returns the overload's length and the retry time.
--- a/crates/rookferry_relay/src/engines.rs
+++ b/crates/rookferry_relay/src/engines.rs
@@ -259,7 +259,7 @@
     }
 
     /// How many instances may have requests in flight at a server.
-    fn instances_sharing(&self, server: ServerKey) -> usize {
+    pub(crate) fn instances_sharing(&self, server: ServerKey) -> usize {
         let known = if self.is_local(server) {
             &self.local_instances
         } else {
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -93,6 +93,14 @@
         self.head.held_tokens()
     }
 
+    /// Whether the caller has already waited for longer than the latency objective, as it
+    /// does after a refusal. The caller states how long it will still wait.
+    pub(crate) fn is_late(&self) -> bool {
+        let stated = self.head.time_left_ms.map(Duration::from_millis);
+        let left = stated.unwrap_or(self.route.timeout);
+        self.route.timeout.saturating_sub(left) > self.route.latency_objective
+    }
+
     /// Time since the request was received.
     pub(crate) fn elapsed(&self) -> Duration {
         clock::since(self.received_at)
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -254,10 +254,9 @@
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
             let service = &self.target.service.name;
-            self.target
-                .relay
-                .admission_gate
-                .record_first_event(service, stalled);
+            let objective = self.target.request.route.latency_objective;
+            let gate = &self.target.relay.admission_gate;
+            gate.record_first_event(service, stalled, objective);
             let wait = now.saturating_duration_since(self.target.request.received_at);
             let route = self.target.request.route.name.to_string();
             histogram!("rookferry_first_event_seconds", "route" => route)
--- a/crates/rookferry_relay/src/stream_opener/admission.rs
+++ b/crates/rookferry_relay/src/stream_opener/admission.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rookferry_core::AdmissionClass;
 use rookferry_core::PipelineEngine;
 use rookferry_core::PipelinePath;
 use rookferry_net::clock;
@@ -45,16 +46,17 @@
         let gate = &self.target.relay.admission_gate;
         let service = &self.target.service.name;
         let objective = request.route.latency_objective;
+        let class = self.class();
         let mut full = None;
-        if !gate.must_wait(service, request.urgency) {
-            match self.check_free_cache() {
+        if !gate.must_wait(service, class) {
+            match self.check_free_cache(class) {
                 CacheCheck::NoPath => return Ok(None),
                 CacheCheck::Free(path) => return Ok(Some(path)),
                 CacheCheck::Full(engine) => full = Some(engine),
                 CacheCheck::LinkFull(wait) => return Err(self.refuse_for_link(wait)),
             }
         }
-        let entry = gate.join(service, request.urgency);
+        let entry = gate.join(service, class);
         loop {
             if !entry.can_meet_objective(objective, request.elapsed()) {
                 return Err(self.refuse_overloaded(full.as_ref(), &entry));
@@ -64,7 +66,7 @@
             if !entry.is_next() {
                 continue;
             }
-            match self.check_free_cache() {
+            match self.check_free_cache(class) {
                 CacheCheck::NoPath => return Ok(None),
                 CacheCheck::Free(path) => {
                     self.log_admitted(&entry);
@@ -76,11 +78,38 @@
         }
     }
 
-    /// Checks whether the best path has free cache, and reserves its share of the link.
-    fn check_free_cache(&self) -> CacheCheck {
+    /// The request's place in the order of admission.
+    fn class(&self) -> AdmissionClass {
+        let request = &self.target.request;
+        let view = self.target.relay.view.load();
+        let rank = view.index.as_ref().map_or(0, |index| {
+            index.urgency_rank(&request.service, request.urgency)
+        });
+        AdmissionClass {
+            urgency: request.urgency,
+            rank,
+            is_late: request.is_late(),
+            is_over_share: false,
+        }
+    }
+
+    /// Checks whether the best path has free cache for the class, and reserves its share of
+    /// the link.
+    fn check_free_cache(&self, class: AdmissionClass) -> CacheCheck {
         let home = &self.target.relay.settings.domain;
         let tokens = self.target.request.tokens();
-        let found = self.with_finder(&[], |finder| {
+        let relay = &self.target.relay;
+        let gate = &relay.admission_gate;
+        let max_fill = class.cache_share() * gate.max_fill(&self.target.service.name);
+        let restrict = |engine: &mut PipelineEngine| {
+            engine.cache_tokens *= max_fill;
+            // The first class isn't held back by an estimate.
+            if !class.is_first() {
+                let peers = relay.instances_sharing(engine.server).saturating_sub(1);
+                engine.used_tokens += gate.assumed_tokens(engine.server, peers);
+            }
+        };
+        let found = self.with_finder(&[], restrict, |finder| {
             let path = match finder.find(home, tokens) {
                 Ok(path) => path,
                 Err(no_path) => {
@@ -94,7 +123,15 @@
             }
         });
         match found.unwrap_or(CacheCheck::NoPath) {
-            CacheCheck::Free(path) => self.reserve_link(path),
+            CacheCheck::Free(path) => {
+                let reserved = self.reserve_link(path);
+                if let CacheCheck::Free(path) = &reserved {
+                    for stage in path.stages() {
+                        gate.record_admission(stage.server, tokens);
+                    }
+                }
+                reserved
+            }
             other => other,
         }
     }
--- a/crates/rookferry_relay/src/stream_opener/mod.rs
+++ b/crates/rookferry_relay/src/stream_opener/mod.rs
@@ -18,6 +18,7 @@
 use rookferry_core::ModelShape;
 use rookferry_core::PathFinder;
 use rookferry_core::PathSearchError;
+use rookferry_core::PipelineEngine;
 use rookferry_core::PipelinePath;
 use rookferry_core::RunProgress;
 use rookferry_core::ServerKey;
@@ -286,7 +287,7 @@
     fn choose(&self, also_avoided: &[ServerKey]) -> Option<PipelinePath> {
         let home = &self.target.relay.settings.domain;
         let tokens = self.target.request.tokens();
-        let found = self.with_finder(also_avoided, |finder| finder.find(home, tokens))?;
+        let found = self.with_finder(also_avoided, |_| {}, |finder| finder.find(home, tokens))?;
         found
             .inspect_err(|no_path| self.log_invalid_path(no_path))
             .ok()
@@ -303,11 +304,12 @@
         }
     }
 
-    /// Runs a search over the usable engines, without the avoided ones; none while
-    /// there is no list of servers.
+    /// Runs a search over the usable engines, without the avoided ones, each changed by
+    /// `adjust`; none while there is no list of servers.
     fn with_finder<T>(
         &self,
         also_avoided: &[ServerKey],
+        adjust: impl FnMut(&mut PipelineEngine),
         run: impl FnOnce(&PathFinder<'_>) -> T,
     ) -> Option<T> {
         let view = self.target.relay.view.load();
@@ -318,7 +320,8 @@
             service,
             model,
         } = self.target;
-        let engines = relay.pipeline_engines(table, service, model, request.urgency);
+        let mut engines = relay.pipeline_engines(table, service, model, request.urgency);
+        engines.iter_mut().for_each(adjust);
         let usable = engines
             .iter()
             .filter(|engine| !self.avoided.contains(&engine.server))
