feat(peers): shorten heartbeats that exceed the receive buffer

Cause: an aggregator's heartbeat with the loads of 250 servers, the sums of its domain and full lists of failures exceeds the receive buffer of 20,480 bytes. The receiver truncates it and drops it whole, so its sender counts as silent.

Change: `HeartbeatFitter` shortens a copy of such a heartbeat until it fits, after the echo of the target is set. Lists are shortened in the order of `HeartbeatList::ALL`: own loads, limits, refusing and leaving servers, the domain's loads, unresponsive servers, suspects, members. Loads with the fewest requests are left out first; of the other lists at least one of four parts is kept, which changes each turn. `HeartbeatRotation` retains a batch for four turns while its list is shortened, so that no part is skipped. Other fields are never changed. A heartbeat that fits is encoded once, as before. Joining responses leave out members of the joining instance's domain last, and follow the rotation instead of always sending the first batch.

New: counter `rookferry_heartbeats_shortened_total`, event `heartbeat_shortened`.

Tests: heartbeat_size. The largest heartbeats of 250 and 2,000 servers are asserted to exceed the buffer before they are shortened.

--- a/crates/rookferry_core/src/peers/mod.rs
+++ b/crates/rookferry_core/src/peers/mod.rs
@@ -6,6 +6,8 @@
 //! | [`Heartbeat`] | what does one instance report to another? |
 //! | [`PeerTable`] | which instances are live, and what does each have in flight? |
 //! | [`Fanout`] | which peers get a heartbeat in this round? |
+//! | [`HeartbeatFitter`] | what is left out of a heartbeat that is too long? |
+//! | [`HeartbeatRotation`] | which part of a long list is advertised now? |
 //! | [`SuspectedServers`] | which servers do other instances report as unresponsive? |
 //! | [`PeerTable::permit_granters`] | which instance grants the permits of a limited server? |
 //! | [`BodySource`] | which peer gets a new configuration from which? |
@@ -21,7 +23,11 @@
 mod body_source;
 mod capacity;
 mod fanout;
+mod heartbeat_fitter;
+mod heartbeat_list;
+mod heartbeat_rotation;
 mod load;
+mod member_cursor;
 mod message;
 mod peer;
 mod permits;
@@ -37,9 +43,16 @@
 pub use fanout::Fanout;
 pub use fanout::Round;
 pub use fanout::Targets;
+pub use heartbeat_fitter::EncodedSize;
+pub use heartbeat_fitter::HeartbeatCut;
+pub use heartbeat_fitter::HeartbeatFitter;
+pub use heartbeat_fitter::ShortenedHeartbeat;
+pub use heartbeat_list::HeartbeatList;
+pub use heartbeat_rotation::HeartbeatRotation;
 pub use load::LoadEntry;
 pub use load::ReportObservation;
 pub use load::ServerLoad;
+pub use member_cursor::MemberCursor;
 pub use message::ConfigState;
 pub use message::DomainLoads;
 pub use message::DomainMembers;
--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -29,6 +29,7 @@
     "dependency_lost",
     "dependency_regained",
     "figures_unusable",
+    "heartbeat_shortened",
     "held_back",
     "lease_held",
     "lease_lost",
--- a/crates/rookferry_relay/src/peers/builder.rs
+++ b/crates/rookferry_relay/src/peers/builder.rs
@@ -1,7 +1,8 @@
 //! Builds the heartbeats that this instance sends.
 //!
 //! Input is the instance's own state: versions, loads, server states, peers. The limits
-//! below keep a heartbeat within one datagram; longer lists are advertised in rotation.
+//! below keep most heartbeats within one datagram; longer lists are advertised in rotation.
+//! A heartbeat with several full lists is shortened when it is sent.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,8 @@
 use rookferry_core::AggregatedLoads;
 use rookferry_core::ConfigState;
 use rookferry_core::Heartbeat;
+use rookferry_core::HeartbeatList;
+use rookferry_core::HeartbeatRotation;
 use rookferry_core::HolderObservation;
 use rookferry_core::ListState;
 use rookferry_core::LoadEntry;
@@ -89,12 +92,12 @@
         clock::since(self.epoch) < JOINING_PERIOD && !table.has_live_local(now)
     }
 
-    /// A heartbeat with the members from an offset on, and the given part (`rotation`) of
-    /// each list that is too long.
+    /// A heartbeat with the members from an offset on, and the batch that is in rotation
+    /// of each list that is too long.
     pub(super) fn heartbeat(
         &self,
         members_offset: usize,
-        rotation: usize,
+        rotation: &HeartbeatRotation,
         now: Instant,
     ) -> Heartbeat {
         let unreached = self.relay.links.paths().isolated();
@@ -105,18 +108,18 @@
         let (out, out_count) = if unreached.is_empty() {
             let health = self.relay.states.health();
             (
-                health.advertised(MAX_UNUSABLE, rotation),
+                health.advertised(MAX_UNUSABLE, rotation.batch(HeartbeatList::Out)),
                 health.unresponsive_count(),
             )
         } else {
             // What doesn't answer an instance without a path says nothing to others.
             (Vec::new(), 0)
         };
-        let closed = self
-            .relay
-            .states
-            .refusing()
-            .advertised(MAX_UNUSABLE, rotation, now);
+        let closed = self.relay.states.refusing().advertised(
+            MAX_UNUSABLE,
+            rotation.batch(HeartbeatList::Closed),
+            now,
+        );
         let (members, instances, is_joining) = {
             let table = lock(&self.relay.peers);
             let members = table.members(members_offset, MEMBERS_PER_HEARTBEAT, now);
@@ -143,16 +146,16 @@
             out_count: u32::try_from(out_count).unwrap_or(u32::MAX),
             closed,
             suspects: self.relay.quarantine.next_advertised(MAX_SUSPECTS, now),
-            limits: self
-                .relay
-                .states
-                .limits()
-                .advertised(MAX_LIMITS, rotation, now),
-            departed: self
-                .relay
-                .states
-                .departed()
-                .advertised(MAX_DEPARTED, rotation, now),
+            limits: self.relay.states.limits().advertised(
+                MAX_LIMITS,
+                rotation.batch(HeartbeatList::Limits),
+                now,
+            ),
+            departed: self.relay.states.departed().advertised(
+                MAX_DEPARTED,
+                rotation.batch(HeartbeatList::Departed),
+                now,
+            ),
             members,
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
             is_joining,
@@ -162,8 +165,13 @@
     }
 
     /// The response to an instance that looks for the other members of `domain`.
-    pub(super) fn joining_response(&self, domain: &DomainId, now: Instant) -> Heartbeat {
-        let mut response = self.heartbeat(0, 0, now);
+    pub(super) fn joining_response(
+        &self,
+        domain: &DomainId,
+        rotation: &HeartbeatRotation,
+        now: Instant,
+    ) -> Heartbeat {
+        let mut response = self.heartbeat(0, rotation, now);
         response.loads.clear();
         response.suspects = self
             .relay
--- a/crates/rookferry_relay/src/peers/heartbeat.rs
+++ b/crates/rookferry_relay/src/peers/heartbeat.rs
@@ -12,6 +12,10 @@
 use metrics::counter;
 use rookferry_core::Fanout;
 use rookferry_core::Heartbeat;
+use rookferry_core::HeartbeatCut;
+use rookferry_core::HeartbeatFitter;
+use rookferry_core::HeartbeatRotation;
+use rookferry_core::MemberCursor;
 use rookferry_core::Round;
 use rookferry_core::Targets;
 use rookferry_net::clock;
@@ -21,6 +25,7 @@
 
 use super::builder::HeartbeatBuilder;
 use super::builder::MEMBERS_PER_HEARTBEAT;
+use super::datagram_size::DatagramSize;
 use super::handler::HeartbeatHandler;
 use super::message::PeerDatagram;
 use crate::event_log::Weight;
@@ -31,11 +36,11 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 /// Size of the receive buffer, in bytes: the largest accepted datagram.
 const MAX_DATAGRAM_BYTES: usize = 20 * 1024;
-/// Rounds for which the same part of a list too long for one heartbeat is advertised: an
-/// aggregator sends to its domain in every second round.
-const ROUNDS_PER_ROTATION: u32 = 2;
 /// Delay before a round that is sent early because of a change.
 const EARLY_ROUND_DELAY: Duration = Duration::from_millis(30);
+/// Time without a shortened heartbeat after which the next one is logged again; loads vary
+/// from round to round, so that heartbeats near the limit are shortened now and then.
+const SHORTENED_LOG_PAUSE: Duration = Duration::from_secs(10);
 /// Least time between two sums of the peers' loads: summing after each of hundreds of
 /// heartbeats a second takes most of a core.
 const MIN_SUM_INTERVAL: Duration = Duration::from_millis(20);
@@ -53,34 +58,14 @@
 /// State that is carried from round to round.
 #[derive(Debug, Default)]
 struct RoundState {
-    number: u32,
+    rotation: HeartbeatRotation,
     fanout: Fanout,
     /// Where the next part of the member list begins: for most targets, and, in fewer
     /// rounds, for the whole domain, which must receive every member.
-    members_offset: usize,
-    domain_members_offset: usize,
-}
-
-impl RoundState {
-    /// Index of the part that is advertised of a list too long for one heartbeat.
-    fn rotation(&self) -> usize {
-        usize::try_from(self.number / ROUNDS_PER_ROTATION).unwrap_or_default()
-    }
-
-    /// Advances to the next part of the members for most targets, and returns its offset.
-    const fn advance_members(&mut self) -> usize {
-        self.members_offset = self.members_offset.wrapping_add(MEMBERS_PER_HEARTBEAT);
-        self.members_offset
-    }
-
-    /// Advances to the next part of the members for the whole domain, and returns its
-    /// offset.
-    const fn advance_domain_members(&mut self) -> usize {
-        self.domain_members_offset = self
-            .domain_members_offset
-            .wrapping_add(MEMBERS_PER_HEARTBEAT);
-        self.domain_members_offset
-    }
+    members: MemberCursor,
+    domain_members: MemberCursor,
+    /// When a heartbeat was last shortened.
+    shortened_at: Option<Instant>,
 }
 
 impl HeartbeatTask {
@@ -140,7 +125,7 @@
         let (targets, members_offset) = self.next_targets(has_news, now);
         let mut beat = self
             .builder
-            .heartbeat(members_offset, self.rounds.rotation(), now);
+            .heartbeat(members_offset, &self.rounds.rotation, now);
         lock(&self.relay.peers).set_own_loads(&beat.loads);
         for target in targets.local {
             self.send(&mut beat, target, now);
@@ -166,15 +151,17 @@
     fn next_targets(&mut self, has_news: bool, now: Instant) -> (Targets, usize) {
         let table = lock(&self.relay.peers);
         let rounds = &mut self.rounds;
-        rounds.number = rounds.number.wrapping_add(1);
         let round = Round {
-            number: rounds.number,
+            number: rounds.rotation.next_round(),
             has_changes: has_news,
             is_rank_known: self.builder.may_represent(),
             is_joining: self.builder.is_joining(&table, now),
         };
         let targets = rounds.fanout.round(&table, round, now, &mut rand::rng());
-        (targets, rounds.advance_members())
+        let offset = rounds
+            .members
+            .advance(&rounds.rotation, MEMBERS_PER_HEARTBEAT);
+        (targets, offset)
     }
 
     /// Sends a heartbeat to the members of the own domain, each with the summed load of
@@ -183,7 +170,10 @@
         if targets.is_empty() {
             return;
         }
-        let from = self.rounds.advance_domain_members();
+        let rounds = &mut self.rounds;
+        let from = rounds
+            .domain_members
+            .advance(&rounds.rotation, MEMBERS_PER_HEARTBEAT);
         beat.members = lock(&self.relay.peers).members(from, MEMBERS_PER_HEARTBEAT, now);
         let all = self.builder.domain_sums(now);
         for target in targets {
@@ -213,16 +203,54 @@
     }
 
     /// Sends a heartbeat that echoes the target's own clock.
-    fn send(&self, beat: &mut Heartbeat, target: SocketAddr, now: Instant) {
+    fn send(&mut self, beat: &mut Heartbeat, target: SocketAddr, now: Instant) {
+        let fitter = HeartbeatFitter::new(MAX_DATAGRAM_BYTES, self.rounds.rotation.part());
+        if let Some(cuts) = self.send_fitting(&fitter, beat, target, now) {
+            self.rounds.rotation.record_cuts(&cuts);
+        }
+    }
+
+    /// Sends a heartbeat, shortened if it is too long; returns what was left out of it.
+    fn send_fitting(
+        &mut self,
+        fitter: &HeartbeatFitter,
+        beat: &mut Heartbeat,
+        target: SocketAddr,
+        now: Instant,
+    ) -> Option<Vec<HeartbeatCut>> {
+        // Set before the size is checked, since it differs between targets.
         beat.echo = lock(&self.relay.peers).echo(target, now);
-        if let Ok(bytes) = postcard::to_stdvec(&PeerDatagram::Heartbeat(&*beat)) {
-            // The send queue is full or nothing listens there; the next round sends
-            // again.
-            let _ = self.socket.try_send_to(&bytes, target);
+        let bytes = encode(beat)?;
+        let Some(shortened) = fitter.shorten(beat, bytes.len(), &DatagramSize) else {
+            self.send_bytes(&bytes, target);
+            return None;
+        };
+        self.send_bytes(&encode(&shortened.beat)?, target);
+        counter!("rookferry_heartbeats_shortened_total").increment(1);
+        self.log_shortened(bytes.len(), &shortened.cuts, now);
+        Some(shortened.cuts)
+    }
+
+    fn send_bytes(&self, bytes: &[u8], target: SocketAddr) {
+        // The send queue is full or nothing listens there; the next round sends again.
+        let _ = self.socket.try_send_to(bytes, target);
+    }
+
+    /// Logs the first shortened heartbeat after a time without any.
+    fn log_shortened(&mut self, bytes: usize, cuts: &[HeartbeatCut], now: Instant) {
+        let previous = self.rounds.shortened_at.replace(now);
+        if previous.is_some_and(|at| now.saturating_duration_since(at) < SHORTENED_LOG_PAUSE) {
+            return;
+        }
+        if let Some(log) = self.relay.events.line(Weight::Notable) {
+            let cuts: Vec<String> = cuts.iter().map(ToString::to_string).collect();
+            warn!(log, "peers: heartbeats are too long and are shortened";
+                "event" => "heartbeat_shortened", "bytes" => bytes,
+                "max_bytes" => MAX_DATAGRAM_BYTES, "cuts" => cuts.join(", "));
         }
     }
 
-    fn handle_datagram(&self, bytes: &[u8], from: SocketAddr) {
+    fn handle_datagram(&mut self, bytes: &[u8], from: SocketAddr) {
         match postcard::from_bytes::<PeerDatagram<Heartbeat>>(bytes) {
             Ok(PeerDatagram::Heartbeat(beat)) => self.handle_heartbeat(beat, from),
             Ok(PeerDatagram::Ask(ask)) => {
@@ -238,7 +266,7 @@
         }
     }
 
-    fn handle_heartbeat(&self, mut beat: Heartbeat, from: SocketAddr) {
+    fn handle_heartbeat(&mut self, mut beat: Heartbeat, from: SocketAddr) {
         if beat.site != self.relay.settings.site {
             counter!("rookferry_heartbeats_of_others_total").increment(1);
             return;
@@ -254,8 +282,16 @@
         let now = clock::now();
         self.handler.handle(&beat, from, self.builder.epoch, now);
         if beat.is_joining {
-            let mut response = self.builder.joining_response(&beat.domain, now);
-            self.send(&mut response, from, now);
+            let rotation = &self.rounds.rotation;
+            let fitter = HeartbeatFitter::new(MAX_DATAGRAM_BYTES, rotation.part())
+                .preferring(beat.domain.clone());
+            let mut response = self.builder.joining_response(&beat.domain, rotation, now);
+            // Its lists have other lengths, so it doesn't change the rotation in rounds.
+            self.send_fitting(&fitter, &mut response, from, now);
         }
     }
 }
+
+fn encode(beat: &Heartbeat) -> Option<Vec<u8>> {
+    postcard::to_stdvec(&PeerDatagram::Heartbeat(beat)).ok()
+}
--- a/crates/rookferry_relay/src/peers/mod.rs
+++ b/crates/rookferry_relay/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! no safety property depends on it.
 
 mod builder;
+mod datagram_size;
 mod fetch;
 mod handler;
 mod heartbeat;
