feat(relay): stall bounds that follow the pace of the streams

Cause: in overload, engines deliver first events after 430 ms and gaps of 150 ms, and the fixed bounds take them for failed ones. Their streams are probed and run again, which adds load to the engines.

Change: PaceTracker (rookferry_core) keeps a running mean and mean deviation of the times to first event and of the gaps, as in RFC 6298, from delivered events only, and returns StallBounds: the former fixed bounds, or mean + 4 deviations if that is higher, at most ten times the fixed bound and 1 s. The relay has one tracker per service. PathSupervisor uses its bounds in place of the constants; the ages from which an engine counts as silent or slow rise with them. An event that follows a repair is not recorded. While bounds are raised, probes of stalled streams are taken out of a budget (one per started stream, reserve 32); engines whose connection broke are probed regardless. path_stalled logs bound_ms, and rookferry_probes_denied_total counts denied probes.

The RFC's gains suit one sample per round trip. With many streams per instance they let one slow stream double the bounds, so they are smaller here, and samples are clipped at twice the bound.

Test: tests/stall_bounds.rs replays an instance's streams in virtual time, and runs the fixed bounds in the same test.

--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -25,6 +25,9 @@
 //! [`LinkRateLimiter`] limits the prompts that cross the link between failure domains,
 //! [`RetryWindow`] limits retries.
 //!
+//! Running streams: [`PaceTracker`] observes how fast events arrive and computes the
+//! [`StallBounds`] after which a silent stream is probed, repaired or run again.
+//!
 //! Quarantine: [`RequestSignature`] recognises a request that is sent again,
 //! [`Quarantine`] withholds requests that crash servers, and [`BrokenRuns`] keeps broken
 //! runs until it is known whether their server exited.
@@ -45,6 +48,7 @@
 mod list_history;
 mod list_version;
 mod overload;
+mod pace;
 mod presence;
 mod propagation_budget;
 mod quarantine;
@@ -54,6 +58,7 @@
 mod retry_window;
 pub(crate) mod rotation;
 mod server_key;
+mod stall_bounds;
 mod start_queue;
 mod store_contact;
 mod store_retry;
@@ -119,6 +124,8 @@
 pub use request_signature::SignatureError;
 pub use retry_window::RetryWindow;
 pub use server_key::ServerKey;
+pub use stall_bounds::PaceTracker;
+pub use stall_bounds::StallBounds;
 pub use start_queue::StartQueue;
 pub use store_contact::AdvertisedContact;
 pub use store_contact::AnswerGap;
--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod load;
 mod mutex;
 mod node;
+mod pace_trackers;
 mod path_supervisor;
 mod peers;
 mod permits;
--- a/crates/rookferry_relay/src/liveness.rs
+++ b/crates/rookferry_relay/src/liveness.rs
@@ -94,14 +94,27 @@
     /// Records the start of a probe and returns true, unless the answer to a probe for
     /// another stream, started less than `pause` ago, may still come.
     pub(crate) fn begin_probe(&self, server: ServerKey, pause: Duration, now: Instant) -> bool {
+        self.begin_probe_if(server, pause, now, || true)
+    }
+
+    /// Like [`Self::begin_probe`], but begins only if `may_begin` allows it. It is called
+    /// only if no answer may still come.
+    pub(crate) fn begin_probe_if(
+        &self,
+        server: ServerKey,
+        pause: Duration,
+        now: Instant,
+        may_begin: impl FnOnce() -> bool,
+    ) -> bool {
         self.with_entry(server, |evidence| {
             let is_in_flight = evidence
                 .probed_at
                 .is_some_and(|at| now.saturating_duration_since(at) < pause);
-            if !is_in_flight {
+            let begins = !is_in_flight && may_begin();
+            if begins {
                 evidence.probed_at = Some(now);
             }
-            !is_in_flight
+            begins
         })
     }
 
--- a/crates/rookferry_relay/src/path_supervisor/mod.rs
+++ b/crates/rookferry_relay/src/path_supervisor/mod.rs
@@ -3,22 +3,31 @@
 //! A stage that is lost, leaving or reassigned is replaced by an order to the first
 //! engine, which keeps the request. The path is checked when the fleet changes, and
 //! when the stream stalls; engines of a stalled stream are probed first.
+//!
+//! When a stream counts as stalled follows the pace of the instance's streams: the bounds
+//! of its service's tracker rise while all engines are slow. A budget limits the probes
+//! meanwhile.
 
 mod repair;
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::future::join_all;
+use metrics::counter;
 use rookferry_core::ModelShape;
+use rookferry_core::PaceTracker;
 use rookferry_core::PathStage;
 use rookferry_core::PipelinePath;
 use rookferry_core::RunId;
 use rookferry_core::RunProgress;
 use rookferry_core::ServerKey;
 use rookferry_core::ServingService;
+use rookferry_core::StallBounds;
 use rookferry_net::clock;
 use rookferry_wire::LayerRange;
 use slog::warn;
@@ -29,6 +38,7 @@
 use crate::event_log::millis;
 use crate::liveness::LastSeen;
 use crate::load::LoadGuard;
+use crate::mutex::lock;
 use crate::probe;
 use crate::quarantine::Reach;
 use crate::quarantine::RunBreak;
@@ -37,27 +47,16 @@
 use crate::stream_opener::StreamTarget;
 use crate::upstream::Upstream;
 
-/// How long a stream may stall before its path is probed. Events arrive every 20 to
-/// 50 ms at the published step times; a pause of 200 ms makes an answer late, and
-/// probing and repair need part of that.
-const STALL_AFTER: Duration = Duration::from_millis(90);
 /// Age of an engine's last liveness evidence, from any stream, from which a stalled
-/// stream has it probed.
+/// stream has it probed at the fixed stall bound. It rises in proportion to that bound.
 const SILENT_AFTER: Duration = Duration::from_millis(60);
 /// The same before the first event, where prefill is the likelier cause. It covers a
 /// heartbeat of the instances that share the engines.
 const SILENT_BEFORE_FIRST: Duration = Duration::from_millis(200);
-/// How long a stream may wait for its first event before its path is probed.
-const FIRST_EVENT_STALL_AFTER: Duration = Duration::from_millis(220);
 /// Time until a stream that is still stalled is checked again; doubles each time.
 const STALL_RECHECK_AFTER: Duration = Duration::from_millis(150);
-/// Stall without a lost stage from which another run is worth its cost; clients wait
-/// for two seconds.
-const HUNG_AFTER: Duration = Duration::from_millis(500);
-/// The same before the first event. It leaves a third of the usual objective of
-/// 500 ms to the other run.
-const FIRST_EVENT_HUNG_AFTER: Duration = Duration::from_millis(350);
-/// Stall from which all engines of the path are asked for a report on their speed.
+/// Stall from which all engines of the path are asked for a report on their speed. It
+/// rises by as much as the stall bound.
 const SLOW_AFTER: Duration = Duration::from_millis(200);
 /// Age from which an engine's report is requested again.
 const MIN_REPORT_AGE: Duration = Duration::from_millis(500);
@@ -107,6 +106,8 @@
     upstream: Option<Upstream>,
     /// The engines' liveness evidence, in the order of the stages.
     last_seen: Vec<LastSeen>,
+    /// The pace of the service's streams.
+    pace: Arc<Mutex<PaceTracker>>,
     load: LoadGuard,
 }
 
@@ -146,6 +147,8 @@
             model,
         } = target;
         let now = clock::now();
+        let pace = relay.pace_trackers.of(&service.name);
+        let first_event_bound = lock(&pace).bounds(now).first_event;
         Self {
             load: track_load(relay, request, &path),
             last_seen: last_seen(relay, &path),
@@ -154,7 +157,7 @@
             request: request.clone(),
             service: service.clone(),
             model: model.clone(),
-            check_at: now + FIRST_EVENT_STALL_AFTER,
+            check_at: now + first_event_bound,
             check_pause: STALL_RECHECK_AFTER,
             stalled_since: now,
             refused: Vec::new(),
@@ -169,6 +172,7 @@
             run: rand::random(),
             joined: joined(&path, now),
             upstream: None,
+            pace,
             path,
         }
     }
@@ -249,10 +253,16 @@
         now.saturating_duration_since(self.stalled_since)
     }
 
+    /// Records that the stream starts, which adds a probe to the budget.
+    pub(crate) fn record_stream_start(&self) {
+        lock(&self.pace).record_start();
+    }
+
     /// Records arrived events, which show that all engines of the path are alive.
     pub(crate) fn record_progress(&mut self, now: Instant) {
+        let bounds = self.record_pace(now);
         self.stalled_since = now;
-        self.check_at = now + STALL_AFTER;
+        self.check_at = now + bounds.running;
         self.check_pause = STALL_RECHECK_AFTER;
         if self.phase != RunPhase::Running {
             self.relay.engines_accepted(self.path.stages(), now);
@@ -264,6 +274,29 @@
         }
     }
 
+    /// Records the time that arrived events took, unless the path was repaired meanwhile;
+    /// returns the bounds after that.
+    fn record_pace(&self, now: Instant) -> StallBounds {
+        let took = self.stalled_for(now);
+        let mut pace = lock(&self.pace);
+        if self.is_proven {
+            pace.record_gap(took, now);
+        } else if self.repairs == 0 {
+            pace.record_first_event(took, now);
+        }
+        pace.bounds(now)
+    }
+
+    fn bounds(&self, now: Instant) -> StallBounds {
+        lock(&self.pace).bounds(now)
+    }
+
+    /// Whether the stream is silent for as long as a running one counts as stalled.
+    fn has_stalled(&self) -> bool {
+        let now = clock::now();
+        self.stalled_for(now) >= self.bounds(now).running
+    }
+
     /// Waits until the path must be checked, then checks and repairs it.
     ///
     /// May be cancelled at any point; the next call repeats the check.
@@ -286,29 +319,48 @@
 
     /// Whether the stream has stalled for too long; true once per stall.
     fn is_hung(&self) -> bool {
+        let now = clock::now();
+        let bounds = self.bounds(now);
         let bound = match self.phase {
-            RunPhase::Waiting => FIRST_EVENT_HUNG_AFTER,
-            RunPhase::Running => HUNG_AFTER,
+            RunPhase::Waiting => bounds.first_event_hung,
+            RunPhase::Running => bounds.hung,
             RunPhase::Hung => return false,
         };
-        clock::since(self.stalled_since) >= bound
+        self.stalled_for(now) >= bound
     }
 
     /// Probes the engines of a stalled stream's path that were silent for too long, and
     /// asks for the reports of all if the stall goes on.
     async fn probe_path(&mut self) {
-        let stalled = clock::since(self.stalled_since);
         let now = clock::now();
-        let silent = self.path.stages().iter().zip(&self.last_seen);
-        let signs = &self.relay.states.liveness;
-        let silent_after = match self.phase {
-            RunPhase::Waiting => SILENT_BEFORE_FIRST,
-            RunPhase::Running | RunPhase::Hung => SILENT_AFTER,
+        let stalled = self.stalled_for(now);
+        let bounds = self.bounds(now);
+        let fixed = StallBounds::FIXED;
+        let (bound, fixed_bound, fixed_silent_after) = match self.phase {
+            RunPhase::Waiting => (bounds.first_event, fixed.first_event, SILENT_BEFORE_FIRST),
+            RunPhase::Running | RunPhase::Hung => (bounds.running, fixed.running, SILENT_AFTER),
         };
+        let raised_by = bound.saturating_sub(fixed_bound);
+        // The bound has risen since the check was scheduled.
+        if !raised_by.is_zero() && stalled < bound {
+            self.check_at = self.stalled_since + bound;
+            return;
+        }
+        let silent_after =
+            fixed_silent_after.mul_f64(bound.as_secs_f64() / fixed_bound.as_secs_f64());
+        let slow_after = SLOW_AFTER + raised_by;
+        let signs = &self.relay.states.liveness;
         let first = self.path.first().server;
         // Peers' evidence says nothing of the own path to the first engine.
         let upstream = self.relay.upstream(first, &self.service);
         let is_path_broken = self.relay.broken_path(&upstream).is_some();
+        // A lost connection is evidence of a failure at any pace.
+        let is_connection_lost = |server| {
+            let answered_at = self.relay.pool.answered_directly_at(server);
+            let broke_at = self.relay.pool.broke_directly_at(server);
+            server == first && is_path_broken
+                || broke_at.is_some_and(|at| answered_at.is_none_or(|answered| at >= answered))
+        };
         let is_path_silent = |server: ServerKey| {
             let answered_at = self.relay.pool.answered_directly_at(server);
             let since = |at| now.saturating_duration_since(at);
@@ -317,16 +369,20 @@
                 && answered_at.is_some_and(|at| since(at) >= silent_after)
         };
         let is_asked = |server: ServerKey, seen: &LastSeen| {
-            let is_slow = stalled >= SLOW_AFTER && signs.report_age(server, now) >= MIN_REPORT_AGE;
+            let is_slow = stalled >= slow_after && signs.report_age(server, now) >= MIN_REPORT_AGE;
             (is_slow || seen.age(now) >= silent_after || is_path_silent(server))
-                && signs.begin_probe(server, probe::PROBE_REUSE, now)
+                && signs.begin_probe_if(server, probe::PROBE_REUSE, now, || {
+                    is_connection_lost(server) || self.take_probe(now)
+                })
         };
-        let probes = silent
-            .filter(|(stage, seen)| is_asked(stage.server, seen))
-            .map(|(stage, _)| {
-                let upstream = self.relay.upstream(stage.server, &self.service);
-                probe::check(&self.relay, upstream)
-            });
+        let mut engines: Vec<_> = self.path.stages().iter().zip(&self.last_seen).collect();
+        // The budget may not suffice for all, and the longest silent is the likeliest lost.
+        engines.sort_by_key(|(_, seen)| Reverse(seen.age(now)));
+        engines.retain(|(stage, seen)| is_asked(stage.server, seen));
+        let probes = engines.into_iter().map(|(stage, _)| {
+            let upstream = self.relay.upstream(stage.server, &self.service);
+            probe::check(&self.relay, upstream)
+        });
         let found = join_all(probes).await;
         let lost = found.iter().filter(|is_alive| !**is_alive).count();
         let asked = found.len();
@@ -335,12 +391,21 @@
         {
             warn!(log, "stream: stalled, its engines were probed"; "event" => "path_stalled",
                 "request" => &self.request.attempt, "stalled_ms" => millis(stalled),
-                "path" => self.describe(), "probed" => asked, "lost" => lost);
+                "bound_ms" => millis(bound), "path" => self.describe(), "probed" => asked, "lost" => lost);
         }
         self.check_at = clock::now() + self.check_pause;
         self.check_pause *= 2;
     }
 
+    /// Takes a probe out of the budget; counts it if none is left.
+    fn take_probe(&self, now: Instant) -> bool {
+        let is_taken = lock(&self.pace).take_probe(now);
+        if !is_taken {
+            counter!("rookferry_probes_denied_total").increment(1);
+        }
+        is_taken
+    }
+
     /// The state of a stage; lost if its engine refused a repair.
     fn state_of(&self, stage: &PathStage) -> StageState {
         let view = self.relay.view.load();
--- a/crates/rookferry_relay/src/path_supervisor/repair.rs
+++ b/crates/rookferry_relay/src/path_supervisor/repair.rs
@@ -18,7 +18,6 @@
 use super::PathCheck;
 use super::PathSupervisor;
 use super::REFUSED_REPAIR_PAUSE;
-use super::STALL_AFTER;
 use super::STALL_RECHECK_AFTER;
 use super::joined;
 use super::last_seen;
@@ -56,7 +55,7 @@
             self.record_broken_stages(&lost);
             if lost.contains(&first) {
                 // An engine that refuses new connections may still serve this one.
-                let stands_still = clock::since(self.stalled_since) >= STALL_AFTER;
+                let stands_still = self.has_stalled();
                 let is_out = self.relay.states.health().is_unresponsive(first.server);
                 return if is_out && stands_still {
                     PathCheck::FirstEngineLost
@@ -127,7 +126,7 @@
             .upstream
             .as_ref()
             .is_some_and(|upstream| self.relay.is_cut_off(upstream));
-        is_cut_off && clock::since(self.stalled_since) >= STALL_AFTER
+        is_cut_off && self.has_stalled()
     }
 
     /// Records when the run reached the engines of a new path; those it already
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -43,6 +43,7 @@
 use crate::list_at_send::ListConfirmation;
 use crate::list_at_send::ListConfirmer;
 use crate::mutex::lock;
+use crate::pace_trackers::PaceTrackers;
 use crate::permits::Permits;
 use crate::pool::UpstreamPool;
 use crate::protocol::EngineReport;
@@ -116,6 +117,8 @@
     /// The confirmation in `servers_age` and its source, for the log. Read without a lock.
     servers_confirmation: ArcSwapOption<ListConfirmation>,
     pub(crate) retries: Mutex<HashMap<ServiceId, RetryWindow>>,
+    /// The pace of this instance's streams, from which stall bounds are computed.
+    pub(crate) pace_trackers: PaceTrackers,
 }
 
 impl Relay {
@@ -164,6 +167,7 @@
             gap_ended_at: Mutex::default(),
             servers_confirmation: ArcSwapOption::empty(),
             retries: Mutex::new(HashMap::new()),
+            pace_trackers: PaceTrackers::default(),
         }
     }
 
--- a/crates/rookferry_relay/src/stream_opener/mod.rs
+++ b/crates/rookferry_relay/src/stream_opener/mod.rs
@@ -90,6 +90,8 @@
     is_budgeted: bool,
     /// Whether a run broke with its connection, as other open ones may have.
     is_connection_broken: bool,
+    /// Whether the stream counts as started.
+    is_started: bool,
 }
 
 impl<'a> StreamOpener<'a> {
@@ -102,6 +104,7 @@
             reached: 0,
             is_budgeted: false,
             is_connection_broken: false,
+            is_started: false,
         }
     }
 
@@ -118,6 +121,7 @@
             reached: 1,
             is_budgeted: false,
             is_connection_broken: true,
+            is_started: true,
         }
     }
 
@@ -154,6 +158,9 @@
             };
             let first = path.first().server;
             let mut supervisor = PathSupervisor::new(self.target, path);
+            if !std::mem::replace(&mut self.is_started, true) {
+                supervisor.record_stream_start();
+            }
             match self.send(&mut supervisor, &permits, after).await {
                 SendOutcome::Answer(answer) => {
                     self.reached += 1;
