--- a/crates/rookferry_relay/src/stream_opener/mod.rs
+++ b/crates/rookferry_relay/src/stream_opener/mod.rs
@@ -91,6 +91,8 @@
     is_budgeted: bool,
     /// Whether a run broke with its connection, as other open ones may have.
     is_connection_broken: bool,
+    /// Whether the stream counts as started.
+    is_started: bool,
 }
 
 impl<'a> StreamOpener<'a> {
@@ -103,6 +105,7 @@
             reached: 0,
             is_budgeted: false,
             is_connection_broken: false,
+            is_started: false,
         }
     }
 
@@ -119,6 +122,7 @@
             reached: 1,
             is_budgeted: false,
             is_connection_broken: true,
+            is_started: true,
         }
     }
 
@@ -155,6 +159,9 @@
             };
             let first = path.first().server;
             let mut supervisor = PathSupervisor::new(self.target, path);
+            if !std::mem::replace(&mut self.is_started, true) {
+                supervisor.record_stream_start();
+            }
             match self.send(&mut supervisor, &permits, after).await {
                 SendOutcome::Answer(answer) => {
                     self.reached += 1;
