feat(serving): retry slots by urgency and predicted capacity

Cause: `Overload` states a retry time by the duration of the overload alone. Callers retry while new requests still use all capacity, their retries prolong the overload, and urgent callers return no earlier than others.

The relay doesn't use it yet.

--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -236,6 +236,8 @@
 pub use serving::Repeatability;
 pub use serving::RequestSignature;
 pub use serving::RetryWindow;
+pub use serving::ReturnSchedule;
+pub use serving::ReturnSlot;
 pub use serving::RouteTarget;
 pub use serving::RunCrash;
 pub use serving::RunId;
--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -22,6 +22,7 @@
 //!
 //! Admission and retries: [`AdmissionQueue`] queues requests that wait for cache
 //! capacity, [`Overload`] computes the retry time of refused requests,
+//! [`ReturnSchedule`] assigns retry slots to them by urgency and capacity,
 //! [`LinkRateLimiter`] limits the prompts that cross the link between failure domains,
 //! [`RetryWindow`] limits retries.
 //!
@@ -52,6 +53,7 @@
 mod refusing_servers;
 mod request_signature;
 mod retry_window;
+mod return_schedule;
 pub(crate) mod rotation;
 mod server_key;
 mod start_queue;
@@ -118,6 +120,8 @@
 pub use request_signature::RequestSignature;
 pub use request_signature::SignatureError;
 pub use retry_window::RetryWindow;
+pub use return_schedule::ReturnSchedule;
+pub use return_schedule::ReturnSlot;
 pub use server_key::ServerKey;
 pub use start_queue::StartQueue;
 pub use store_contact::AdvertisedContact;
