--- a/crates/rookferry_core/src/serving/mod.rs
+++ b/crates/rookferry_core/src/serving/mod.rs
@@ -22,6 +22,7 @@
 //!
 //! Admission and retries: [`AdmissionQueue`] queues requests that wait for cache
 //! capacity, [`Overload`] computes the retry time of refused requests,
+//! [`ReturnSchedule`] assigns retry slots to them by urgency and capacity,
 //! [`LinkRateLimiter`] limits the prompts that cross the link between failure domains,
 //! [`RetryWindow`] limits retries.
 //!
@@ -58,6 +59,7 @@
 mod refusing_servers;
 mod request_signature;
 mod retry_window;
+mod return_schedule;
 pub(crate) mod rotation;
 mod server_key;
 mod stall_bounds;
@@ -127,6 +129,8 @@
 pub use request_signature::RequestSignature;
 pub use request_signature::SignatureError;
 pub use retry_window::RetryWindow;
+pub use return_schedule::ReturnSchedule;
+pub use return_schedule::ReturnSlot;
 pub use server_key::ServerKey;
 pub use stall_bounds::PaceTracker;
 pub use stall_bounds::StallBounds;
