feat(admission): ranks by demand, retry slots, one wait bound for all streams

Change: the urgencies in demand are counted (UrgencyDemand); the limit on the fill is gone; the strictest objective of a service's streams bounds every wait; Retry-After comes from ReturnSchedule.

--- a/crates/rookferry_core/src/serving/admission_class.rs
+++ b/crates/rookferry_core/src/serving/admission_class.rs
@@ -14,38 +14,32 @@
 const RANK_RESERVE: f64 = 0.12;
 /// Share that late requests leave to those that can still be in time.
 const LATE_RESERVE: f64 = 0.15;
-/// Share that an account beyond its part of the admitted tokens leaves to the others.
-const OVER_SHARE_RESERVE: f64 = 0.1;
 /// Highest rank that is told apart, so that the least urgent keep most of the cache.
 const MAX_RANK: u8 = 3;
 
 /// A request's place in the order of admission: the urgency first, then requests that can
-/// be in time, then accounts within their share.
+/// be in time before late ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AdmissionClass {
     /// The request's urgency.
     pub urgency: Urgency,
-    /// Rank of the urgency among those configured for the service; 0 for the most urgent.
+    /// How many higher urgencies are in demand.
     pub rank: u8,
     /// Whether the request misses its latency objective even if it starts now.
     pub is_late: bool,
-    /// Whether its account has more than its share of the admitted tokens.
-    pub is_over_share: bool,
 }
 
 impl AdmissionClass {
     /// Whether no class goes before it, so that it may use the whole cache.
     #[must_use]
     pub fn is_first(&self) -> bool {
-        self.rank == 0 && !self.is_late && !self.is_over_share
+        self.rank == 0 && !self.is_late
     }
 
     /// The share of an engine's cache that requests of the class may fill.
     #[must_use]
     pub fn cache_share(&self) -> f64 {
-        let reserve = |applies: bool, share: f64| if applies { share } else { 0.0 };
-        1.0 - RANK_RESERVE * f64::from(self.rank.min(MAX_RANK))
-            - reserve(self.is_late, LATE_RESERVE)
-            - reserve(self.is_over_share, OVER_SHARE_RESERVE)
+        let late_reserve = if self.is_late { LATE_RESERVE } else { 0.0 };
+        1.0 - RANK_RESERVE * f64::from(self.rank.min(MAX_RANK)) - late_reserve
     }
 }
--- a/crates/rookferry_core/src/serving/config.rs
+++ b/crates/rookferry_core/src/serving/config.rs
@@ -3,7 +3,6 @@
 //! [`ServingConfig`] is the form that is stored and passed between instances;
 //! [`ServingIndex`] adds the tables that an instance uses for each request.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +12,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Urgency;
 use crate::ModelShape;
 
 /// How often a request of a route may be executed.
@@ -138,12 +136,24 @@
     /// one.
     #[must_use]
     pub fn strictest_gap_objective(&self, service: &ServiceId) -> Option<Duration> {
-        let routes = self.routes.iter();
-        let leading = routes.filter(|route| {
+        let routes = self.routes_to(service);
+        routes.filter_map(|route| route.gap_objective).min()
+    }
+
+    /// The strictest latency objective of the streams of a service; `None` if it has no
+    /// streams.
+    #[must_use]
+    pub fn strictest_stream_objective(&self, service: &ServiceId) -> Option<Duration> {
+        let routes = self.routes_to(service);
+        let streams = routes.filter(|route| route.repeatability.is_stream());
+        streams.map(|route| route.latency_objective).min()
+    }
+
+    fn routes_to(&self, service: &ServiceId) -> impl Iterator<Item = &ServingRoute> {
+        self.routes.iter().filter(move |route| {
             let mut targets = route.targets.iter();
             targets.any(|target| target.service == *service)
-        });
-        leading.filter_map(|route| route.gap_objective).min()
+        })
     }
 }
 
@@ -154,8 +164,8 @@
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<String, usize>,
     by_service: HashMap<ServiceId, usize>,
-    /// The urgencies that the streams of each service can have, the most urgent first.
-    urgencies: HashMap<ServiceId, Vec<Urgency>>,
+    /// The strictest latency objective of the streams of each service.
+    stream_objectives: HashMap<ServiceId, Duration>,
 }
 
 impl ServingIndex {
@@ -177,13 +187,16 @@
         let by_service = services
             .map(|(index, service)| (service.name.clone(), index))
             .collect();
-        let urgencies = stream_urgencies(&config);
+        let names = config.services.iter().map(|service| &service.name);
+        let stream_objectives = names
+            .filter_map(|name| Some((name.clone(), config.strictest_stream_objective(name)?)))
+            .collect();
         Self {
             config,
-            urgencies,
             by_host,
             by_key,
             by_service,
+            stream_objectives,
         }
     }
 
@@ -205,13 +218,10 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// How many urgencies of a service's streams are higher than this one; 0 if all its
-    /// streams are equally urgent.
+    /// The strictest latency objective of the streams of a service.
     #[must_use]
-    pub fn urgency_rank(&self, service: &ServiceId, urgency: Urgency) -> u8 {
-        let urgencies = self.urgencies.get(service).map_or(&[][..], Vec::as_slice);
-        let before = urgencies.partition_point(|known| *known < urgency);
-        u8::try_from(before).unwrap_or(u8::MAX)
+    pub fn stream_objective(&self, service: &ServiceId) -> Option<Duration> {
+        self.stream_objectives.get(service).copied()
     }
 
     /// Whether requests need a key.
@@ -235,36 +245,6 @@
     }
 }
 
-/// The urgencies that the streams of each service can have, the most urgent first.
-fn stream_urgencies(config: &ServingConfig) -> HashMap<ServiceId, Vec<Urgency>> {
-    let accounts: BTreeSet<u8> = config
-        .accounts
-        .iter()
-        .map(|account| account.priority)
-        .collect();
-    let mut urgencies: HashMap<ServiceId, BTreeSet<Urgency>> = HashMap::new();
-    let streams = config.routes.iter();
-    for route in streams.filter(|route| route.repeatability.is_stream()) {
-        for target in &route.targets {
-            let known = urgencies.entry(target.service.clone()).or_default();
-            if accounts.is_empty() || route.is_public {
-                known.insert(Urgency {
-                    account: route.priority,
-                    route: route.priority,
-                });
-            }
-            known.extend(accounts.iter().map(|account| Urgency {
-                account: *account,
-                route: route.priority,
-            }));
-        }
-    }
-    let sorted = urgencies.into_iter();
-    sorted
-        .map(|(service, known)| (service, known.into_iter().collect()))
-        .collect()
-}
-
 impl ServingRoute {
     /// The target of a request, by weight; `draw` must be uniform over all `u32` values.
     #[must_use]
--- a/crates/rookferry_core/tests/admission_order.rs
+++ b/crates/rookferry_core/tests/admission_order.rs
@@ -43,7 +43,6 @@
             urgency,
             rank,
             is_late,
-            is_over_share: false,
         };
         Self {
             class,
--- a/crates/rookferry_core/tests/admission_queue.rs
+++ b/crates/rookferry_core/tests/admission_queue.rs
@@ -16,7 +16,6 @@
         urgency: Urgency { account, route },
         rank: 0,
         is_late: false,
-        is_over_share: false,
     }
 }
 
--- a/crates/rookferry_relay/src/admission_gate.rs
+++ b/crates/rookferry_relay/src/admission_gate.rs
@@ -1,23 +1,23 @@
 //! Admission queues for streams that wait for free cache on the engines.
 //!
 //! Each service has a queue, ordered by class. A stream is refused when it can't
-//! be expected to start within its latency objective; the refusal carries a retry
-//! time that grows with the length of the overload.
+//! be expected to start within its latency objective; the refusal carries the time at
+//! which room is predicted for it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
-use metrics::gauge;
 use rookferry_core::AdmissionClass;
 use rookferry_core::AdmissionQueue;
 use rookferry_core::AdmissionTicket;
 use rookferry_core::AssumedLoad;
-use rookferry_core::FillLimit;
-use rookferry_core::Overload;
-use rookferry_core::Overloaded;
+use rookferry_core::ReturnSchedule;
+use rookferry_core::ReturnSlot;
 use rookferry_core::ServerKey;
+use rookferry_core::Urgency;
+use rookferry_core::UrgencyDemand;
 use rookferry_net::clock;
 use rookferry_wire::ServiceId;
 use tokio::sync::Notify;
@@ -28,12 +28,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionGate {
     queues: Mutex<HashMap<ServiceId, AdmissionQueue>>,
-    fill_limits: Mutex<HashMap<ServiceId, FillLimit>>,
+    demand: Mutex<HashMap<ServiceId, UrgencyDemand>>,
     assumed: Mutex<AssumedLoad>,
-    overload: Mutex<Overload>,
+    returns: Mutex<HashMap<ServiceId, ReturnSchedule>>,
     changed: Notify,
 }
 
+/// What admission counts of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) urgency: Urgency,
+    pub(crate) is_late: bool,
+}
+
 /// A request's entry in a queue; dropping it leaves the queue.
 #[derive(Debug)]
 pub(crate) struct QueueEntry {
@@ -72,28 +79,9 @@
         self.changed.notify_waiters();
     }
 
-    /// Records the time from sending a stream to its first event, which was due within
-    /// `objective`.
-    pub(crate) fn record_first_event(
-        &self,
-        service: &ServiceId,
-        took: Duration,
-        objective: Duration,
-    ) {
+    /// Records the time from sending a stream to its first event.
+    pub(crate) fn record_first_event(&self, service: &ServiceId, took: Duration) {
         self.with(service, |queue| queue.record_first_event(took));
-        let mut limits = lock(&self.fill_limits);
-        let limit = limits.entry(service.clone()).or_default();
-        if limit.record_first_event(took, objective, clock::now()) {
-            gauge!("rookferry_cache_fill_limit", "service" => service.to_string())
-                .set(limit.fill());
-        }
-    }
-
-    /// The share of the engines' cache that may be filled.
-    pub(crate) fn max_fill(&self, service: &ServiceId) -> f64 {
-        lock(&self.fill_limits)
-            .get(service)
-            .map_or(1.0, FillLimit::fill)
     }
 
     /// Records that a stream was admitted at a server with some tokens.
@@ -107,9 +95,51 @@
         lock(&self.assumed).tokens(server, peers, clock::now())
     }
 
-    /// Records a refusal; returns the overload's length and the retry time.
-    pub(crate) fn refuse(&self) -> Overloaded {
-        lock(&self.overload).refused(clock::now(), rand::random())
+    /// Records that a new request arrives.
+    pub(crate) fn record_arrival(&self, service: &ServiceId, arrival: Arrival) {
+        let now = clock::now();
+        let mut demand = lock(&self.demand);
+        let demand = demand.entry(service.clone()).or_default();
+        demand.record(arrival.urgency, now);
+        self.with_returns(service, |returns| {
+            returns.record_arrival(arrival.urgency, arrival.is_late, now);
+        });
+    }
+
+    /// Records that a request is admitted.
+    pub(crate) fn record_admitted(&self, service: &ServiceId, arrival: Arrival) {
+        let now = clock::now();
+        self.with_returns(service, |returns| {
+            returns.record_admission(arrival.urgency, now);
+        });
+    }
+
+    /// How many higher urgencies are in demand.
+    pub(crate) fn urgency_rank(&self, service: &ServiceId, urgency: Urgency) -> u8 {
+        let demand = lock(&self.demand);
+        demand.get(service).map_or(0, |demand| demand.rank(urgency))
+    }
+
+    /// Records a refusal; returns when the caller is to retry.
+    pub(crate) fn refuse(
+        &self,
+        service: &ServiceId,
+        urgency: Urgency,
+        time_left: Duration,
+    ) -> ReturnSlot {
+        let chance = rand::random();
+        self.with_returns(service, |returns| {
+            returns.refuse(urgency, time_left, chance, clock::now())
+        })
+    }
+
+    fn with_returns<T>(
+        &self,
+        service: &ServiceId,
+        run: impl FnOnce(&mut ReturnSchedule) -> T,
+    ) -> T {
+        let mut returns = lock(&self.returns);
+        run(returns.entry(service.clone()).or_default())
     }
 
     fn with<T>(&self, service: &ServiceId, run: impl FnOnce(&mut AdmissionQueue) -> T) -> T {
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -23,6 +23,7 @@
 use rookferry_wire::EngineId;
 use rookferry_wire::ServiceId;
 
+use crate::admission_gate::Arrival;
 use crate::event_log::millis;
 use crate::list_at_send::SendRecord;
 use crate::protocol::CallerHead;
@@ -101,6 +102,14 @@
         self.route.timeout.saturating_sub(left) > self.route.latency_objective
     }
 
+    /// What admission counts of the request.
+    pub(crate) fn arrival(&self) -> Arrival {
+        Arrival {
+            urgency: self.urgency,
+            is_late: self.is_late(),
+        }
+    }
+
     /// Time since the request was received.
     pub(crate) fn elapsed(&self) -> Duration {
         clock::since(self.received_at)
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -77,6 +77,10 @@
         service,
         model,
     };
+    if target.request.head.last_event.is_none() {
+        let gate = &relay.admission_gate;
+        gate.record_arrival(&target.service.name, target.request.arrival());
+    }
     let mut opener = StreamOpener::first(&target);
     let guard = FirstRunGuard::new(&target);
     let first_run = opener.open(target.request.head.last_event).await;
@@ -254,9 +258,8 @@
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
             let service = &self.target.service.name;
-            let objective = self.target.request.route.latency_objective;
             let gate = &self.target.relay.admission_gate;
-            gate.record_first_event(service, stalled, objective);
+            gate.record_first_event(service, stalled);
             let wait = now.saturating_duration_since(self.target.request.received_at);
             let route = self.target.request.route.name.to_string();
             histogram!("rookferry_first_event_seconds", "route" => route)
--- a/crates/rookferry_relay/src/stream_opener/admission.rs
+++ b/crates/rookferry_relay/src/stream_opener/admission.rs
@@ -45,13 +45,16 @@
         let request = &self.target.request;
         let gate = &self.target.relay.admission_gate;
         let service = &self.target.service.name;
-        let objective = request.route.latency_objective;
+        let objective = self.queue_objective();
         let class = self.class();
         let mut full = None;
         if !gate.must_wait(service, class) {
             match self.check_free_cache(class) {
                 CacheCheck::NoPath => return Ok(None),
-                CacheCheck::Free(path) => return Ok(Some(path)),
+                CacheCheck::Free(path) => {
+                    gate.record_admitted(service, request.arrival());
+                    return Ok(Some(path));
+                }
                 CacheCheck::Full(engine) => full = Some(engine),
                 CacheCheck::LinkFull(wait) => return Err(self.refuse_for_link(wait)),
             }
@@ -59,7 +62,7 @@
         let entry = gate.join(service, class);
         loop {
             if !entry.can_meet_objective(objective, request.elapsed()) {
-                return Err(self.refuse_overloaded(full.as_ref(), &entry));
+                return Err(self.refuse_overloaded(class, full.as_ref(), &entry));
             }
             let left = objective.saturating_sub(request.elapsed());
             entry.changed(left.min(QUEUE_POLL_INTERVAL)).await;
@@ -69,6 +72,7 @@
             match self.check_free_cache(class) {
                 CacheCheck::NoPath => return Ok(None),
                 CacheCheck::Free(path) => {
+                    gate.record_admitted(service, request.arrival());
                     self.log_admitted(&entry);
                     return Ok(Some(path));
                 }
@@ -78,18 +82,27 @@
         }
     }
 
+    /// The objective that bounds the time in the queue: the strictest of the service's
+    /// streams. With its own, a request with a longer objective would wait for room that
+    /// more urgent ones with a shorter objective are refused for.
+    fn queue_objective(&self) -> Duration {
+        let request = &self.target.request;
+        let view = self.target.relay.view.load();
+        let index = view.index.as_ref();
+        let strictest = index.and_then(|index| index.stream_objective(&request.service));
+        strictest.map_or(request.route.latency_objective, |strictest| {
+            strictest.min(request.route.latency_objective)
+        })
+    }
+
     /// The request's place in the order of admission.
     fn class(&self) -> AdmissionClass {
         let request = &self.target.request;
-        let view = self.target.relay.view.load();
-        let rank = view.index.as_ref().map_or(0, |index| {
-            index.urgency_rank(&request.service, request.urgency)
-        });
+        let gate = &self.target.relay.admission_gate;
         AdmissionClass {
             urgency: request.urgency,
-            rank,
+            rank: gate.urgency_rank(&request.service, request.urgency),
             is_late: request.is_late(),
-            is_over_share: false,
         }
     }
 
@@ -100,9 +113,9 @@
         let tokens = self.target.request.tokens();
         let relay = &self.target.relay;
         let gate = &relay.admission_gate;
-        let max_fill = class.cache_share() * gate.max_fill(&self.target.service.name);
+        let cache_share = class.cache_share();
         let restrict = |engine: &mut PipelineEngine| {
-            engine.cache_tokens *= max_fill;
+            engine.cache_tokens *= cache_share;
             // The first class isn't held back by an estimate.
             if !class.is_first() {
                 let peers = relay.instances_sharing(engine.server).saturating_sub(1);
@@ -180,9 +193,16 @@
     }
 
     /// Refuses a request that can't meet its objective in the queue.
-    fn refuse_overloaded(&self, full: Option<&PipelineEngine>, entry: &QueueEntry) -> Refusal {
-        let overload = self.target.relay.admission_gate.refuse();
+    fn refuse_overloaded(
+        &self,
+        class: AdmissionClass,
+        full: Option<&PipelineEngine>,
+        entry: &QueueEntry,
+    ) -> Refusal {
         let request = &self.target.request;
+        let gate = &self.target.relay.admission_gate;
+        let service = &self.target.service.name;
+        let slot = gate.refuse(service, request.urgency, request.time_left());
         if let Some(log) = self.target.relay.events.line(Weight::Notable) {
             warn!(log, "stream: refused, the engines' caches are full"; "event" => "no_room",
                 "request" => &request.attempt, "tokens" => request.tokens(),
@@ -192,9 +212,12 @@
                 "room_tokens" => full.map(|engine| engine.cache_tokens),
                 "waiting" => entry.waiting(),
                 "held_ms" => millis(request.elapsed()),
-                "overload_ms" => millis(overload.lasted),
-                "retry_after_ms" => millis(overload.retry_after));
+                "rank" => class.rank, "late" => class.is_late,
+                "cache_share" => class.cache_share(),
+                "overload_ms" => millis(slot.lasted),
+                "retries_per_s" => slot.room_per_s,
+                "retry_after_ms" => millis(slot.retry_after));
         }
-        Refusal::Overloaded(overload.retry_after)
+        Refusal::Overloaded(slot.retry_after)
     }
 }
