--- a/crates/rookferry_relay/src/admission_gate.rs
+++ b/crates/rookferry_relay/src/admission_gate.rs
@@ -84,8 +84,8 @@
         self.with(service, |queue| queue.record_first_event(took));
     }
 
-    /// Records that a stream was admitted at a server with some tokens.
-    pub(crate) fn record_admission(&self, server: ServerKey, tokens: f64) {
+    /// Records the tokens of an admitted stream at a server of its path.
+    pub(crate) fn record_tokens(&self, server: ServerKey, tokens: f64) {
         lock(&self.assumed).record(server, tokens, clock::now());
     }
 
@@ -98,9 +98,11 @@
     /// Records that a new request arrives.
     pub(crate) fn record_arrival(&self, service: &ServiceId, arrival: Arrival) {
         let now = clock::now();
-        let mut demand = lock(&self.demand);
-        let demand = demand.entry(service.clone()).or_default();
-        demand.record(arrival.urgency, now);
+        {
+            let mut demand = lock(&self.demand);
+            let demand = demand.entry(service.clone()).or_default();
+            demand.record(arrival.urgency, now);
+        }
         self.with_returns(service, |returns| {
             returns.record_arrival(arrival.urgency, arrival.is_late, now);
         });
--- a/crates/rookferry_relay/src/stream_opener/admission.rs
+++ b/crates/rookferry_relay/src/stream_opener/admission.rs
@@ -140,7 +140,7 @@
                 let reserved = self.reserve_link(path);
                 if let CacheCheck::Free(path) = &reserved {
                     for stage in path.stages() {
-                        gate.record_admission(stage.server, tokens);
+                        gate.record_tokens(stage.server, tokens);
                     }
                 }
                 reserved
