--- a/crates/rookferry_core/src/serving/admission_class.rs
+++ b/crates/rookferry_core/src/serving/admission_class.rs
@@ -23,10 +23,11 @@
 pub struct AdmissionClass {
     /// The request's urgency.
     pub urgency: Urgency,
-    /// How many higher urgencies are in demand.
-    pub rank: u8,
     /// Whether the request misses its latency objective even if it starts now.
     pub is_late: bool,
+    /// How many higher urgencies are in demand. It comes last, as it may change while
+    /// requests of one urgency wait.
+    pub rank: u8,
 }
 
 impl AdmissionClass {
--- a/crates/rookferry_relay/src/path_supervisor/mod.rs
+++ b/crates/rookferry_relay/src/path_supervisor/mod.rs
@@ -395,6 +395,26 @@
         }
         self.check_at = clock::now() + self.check_pause;
         self.check_pause *= 2;
+        self.check_by_hung_bound();
+    }
+
+    /// Moves the next check forward to the time at which the stream counts as hung, if the
+    /// bounds are raised: the first check then comes later than usual.
+    fn check_by_hung_bound(&mut self) {
+        let now = clock::now();
+        let bounds = self.bounds(now);
+        if bounds == StallBounds::FIXED {
+            return;
+        }
+        let hung_after = match self.phase {
+            RunPhase::Waiting => bounds.first_event_hung,
+            RunPhase::Running => bounds.hung,
+            RunPhase::Hung => return,
+        };
+        let hung_at = self.stalled_since + hung_after;
+        if hung_at > now {
+            self.check_at = self.check_at.min(hung_at);
+        }
     }
 
     /// Takes a probe out of the budget; counts it if none is left.
--- a/crates/rookferry_relay/src/stream_opener/admission.rs
+++ b/crates/rookferry_relay/src/stream_opener/admission.rs
@@ -12,6 +12,7 @@
 use slog::warn;
 
 use super::StreamOpener;
+use super::StreamTarget;
 use crate::admission_gate::QueueEntry;
 use crate::event_log::Weight;
 use crate::event_log::millis;
@@ -22,6 +23,13 @@
 /// load reports or by an engine's estimated capacity give no notification.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Known fill of an engine's cache up to which all classes may use the whole cache, so that
+/// a large request isn't refused at a calm site.
+const CONTENDED_FILL: f64 = 0.4;
+/// Most that peers are assumed to have admitted, as a share of the cache. A single large
+/// request times the number of peers exceeds any cache.
+const MAX_ASSUMED_FILL: f64 = 0.25;
+
 /// Result of a check for free cache.
 enum CacheCheck {
     /// No engines cover the layers.
@@ -45,14 +53,14 @@
         let request = &self.target.request;
         let gate = &self.target.relay.admission_gate;
         let service = &self.target.service.name;
-        let objective = self.queue_objective();
         let class = self.class();
+        let objective = self.queue_objective(class);
         let mut full = None;
         if !gate.must_wait(service, class) {
             match self.check_free_cache(class) {
                 CacheCheck::NoPath => return Ok(None),
                 CacheCheck::Free(path) => {
-                    gate.record_admitted(service, request.arrival());
+                    self.record_admitted();
                     return Ok(Some(path));
                 }
                 CacheCheck::Full(engine) => full = Some(engine),
@@ -72,7 +80,7 @@
             match self.check_free_cache(class) {
                 CacheCheck::NoPath => return Ok(None),
                 CacheCheck::Free(path) => {
-                    gate.record_admitted(service, request.arrival());
+                    self.record_admitted();
                     self.log_admitted(&entry);
                     return Ok(Some(path));
                 }
@@ -82,17 +90,31 @@
         }
     }
 
-    /// The objective that bounds the time in the queue: the strictest of the service's
-    /// streams. With its own, a request with a longer objective would wait for room that
-    /// more urgent ones with a shorter objective are refused for.
-    fn queue_objective(&self) -> Duration {
+    /// Records the admission of a request that no engine has refused before.
+    fn record_admitted(&self) {
+        if self.reached > 0 {
+            return;
+        }
+        let StreamTarget { relay, request, .. } = self.target;
+        let service = &self.target.service.name;
+        relay
+            .admission_gate
+            .record_admitted(service, request.arrival());
+    }
+
+    /// The objective that bounds the time in the queue. While more urgent streams are in
+    /// demand, it is the strictest of the service's streams: with a longer one of its own,
+    /// a request would wait for room that more urgent ones are refused for.
+    fn queue_objective(&self, class: AdmissionClass) -> Duration {
         let request = &self.target.request;
+        let own = request.route.latency_objective;
+        if class.rank == 0 {
+            return own;
+        }
         let view = self.target.relay.view.load();
         let index = view.index.as_ref();
         let strictest = index.and_then(|index| index.stream_objective(&request.service));
-        strictest.map_or(request.route.latency_objective, |strictest| {
-            strictest.min(request.route.latency_objective)
-        })
+        strictest.map_or(own, |strictest| strictest.min(own))
     }
 
     /// The request's place in the order of admission.
@@ -113,14 +135,16 @@
         let tokens = self.target.request.tokens();
         let relay = &self.target.relay;
         let gate = &relay.admission_gate;
-        let cache_share = class.cache_share();
         let restrict = |engine: &mut PipelineEngine| {
-            engine.cache_tokens *= cache_share;
+            let is_contended = engine.used_tokens > engine.cache_tokens * CONTENDED_FILL;
             // The first class isn't held back by an estimate.
-            if !class.is_first() {
-                let peers = relay.instances_sharing(engine.server).saturating_sub(1);
-                engine.used_tokens += gate.assumed_tokens(engine.server, peers);
+            if class.is_first() || !is_contended {
+                return;
             }
+            let peers = relay.instances_sharing(engine.server).saturating_sub(1);
+            let assumed = gate.assumed_tokens(engine.server, peers);
+            engine.used_tokens += assumed.min(engine.cache_tokens * MAX_ASSUMED_FILL);
+            engine.cache_tokens *= class.cache_share();
         };
         let found = self.with_finder(&[], restrict, |finder| {
             let path = match finder.find(home, tokens) {
