--- a/crates/rookferry_core/src/serving/stall_bounds.rs
+++ b/crates/rookferry_core/src/serving/stall_bounds.rs
@@ -11,8 +11,6 @@
 
 use super::pace::Pace;
 
-/// Multiple of the fixed bounds above which the budget of probes applies.
-const OVERLOAD_FACTOR: u32 = 2;
 /// Highest bound as a factor on the fixed one.
 const MAX_FACTOR: u32 = 10;
 /// Highest bound: half of the 2 s after which callers give a silent stream up.
@@ -48,12 +46,10 @@
         hung: Duration::from_millis(500),
     };
 
-    /// Whether the engines are so slow that stalls are expected of sound ones. The usual
-    /// pace may be a little above the fixed bounds.
+    /// Whether any bound is above the fixed one.
     #[must_use]
-    pub fn is_overload(&self) -> bool {
-        self.running > Self::FIXED.running * OVERLOAD_FACTOR
-            || self.first_event > Self::FIXED.first_event * OVERLOAD_FACTOR
+    pub fn is_raised(&self) -> bool {
+        *self != Self::FIXED
     }
 }
 
@@ -62,7 +58,7 @@
 pub struct PaceTracker {
     first_events: Pace,
     gaps: Pace,
-    /// Probes that may be sent in overload.
+    /// Probes that may be sent while bounds are raised.
     probes_left: u32,
 }
 
@@ -114,9 +110,9 @@
     }
 
     /// Takes the probe of a stalled stream's engine out of the budget; false if none is
-    /// left. The budget applies in overload only.
+    /// left. The budget applies while bounds are raised.
     pub fn take_probe(&mut self, now: Instant) -> bool {
-        if !self.bounds(now).is_overload() {
+        if !self.bounds(now).is_raised() {
             return true;
         }
         let is_left = self.probes_left > 0;
