--- a/crates/rookferry_core/tests/prompt_segments.rs
+++ b/crates/rookferry_core/tests/prompt_segments.rs
@@ -426,3 +426,35 @@
     let refused = site.refused_share();
     assert!(refused < 0.01, "{refused} refused");
 }
+
+/// A crash that one instance reports, and an event on the segment after it at another one,
+/// which then tells the first.
+#[test]
+fn a_success_known_elsewhere_clears_a_reported_crash() {
+    let now = Instant::now();
+    let earlier = now.checked_sub(TICK).expect("a moment");
+    let crash = RunCrash {
+        server: Engine {
+            number: 1,
+            incarnation: 0,
+            up_at: earlier,
+            alive_at: earlier,
+        }
+        .key(),
+        run: 1,
+        progress: RunProgress::Begun,
+        joined_at: earlier,
+        alive_at: earlier,
+        at: earlier,
+    };
+    let (mut quiet, mut busy) = (Quarantine::new(), Quarantine::new());
+    busy.record_success(segment("first"), now);
+    quiet.record_crash(segment("first"), crash, earlier);
+    for seen in quiet.next_advertised(SUSPECTS_PER_HEARTBEAT, now) {
+        busy.merge(&seen, now);
+    }
+    for seen in busy.next_advertised(SUSPECTS_PER_HEARTBEAT, now) {
+        quiet.merge(&seen, now);
+    }
+    assert_eq!(quiet.crashes(segment("first")), 0);
+}
