--- a/crates/rookferry_core/src/serving/quarantine/mod.rs
+++ b/crates/rookferry_core/src/serving/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Quarantine of requests that crash servers.
+//! Quarantine of requests, and of prompt segments, that crash servers.
 //!
 //! Load pattern: a request crashes each server that starts to run it, and is sent again
 //! under another id, to any instance, for as long as its caller retries. Each crash costs
@@ -11,6 +11,12 @@
 //! request; its server crashes at the start, so a crash after part of the answer counts
 //! for half; and it crashes servers sequentially, so crashes of servers that may have
 //! failed together count as one.
+//!
+//! The same holds for a prompt segment that crashes each engine which begins to answer on
+//! it, in requests that have nothing else in common. One event of an answer shows that a
+//! segment is sound, so those in use are cleared within moments, and a suspected one may be
+//! paused early: instances then try it one request at a time, each after another pause.
+//! What is said of requests below holds for segments, but where they are named.
 
 mod crashes;
 mod record;
@@ -57,10 +63,10 @@
 /// heartbeats to its own that a lost one doesn't matter.
 const ADVERTISED_ROUNDS: u8 = 8;
 
-/// What is known of a request, as reported to peers.
+/// What is known of a request, or of a prompt segment, as reported to peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectObservation {
-    /// The request.
+    /// The request, or the segment.
     pub signature: RequestSignature,
     /// Servers that crashed under it.
     pub ends: Vec<CrashObservation>,
--- a/crates/rookferry_core/src/serving/quarantine/record.rs
+++ b/crates/rookferry_core/src/serving/quarantine/record.rs
@@ -1,4 +1,5 @@
-//! The record of one request: crashes under it, its last success and its quarantine.
+//! The record of one request or prompt segment: crashes under it, its last success, its
+//! quarantines and trials.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -47,7 +48,7 @@
 /// Number of quarantines up to which they get longer.
 const MAX_LENGTHENED: u8 = 3;
 
-/// How long the quarantine with this number lasts at the instance where it ends first.
+/// How long the quarantine with this number lasts; the first one has number 1.
 pub(in crate::serving) fn quarantine_period(number: u8) -> Duration {
     let earlier = number.clamp(1, MAX_LENGTHENED) - 1;
     QUARANTINE_PERIOD * PERIOD_FACTOR.pow(earlier.into())
