--- a/crates/rookferry_core/src/serving/quarantine_object.rs
+++ b/crates/rookferry_core/src/serving/quarantine_object.rs
@@ -15,7 +15,7 @@
 use super::quarantine::quarantine_period;
 use crate::millis::millis;
 
-/// Most requests in the object, those quarantined last first: 80 bytes each, 20 KB.
+/// Most requests in the object, those quarantined last first.
 const MAX_STORED: usize = 256;
 
 /// The quarantined requests of a site.
