test(review): a late second answer runs a stream twice

The instance sends it again, with the same id, to the same engine over the same channel. A late copy of the rejection then passes for the answer to the second send, and the engine runs the stream once for each send.

--- /dev/null
+++ b/review/1/src/lib.rs
@@ -0,0 +1,1 @@
+//! The script of a case as a test.
--- a/review/standins/src/bin/surplus_answers.rs
+++ b/review/standins/src/bin/surplus_answers.rs
@@ -23,12 +23,12 @@
 use review_standins::site::Deployment;
 use review_standins::store::Store;
 
-const INSTANCES: u8 = 6;
-const ENGINES: u8 = 16;
+const INSTANCES: u8 = 8;
+const ENGINES: u8 = 24;
 /// How long clients send.
 const LENGTH: Duration = Duration::from_secs(80);
 /// Requests a second.
-const RATE: f64 = 50.0;
+const RATE: f64 = 85.0;
 const PROMPT_TOKENS: u32 = 200;
 /// Tokens of an answer: from 40 to 160.
 const MIN_ANSWER: u32 = 40;
@@ -43,7 +43,7 @@
 };
 const GARBLE_FOR: Duration = Duration::from_secs(5);
 const GARBLE_PAUSE: Duration = Duration::from_secs(1);
-const GARBLED_ENGINES: usize = 8;
+const GARBLED_ENGINES: usize = 12;
 
 const MODEL: Model = Model {
     layers: 8,
