feat(links): tunnel_failed counts the peers asked by domain and answer

It now counts the known peers, those asked, those of the own failure domain, and the answers by kind. No decision changes.

--- a/crates/rookferry_relay/src/links/mod.rs
+++ b/crates/rookferry_relay/src/links/mod.rs
@@ -6,6 +6,7 @@
 //! own path to a server is broken. Whether the server has exited is never concluded from
 //! the own path alone.
 
+mod asked_peers;
 mod connector;
 mod dial;
 mod exit_check;
--- a/crates/rookferry_relay/src/links/tunnel.rs
+++ b/crates/rookferry_relay/src/links/tunnel.rs
@@ -4,6 +4,7 @@
 //! closed the connection in order. So an answer that ends with its connection doesn't
 //! look complete when the tunnel breaks. What is sent to the server isn't framed.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
 use super::OpenedStream;
 use super::TunnelRefusal;
 use super::Way;
+use super::asked_peers::AskedPeers;
 use super::connector::TCP_USER_TIMEOUT_MS;
 use super::link_table::TunnelGuard;
 use crate::event_log::Weight;
@@ -77,7 +79,7 @@
 
 /// Why a peer has opened no connection.
 #[derive(Debug)]
-enum TunnelError {
+pub(super) enum TunnelError {
     Refused(TunnelRefusal),
     Failed(io::Error),
 }
@@ -100,8 +102,10 @@
     ) -> Result<OpenedStream, PeerVerdict> {
         let began = clock::now();
         let known = lock(&self.peers).tunnel_peers(&upstream.service, began);
+        let local = known.iter().filter(|peer| peer.is_local);
+        let local: BTreeSet<SocketAddr> = local.map(|peer| peer.addr).collect();
+        let mut tally = AskedPeers::of(known.len(), local.len());
         let peers = self.links.choose_peers(known, MAX_PEERS);
-        let asked = peers.len();
         let mut peers = peers.into_iter();
         let server = upstream.server;
         let first = peers.next().into_iter();
@@ -129,6 +133,7 @@
                         if !is_unreached {
                             verdict = PeerVerdict::Unknown;
                         }
+                        tally.count(&error, local.contains(&peer));
                         last_cause = Some(self.record_failed_call(peer, &error));
                         let next = peers.by_ref().take(PEERS_AT_A_TIME.saturating_sub(calls.len()));
                         calls.extend(next.map(|peer| self.call_for_tunnel(peer, server)));
@@ -145,7 +150,10 @@
         if let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "links: no peer has a connection to a server"; "event" => "tunnel_failed",
                 "server" => %upstream.server.addr, "service" => &*upstream.service,
-                "peers" => asked, "cause" => last_cause, "took_ms" => millis(clock::since(began)));
+                "peers" => tally.asked, "local" => tally.local, "known" => tally.known,
+                "known_local" => tally.known_local, "unreached" => tally.unreached,
+                "unable" => tally.unable, "failed" => tally.failed,
+                "cause" => last_cause, "took_ms" => millis(clock::since(began)));
         }
         Err(verdict)
     }
