fix(links): peers of other domains are asked early for connections

Callers of a failure domain whose instances lose their links together were refused until the end of the cut, while other domains reached the servers.

Cause: the eight peers asked were the cheapest, in a domain of more than nine all of the own one, which had lost their links as well. Their failures cost them nothing in the next choice, so the same were asked again, and without a success no instance found itself isolated.

Now the best peer is asked first, then by turns the best of each domain. What a peer doesn't reach ranks it last for the service for two seconds, and with two of a domain the rest of it; a peer that reached others isn't blamed for one server. A peer with a broken path names the one that it goes through. After each failure or 25 ms twice as many are asked, so that eight are asked within 75 ms.

--- a/crates/rookferry_core/src/lib.rs
+++ b/crates/rookferry_core/src/lib.rs
@@ -153,6 +153,7 @@
 pub use peers::Targets;
 pub use peers::TunnelChooser;
 pub use peers::TunnelPeer;
+pub use peers::TunnelQueue;
 pub use pipeline::AcceleratorKind;
 pub use pipeline::ArrivalTracker;
 pub use pipeline::ChainForecast;
--- a/crates/rookferry_core/src/peers/mod.rs
+++ b/crates/rookferry_core/src/peers/mod.rs
@@ -36,6 +36,7 @@
 mod table;
 mod tunnel_chooser;
 mod tunnel_peers;
+mod tunnel_queue;
 
 pub use aggregate::AggregatedLoads;
 pub use assumed_load::AssumedLoad;
@@ -69,3 +70,4 @@
 pub use table::PeerTable;
 pub use tunnel_chooser::TunnelChooser;
 pub use tunnel_peers::TunnelPeer;
+pub use tunnel_queue::TunnelQueue;
--- a/crates/rookferry_core/src/peers/tunnel_peers.rs
+++ b/crates/rookferry_core/src/peers/tunnel_peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rookferry_wire::DomainId;
 use rookferry_wire::ServiceId;
 
 use super::PeerTable;
@@ -14,11 +15,13 @@
 const SEEN_WITHIN: Duration = Duration::from_secs(5);
 
 /// A peer that may be asked to open a connection to a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TunnelPeer {
     /// Its address for connections of peers.
     pub addr: SocketAddr,
-    /// Whether it is in the own failure domain.
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether that is the own one.
     pub is_local: bool,
     /// Whether it reports itself that it reaches the service.
     pub is_confirmed: bool,
@@ -36,6 +39,7 @@
             let is_able = !peer.is_leaving && !peer.unreached.contains(service);
             (is_seen && is_able).then_some(TunnelPeer {
                 addr: *addr,
+                domain: domain.clone(),
                 is_local: *domain == self.own_domain,
                 is_confirmed,
             })
--- a/crates/rookferry_core/tests/direct_paths.rs
+++ b/crates/rookferry_core/tests/direct_paths.rs
@@ -155,6 +155,7 @@
 fn peer(last: u8, is_local: bool, is_confirmed: bool) -> TunnelPeer {
     TunnelPeer {
         addr: addr(last),
+        domain: Arc::from(if is_local { "own" } else { "other" }),
         is_local,
         is_confirmed,
     }
@@ -169,7 +170,13 @@
     let chooser = TunnelChooser::new();
     for seed in 0..50 {
         let mut random = StdRng::seed_from_u64(seed);
-        let chosen = chooser.choose(vec![worse, better], 2, Instant::now(), &mut random);
+        let chosen = chooser.choose(
+            &service("a"),
+            vec![worse.clone(), better.clone()],
+            2,
+            Instant::now(),
+            &mut random,
+        );
         assert_eq!(chosen, [better.addr, worse.addr]);
     }
 }
@@ -186,6 +193,7 @@
             let [high, low] = index.to_be_bytes();
             TunnelPeer {
                 addr: SocketAddr::from(([10, 1, high, low], 80)),
+                domain: Arc::from("own"),
                 is_local: true,
                 is_confirmed: true,
             }
@@ -198,7 +206,7 @@
         let mut random = StdRng::seed_from_u64(asker);
         let mut chooser = TunnelChooser::new();
         for _ in 0..per_asker {
-            let first = chooser.choose(peers.clone(), 1, now, &mut random)[0];
+            let first = chooser.choose(&service("a"), peers.clone(), 1, now, &mut random)[0];
             chooser.opened(first);
             *counts.entry(first).or_default() += 1;
         }
@@ -219,7 +227,7 @@
     let mut chooser = TunnelChooser::new();
     chooser.avoid(addr(1), ms(300), now);
     let peers = vec![peer(1, true, true), peer(2, false, true)];
-    let mut choose = |at| chooser.choose(peers.clone(), 2, at, &mut random);
+    let mut choose = |at| chooser.choose(&service("a"), peers.clone(), 2, at, &mut random);
     assert_eq!(choose(now), [addr(2)]);
     assert_eq!(choose(now + ms(300)), [addr(1), addr(2)]);
 }
--- a/crates/rookferry_core/tests/peers.rs
+++ b/crates/rookferry_core/tests/peers.rs
@@ -22,6 +22,9 @@
 use rookferry_core::ServerKey;
 use rstest::rstest;
 
+/// Peers that the relay asks for one connection.
+const MAX_ASKED: usize = 8;
+
 #[rstest]
 #[case::nine(3, 3, 1_500)]
 #[case::sixty(3, 20, 1_500)]
@@ -472,3 +475,28 @@
     );
     assert_eq!(asked(&service, 6_000), []);
 }
+
+// Guards against instances of large sites that know no peer of another domain to go through.
+#[rstest]
+#[case::three(3, 1)]
+#[case::usual(4, 17)]
+#[case::two_domains(2, 250)]
+#[case::a_thousand(14, 72)]
+fn peers_of_as_many_domains_as_are_asked_for_a_connection_are_known(
+    #[case] domains: usize,
+    #[case] per_domain: usize,
+) {
+    let mut site = Site::start(domains, per_domain, 3);
+    site.run_for(8_000);
+    let service = std::sync::Arc::from("service");
+    for _ in 0..4 {
+        site.run_for(500);
+        for instance in site.up() {
+            let peers = instance.table.tunnel_peers(&service, site.now());
+            let remote = peers.iter().filter(|peer| !peer.is_local);
+            let known: std::collections::BTreeSet<_> = remote.map(|peer| &peer.domain).collect();
+            let asked = (domains - 1).min(MAX_ASKED - 1);
+            assert!(known.len() >= asked, "{}: {known:?}", instance.addr);
+        }
+    }
+}
--- a/crates/rookferry_relay/src/links/asked_peers.rs
+++ b/crates/rookferry_relay/src/links/asked_peers.rs
@@ -1,19 +1,28 @@
 //! Counts what the peers that were asked for a connection answered.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rookferry_core::TunnelPeer;
+use rookferry_wire::DomainId;
+
 use super::TunnelRefusal;
+use super::tunnel::PeerVerdict;
 use super::tunnel::TunnelError;
 
 /// The peers that were asked for one connection and didn't open it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct AskedPeers {
-    /// Peers that could have been asked, and those of them in the own failure domain.
-    pub(super) known: usize,
-    pub(super) known_local: usize,
+    /// Failure domains of the peers that could have been asked, and whether each is the
+    /// own one.
+    domains: BTreeMap<SocketAddr, (DomainId, bool)>,
     pub(super) asked: usize,
     /// Those asked in the own failure domain.
     pub(super) local: usize,
     /// Those that don't reach the server either.
     pub(super) unreached: usize,
+    /// Those that are cut off from the service.
+    pub(super) cut_off: usize,
     /// Those that have no room, are stopping or don't know the server.
     pub(super) unable: usize,
     /// Those that didn't respond.
@@ -22,24 +31,50 @@
 
 impl AskedPeers {
     /// None was asked yet, of the known ones.
-    pub(super) fn of(known: usize, known_local: usize) -> Self {
+    pub(super) fn of(known: &[TunnelPeer]) -> Self {
+        let domains = known
+            .iter()
+            .map(|peer| (peer.addr, (peer.domain.clone(), peer.is_local)));
         Self {
-            known,
-            known_local,
+            domains: domains.collect(),
             ..Self::default()
         }
     }
 
+    /// Peers that could have been asked.
+    pub(super) fn known(&self) -> usize {
+        self.domains.len()
+    }
+
+    /// Those of them in the own failure domain.
+    pub(super) fn known_local(&self) -> usize {
+        let domains = self.domains.values();
+        domains.filter(|(_, is_local)| *is_local).count()
+    }
+
     /// Counts a peer that has opened no connection.
-    pub(super) fn count(&mut self, error: &TunnelError, is_local: bool) {
+    pub(super) fn count(&mut self, peer: SocketAddr, error: &TunnelError) {
         self.asked += 1;
-        self.local += usize::from(is_local);
-        match error {
-            TunnelError::Refused(TunnelRefusal::NotReached | TunnelRefusal::PathBroken) => {
-                self.unreached += 1;
+        if let Some((_, is_local)) = self.domains.get(&peer) {
+            self.local += usize::from(*is_local);
+        }
+        let count = match error {
+            TunnelError::Refused(TunnelRefusal::NotReached) => &mut self.unreached,
+            TunnelError::Refused(TunnelRefusal::PathBroken | TunnelRefusal::Through(_)) => {
+                &mut self.cut_off
             }
-            TunnelError::Refused(_) => self.unable += 1,
-            TunnelError::Failed(_) => self.failed += 1,
+            TunnelError::Refused(_) => &mut self.unable,
+            TunnelError::Failed(_) => &mut self.failed,
+        };
+        *count += 1;
+    }
+
+    /// What follows for the server.
+    pub(super) const fn verdict(&self) -> PeerVerdict {
+        if self.unreached + self.cut_off == self.asked {
+            PeerVerdict::NoneReaches
+        } else {
+            PeerVerdict::Unknown
         }
     }
 }
--- a/crates/rookferry_relay/src/links/link_table.rs
+++ b/crates/rookferry_relay/src/links/link_table.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::time::Duration;
 
 use rookferry_core::DirectPaths;
 use rookferry_core::TunnelChooser;
 use rookferry_core::TunnelPeer;
 use rookferry_net::clock;
+use rookferry_wire::ServiceId;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
@@ -74,9 +74,19 @@
         lock(&self.late_receiver).take()
     }
 
-    /// The peers to ask for a tunnel, the best first.
-    pub(super) fn choose_peers(&self, peers: Vec<TunnelPeer>, most: usize) -> Vec<SocketAddr> {
-        lock(&self.chooser).choose(peers, most, clock::now(), &mut rand::rng())
+    /// The peers to ask for a tunnel to a service's server, the best first.
+    pub(super) fn choose_peers(
+        &self,
+        service: &ServiceId,
+        peers: Vec<TunnelPeer>,
+        most: usize,
+    ) -> Vec<SocketAddr> {
+        lock(&self.chooser).choose(service, peers, most, clock::now(), &mut rand::rng())
+    }
+
+    /// The choice of peers for tunnels.
+    pub(super) fn chooser(&self) -> MutexGuard<'_, TunnelChooser> {
+        lock(&self.chooser)
     }
 
     /// Counts a tunnel through a peer until the guard is dropped.
@@ -88,11 +98,6 @@
         }
     }
 
-    /// Leaves a peer alone for a time.
-    pub(super) fn avoid_peer(&self, peer: SocketAddr, time: Duration) {
-        lock(&self.chooser).avoid(peer, time, clock::now());
-    }
-
     /// Whether there is a tunnel through a peer.
     pub(crate) fn uses_peer(&self, peer: SocketAddr) -> bool {
         lock(&self.chooser).uses(peer)
--- a/crates/rookferry_relay/src/links/served_tunnel.rs
+++ b/crates/rookferry_relay/src/links/served_tunnel.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use futures_util::SinkExt;
 use metrics::counter;
 use rookferry_core::ServerKey;
+use rookferry_net::clock;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::io::AsyncRead;
@@ -33,7 +35,8 @@
 pub(crate) enum TunnelRefusal {
     /// This instance couldn't connect to the server, which may be the server's fault.
     NotReached,
-    /// This instance's own path to the server is broken.
+    /// This instance's own path to the server is broken, and it knows no peer that
+    /// reaches the service.
     PathBroken,
     /// The server isn't in this instance's list.
     NotListed,
@@ -41,6 +44,9 @@
     Full,
     /// This instance is stopping.
     Stopping,
+    /// This instance's own path to the server is broken; the peer at this address opens
+    /// its connections to the service.
+    Through(SocketAddr),
 }
 
 /// A connection that is served for a peer.
@@ -63,6 +69,7 @@
             Err(TunnelRefusal::NotListed) => "not_listed",
             Err(TunnelRefusal::Full) => "full",
             Err(TunnelRefusal::Stopping) => "stopping",
+            Err(TunnelRefusal::Through(_)) => "through_peer",
         };
         counter!("rookferry_served_tunnels_total", "outcome" => outcome).increment(1);
         opened
@@ -78,7 +85,8 @@
         let permit = self.links.served.clone().try_acquire_owned();
         let permit = permit.map_err(|_| TunnelRefusal::Full)?;
         if self.links.paths().broken(service, server).is_some() {
-            return Err(TunnelRefusal::PathBroken);
+            let able = self.links.chooser().able_peer(service, clock::now());
+            return Err(able.map_or(TunnelRefusal::PathBroken, TunnelRefusal::Through));
         }
         let connecting = self.links.connector.connect(server.addr);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
--- a/crates/rookferry_relay/src/links/tunnel.rs
+++ b/crates/rookferry_relay/src/links/tunnel.rs
@@ -4,7 +4,6 @@
 //! closed the connection in order. So an answer that ends with its connection doesn't
 //! look complete when the tunnel breaks. What is sent to the server isn't framed.
 
-use std::collections::BTreeSet;
 use std::io;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,6 +19,7 @@
 use futures_util::stream::FuturesUnordered;
 use metrics::counter;
 use rookferry_core::ServerKey;
+use rookferry_core::TunnelQueue;
 use rookferry_net::clock;
 use slog::info;
 use slog::warn;
@@ -52,15 +52,13 @@
 
 /// Peers that are asked for one connection.
 const MAX_PEERS: usize = 8;
-/// Peers that are asked at the same time once one has failed.
-const PEERS_AT_A_TIME: usize = 2;
-/// How long a peer may take until the next one is asked as well; it answers within a few
+/// How long a peer may take until others are asked as well; it answers within a few
 /// milliseconds if it reaches the server.
 const ASK_NEXT_AFTER: Duration = Duration::from_millis(25);
 /// Time limit of a peer's response; covers its connect to the server.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a peer that doesn't respond is left alone, and one that has no room or
-/// doesn't reach the server.
+/// How long a peer that doesn't respond is left alone, and one that has no room or is
+/// stopping.
 const SILENT_PEER_PAUSE: Duration = Duration::from_secs(1);
 const UNABLE_PEER_PAUSE: Duration = Duration::from_millis(300);
 /// Silence after which a connection between instances is probed, and the interval of
@@ -101,22 +99,19 @@
         upstream: &Upstream,
     ) -> Result<OpenedStream, PeerVerdict> {
         let began = clock::now();
-        let known = lock(&self.peers).tunnel_peers(&upstream.service, began);
-        let local = known.iter().filter(|peer| peer.is_local);
-        let local: BTreeSet<SocketAddr> = local.map(|peer| peer.addr).collect();
-        let mut tally = AskedPeers::of(known.len(), local.len());
-        let peers = self.links.choose_peers(known, MAX_PEERS);
-        let mut peers = peers.into_iter();
-        let server = upstream.server;
-        let first = peers.next().into_iter();
-        let first = first.map(|peer| self.call_for_tunnel(peer, server));
-        let mut calls: FuturesUnordered<_> = first.collect();
-        let mut verdict = PeerVerdict::NoneReaches;
+        let service = &upstream.service;
+        let known = lock(&self.peers).tunnel_peers(service, began);
+        let mut answers = AskedPeers::of(&known);
+        let peers = self.links.choose_peers(service, known, MAX_PEERS);
+        let mut queue = TunnelQueue::new(peers, self.settings.listen.peers);
+        let call = |peer| self.call_for_tunnel(peer, upstream.server);
+        let mut calls: FuturesUnordered<_> = queue.first().map(call).collect();
         let mut last_cause = None;
         while !calls.is_empty() {
             tokio::select! {
                 Some((peer, called)) = calls.next() => match called {
                     Ok(stream) => {
+                        self.links.chooser().reached(service, peer, clock::now());
                         self.log_tunnel(upstream, peer, millis(clock::since(began)));
                         return Ok(OpenedStream {
                             stream: Box::new(stream),
@@ -124,38 +119,30 @@
                         });
                     }
                     Err(error) => {
-                        let is_unreached = matches!(
-                            error,
-                            TunnelError::Refused(
-                                TunnelRefusal::NotReached | TunnelRefusal::PathBroken
-                            )
-                        );
-                        if !is_unreached {
-                            verdict = PeerVerdict::Unknown;
+                        answers.count(peer, &error);
+                        last_cause = Some(self.record_failed_call(upstream, peer, &error));
+                        if let TunnelError::Refused(TunnelRefusal::Through(able)) = error {
+                            queue.refer_to(able);
                         }
-                        tally.count(&error, local.contains(&peer));
-                        last_cause = Some(self.record_failed_call(peer, &error));
-                        let next = peers.by_ref().take(PEERS_AT_A_TIME.saturating_sub(calls.len()));
-                        calls.extend(next.map(|peer| self.call_for_tunnel(peer, server)));
+                        calls.extend(queue.after_failure(calls.len()).map(call));
                     }
                 },
                 () = tokio::time::sleep(ASK_NEXT_AFTER) => {
-                    if let Some(peer) = peers.next() {
-                        calls.push(self.call_for_tunnel(peer, server));
-                    }
+                    calls.extend(queue.after_silence().map(call));
                 }
             }
         }
         counter!("rookferry_tunnels_total", "outcome" => "failed").increment(1);
         if let Some(log) = self.events.line(Weight::Notable) {
             warn!(log, "links: no peer has a connection to a server"; "event" => "tunnel_failed",
-                "server" => %upstream.server.addr, "service" => &*upstream.service,
-                "peers" => tally.asked, "local" => tally.local, "known" => tally.known,
-                "known_local" => tally.known_local, "unreached" => tally.unreached,
-                "unable" => tally.unable, "failed" => tally.failed,
+                "server" => %upstream.server.addr, "service" => &**service,
+                "peers" => answers.asked, "local" => answers.local,
+                "known" => answers.known(), "known_local" => answers.known_local(),
+                "unreached" => answers.unreached, "cut_off" => answers.cut_off,
+                "unable" => answers.unable, "failed" => answers.failed,
                 "cause" => last_cause, "took_ms" => millis(clock::since(began)));
         }
-        Err(verdict)
+        Err(answers.verdict())
     }
 
     fn log_tunnel(&self, upstream: &Upstream, peer: SocketAddr, took_ms: u64) {
@@ -167,17 +154,38 @@
         }
     }
 
-    /// Leaves a peer alone for a while; returns the cause for logs.
-    fn record_failed_call(&self, peer: SocketAddr, error: &TunnelError) -> String {
-        let (pause, cause) = match error {
-            // It may well reach other servers.
-            TunnelError::Refused(
-                refusal @ (TunnelRefusal::NotReached | TunnelRefusal::NotListed),
-            ) => (Duration::ZERO, format!("{refusal:?}")),
-            TunnelError::Refused(refusal) => (UNABLE_PEER_PAUSE, format!("{refusal:?}")),
-            TunnelError::Failed(error) => (SILENT_PEER_PAUSE, error.to_string()),
+    /// Records why a peer has opened no connection; returns the cause for logs.
+    fn record_failed_call(
+        &self,
+        upstream: &Upstream,
+        peer: SocketAddr,
+        error: &TunnelError,
+    ) -> String {
+        let now = clock::now();
+        let service = &upstream.service;
+        let mut chooser = self.links.chooser();
+        let cause = match error {
+            TunnelError::Refused(refusal) => {
+                match refusal {
+                    TunnelRefusal::NotReached => {
+                        chooser.unreached(service, peer, upstream.server, now);
+                    }
+                    TunnelRefusal::PathBroken | TunnelRefusal::Through(_) => {
+                        chooser.cut_off(service, peer, now);
+                    }
+                    // It may well know other servers.
+                    TunnelRefusal::NotListed => {}
+                    TunnelRefusal::Full | TunnelRefusal::Stopping => {
+                        chooser.avoid(peer, UNABLE_PEER_PAUSE, now);
+                    }
+                }
+                format!("{refusal:?}")
+            }
+            TunnelError::Failed(error) => {
+                chooser.avoid(peer, SILENT_PEER_PAUSE, now);
+                error.to_string()
+            }
         };
-        self.links.avoid_peer(peer, pause);
         format!("{peer}: {cause}")
     }
 
