fix(links): peers of one domain alone don't prove that a server has exited

Where all servers of a service refuse connections here and servers of another service accept them, a refusal counted as an exit if none of the eight peers asked had a connection. In a domain that is cut off together all eight are cut off as well: sound servers were recorded as exited, which excludes them and counts as a crash under their requests.

An exit now needs the word of peers of as many domains as there are, up to the number that is asked, or of all known peers. A peer whose own path is broken has no say.

--- a/crates/rookferry_relay/src/links/asked_peers.rs
+++ b/crates/rookferry_relay/src/links/asked_peers.rs
@@ -1,6 +1,7 @@
 //! Counts what the peers that were asked for a connection answered.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use rookferry_core::TunnelPeer;
@@ -16,6 +17,7 @@
     /// Failure domains of the peers that could have been asked, and whether each is the
     /// own one.
     domains: BTreeMap<SocketAddr, (DomainId, bool)>,
+    asked_domains: BTreeSet<DomainId>,
     pub(super) asked: usize,
     /// Those asked in the own failure domain.
     pub(super) local: usize,
@@ -55,8 +57,9 @@
     /// Counts a peer that has opened no connection.
     pub(super) fn count(&mut self, peer: SocketAddr, error: &TunnelError) {
         self.asked += 1;
-        if let Some((_, is_local)) = self.domains.get(&peer) {
+        if let Some((domain, is_local)) = self.domains.get(&peer) {
             self.local += usize::from(*is_local);
+            self.asked_domains.insert(domain.clone());
         }
         let count = match error {
             TunnelError::Refused(TunnelRefusal::NotReached) => &mut self.unreached,
@@ -69,9 +72,15 @@
         *count += 1;
     }
 
-    /// What follows for the server.
-    pub(super) const fn verdict(&self) -> PeerVerdict {
-        if self.unreached + self.cut_off == self.asked {
+    /// What follows for the server. Peers of one domain prove nothing while others aren't
+    /// asked, as they may be cut off together; `most` is how many peers may be asked.
+    pub(super) fn verdict(&self, most: usize) -> PeerVerdict {
+        let domains: BTreeSet<&DomainId> =
+            self.domains.values().map(|(domain, _)| domain).collect();
+        let has_all_domains =
+            domains.len() > 1 && self.asked_domains.len() >= domains.len().min(most);
+        let has_all = self.asked >= self.known();
+        if (has_all || has_all_domains) && self.unreached == self.asked {
             PeerVerdict::NoneReaches
         } else {
             PeerVerdict::Unknown
--- a/crates/rookferry_relay/src/links/tunnel.rs
+++ b/crates/rookferry_relay/src/links/tunnel.rs
@@ -69,7 +69,7 @@
 /// What peers say of a server that none of them has a connection to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PeerVerdict {
-    /// Some didn't respond, or had no room.
+    /// Some didn't respond, had no room or are cut off themselves, or too few were asked.
     Unknown,
     /// None of those asked reaches the server either, or there are none.
     NoneReaches,
@@ -142,7 +142,7 @@
                 "unable" => answers.unable, "failed" => answers.failed,
                 "cause" => last_cause, "took_ms" => millis(clock::since(began)));
         }
-        Err(answers.verdict())
+        Err(answers.verdict(MAX_PEERS))
     }
 
     fn log_tunnel(&self, upstream: &Upstream, peer: SocketAddr, took_ms: u64) {
