fix(links): a refusal needs a peer's word before it counts as an exit

A server counted as exited if it refused a connection here and another server of its service accepted one, whatever peers said.

At least one peer must now say that it doesn't reach the server either, unless there are no peers.

--- a/crates/rookferry_relay/src/links/asked_peers.rs
+++ b/crates/rookferry_relay/src/links/asked_peers.rs
@@ -82,6 +82,8 @@
         let has_all = self.asked >= self.known();
         if (has_all || has_all_domains) && self.unreached == self.asked {
             PeerVerdict::NoneReaches
+        } else if self.unreached > 0 {
+            PeerVerdict::SomeDoNotReach
         } else {
             PeerVerdict::Unknown
         }
--- a/crates/rookferry_relay/src/links/dial.rs
+++ b/crates/rookferry_relay/src/links/dial.rs
@@ -255,7 +255,8 @@
             .check_own_path(&upstream.service, upstream.server)
             .await
         {
-            OwnPath::Sound => true,
+            // Only the path to this server may be cut, which no peer has ruled out.
+            OwnPath::Sound => verdict != PeerVerdict::Unknown,
             OwnPath::Doubtful => verdict == PeerVerdict::NoneReaches,
             OwnPath::Unsound => false,
         }
--- a/crates/rookferry_relay/src/links/tunnel.rs
+++ b/crates/rookferry_relay/src/links/tunnel.rs
@@ -69,8 +69,11 @@
 /// What peers say of a server that none of them has a connection to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PeerVerdict {
-    /// Some didn't respond, had no room or are cut off themselves, or too few were asked.
+    /// No peer says anything of the server: they didn't respond, had no room or are cut
+    /// off themselves.
     Unknown,
+    /// Some don't reach it, but too few answered.
+    SomeDoNotReach,
     /// None of those asked reaches the server either, or there are none.
     NoneReaches,
 }
