perf(stream): pending bytes of an event are searched once

Each frame searched all pending bytes of an event again for its end, up to a megabyte for each byte of a server that sends an event without end in small chunks. Only the new bytes and a blank line that has begun are searched now. By reading; no run showed it.

--- a/crates/rookferry_relay/src/event_splitter.rs
+++ b/crates/rookferry_relay/src/event_splitter.rs
@@ -13,6 +13,9 @@
     last_id: Option<u64>,
 }
 
+/// Most bytes of the blank line that ends an event.
+const BLANK_LINE_BYTES: usize = 4;
+
 /// More than [`MAX_EVENT_BYTES`] without the end of an event.
 #[derive(Debug)]
 pub(crate) struct EventTooLong;
@@ -28,8 +31,11 @@
 
     /// Adds bytes; returns the whole events that they complete, if any.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
+        // What was pending ends no event, but for a blank line that has begun.
+        let from = self.pending.len().saturating_sub(BLANK_LINE_BYTES - 1);
         self.pending.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.pending) else {
+        let end = last_event_end(&self.pending[from..]);
+        let Some(end) = end.map(|end| from + end) else {
             if self.pending.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLong);
             }
