fix(upstream): answers without end cost bounded memory and time

A server that sends bytes without end that are no answer was read until the request's deadline: interim responses, or digits of a chunk's size, kept the threads busy, so that requests ended 1.4 to 6.8 s after a route's timeout of 8 s, without their second run. Eight bodies without end took 225 MB in an instance of 160 MB. Cause: the HTTP library counts neither, and whole answers were bounded one by one only.

A connection now fails once 256 KB more have arrived than four times the delivered part of the answer; heads and buffers are bounded by 64 KB; of the answers read whole two at a time may exceed 1 MB.

--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -14,6 +14,7 @@
 #![warn(missing_docs)]
 
 mod admission_gate;
+mod answer_meter;
 mod broken_runs;
 mod engines;
 mod event_log;
--- a/crates/rookferry_relay/src/pool.rs
+++ b/crates/rookferry_relay/src/pool.rs
@@ -25,12 +25,19 @@
 use rookferry_core::ServerKey;
 use rookferry_net::clock;
 use snafu::Snafu;
+use tokio::sync::Semaphore;
 
+use crate::answer_meter::AnswerMeter;
+use crate::answer_meter::MeteredStream;
 use crate::links::OpenedStream;
 use crate::links::Way;
 use crate::mutex::lock;
 use crate::upstream::Upstream;
 
+/// Largest head of an answer, and most bytes that are buffered of its body.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Most large answers that are read whole at a time; bounds their memory.
+const MAX_LARGE_ANSWERS: usize = 2;
 /// How long an idle connection is retained if the server states no timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// How long before the stated timeout a connection is no longer used.
@@ -60,6 +67,7 @@
     use_until: Instant,
     way: Way,
     opened_at: Instant,
+    meter: Arc<AnswerMeter>,
 }
 
 /// The connections to one server. Times are in milliseconds since the pool's epoch, 0 if
@@ -82,6 +90,8 @@
 pub(crate) struct UpstreamPool {
     epoch: Instant,
     servers: ArcSwap<HashMap<ServerKey, Arc<ServerPool>>>,
+    /// Room for large answers that are read whole.
+    large_answers: Arc<Semaphore>,
 }
 
 /// A connection in use by one request.
@@ -93,6 +103,10 @@
     opened_at: Instant,
     epoch: Instant,
     pool: Arc<ServerPool>,
+    /// What arrives over it.
+    pub(crate) meter: Arc<AnswerMeter>,
+    /// Room for large answers that are read whole.
+    pub(crate) large_answers: Arc<Semaphore>,
 }
 
 /// Room for one connection to a server, until it closes.
@@ -112,6 +126,7 @@
         Self {
             epoch: clock::now(),
             servers: ArcSwap::default(),
+            large_answers: Arc::new(Semaphore::new(MAX_LARGE_ANSWERS)),
         }
     }
 
@@ -131,6 +146,8 @@
                     opened_at: idle.opened_at,
                     epoch: self.epoch,
                     pool,
+                    meter: idle.meter,
+                    large_answers: self.large_answers.clone(),
                 });
             }
         }
@@ -157,7 +174,11 @@
         opened: OpenedStream,
     ) -> Result<Connection, ConnectError> {
         let OpenedStream { stream, way } = opened;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let meter = Arc::new(AnswerMeter::default());
+        let stream = MeteredStream::new(stream, meter.clone());
+        let mut http = http1::Builder::new();
+        http.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = http.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| ConnectError::Failed {
             addr,
             message: error.to_string(),
@@ -175,6 +196,8 @@
             opened_at: clock::now(),
             epoch: self.epoch,
             pool,
+            meter,
+            large_answers: self.large_answers.clone(),
         })
     }
 
@@ -316,6 +339,7 @@
             sender: self.sender,
             way: self.way,
             opened_at: self.opened_at,
+            meter: self.meter,
         };
         lock(&self.pool.idle).push(idle);
     }
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -17,15 +17,15 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::Incoming;
 use rookferry_core::PathFailure;
 use rookferry_core::ServerKey;
 use rookferry_net::clock;
 use rookferry_wire::ServiceId;
 use snafu::Snafu;
+use tokio::sync::Semaphore;
 
+use crate::answer_meter::MeteredBody;
 use crate::links::Way;
 use crate::mutex::lock;
 use crate::pool::ConnectError;
@@ -39,6 +39,9 @@
 const MAX_STALE_CONNECTIONS: usize = 4;
 /// Largest answer that is read whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Size from which an answer that is read whole needs room among the large ones, and the
+/// step by which its buffer grows, in bytes.
+const LARGE_ANSWER_BYTES: usize = 1024 * 1024;
 
 /// Why an exchange has no answer.
 #[derive(Debug, Snafu)]
@@ -150,7 +153,7 @@
 pub(crate) struct UpstreamAnswer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Incoming,
+    pub(crate) body: MeteredBody,
     /// The backoff that the server asked this instance for.
     pub(crate) backoff: Option<Duration>,
     /// How the connection reaches the server.
@@ -249,11 +252,14 @@
             // Opening the connection may have taken a while.
             set_time_left(&mut request, self.protocol.names());
             upstream.sent.set(connection.way, clock::now());
+            connection.meter.restart();
             let sent = connection.sender.try_send_request(request).await;
             let mut error = match sent {
                 Ok(response) => {
                     connection.record_activity(clock::now());
+                    connection.meter.restart();
                     let (parts, body) = response.into_parts();
+                    let body = MeteredBody::new(body, connection.meter.clone());
                     return Ok(UpstreamAnswer {
                         status: parts.status,
                         headers: parts.headers,
@@ -369,11 +375,12 @@
             connection,
             ..
         } = self;
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
+        let room = connection
+            .as_ref()
+            .map(|connection| &*connection.large_answers);
+        let body = read_whole(body, room)
             .await
-            .map_err(|error| UpstreamError::lost(addr, way, error.to_string()))?
-            .to_bytes();
+            .map_err(|message| UpstreamError::lost(addr, way, message))?;
         if let Some(connection) = connection {
             connection.return_to_pool(&headers);
         }
@@ -384,3 +391,32 @@
         })
     }
 }
+
+/// Reads a body into one buffer; a large one once there is `room`. Fails with the cause if
+/// it breaks off or exceeds [`MAX_ANSWER_BYTES`].
+async fn read_whole(mut body: MeteredBody, room: Option<&Semaphore>) -> Result<Bytes, String> {
+    let mut whole = Vec::new();
+    let mut permit = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let length = whole.len() + data.len();
+        if length > MAX_ANSWER_BYTES {
+            return Err(format!("more than {MAX_ANSWER_BYTES} bytes"));
+        }
+        if length > LARGE_ANSWER_BYTES && permit.is_none() {
+            // The semaphore is never closed.
+            permit = match room {
+                Some(room) => room.acquire().await.ok(),
+                None => None,
+            };
+        }
+        if length > whole.capacity() {
+            whole.reserve_exact(data.len().max(whole.len().clamp(1024, LARGE_ANSWER_BYTES)));
+        }
+        whole.extend_from_slice(data);
+    }
+    Ok(Bytes::from(whole))
+}
