fix(net): an instance that stops writes its answers before it exits

Clients of an instance that was stopped lost the rest of large answers: the process exited 2.6 s after SIGTERM, "drained": true, while they still read.

Cause: a request counted as active until its response body was dropped, which the HTTP library does once it has taken over the bytes, not once they are written. Now it counts until the library flushes the connection, which it does when nothing is left to write, or until the connection is closed. This also keeps slow readers from the timeout for idle connections.

--- a/crates/rookferry_net/src/connection.rs
+++ b/crates/rookferry_net/src/connection.rs
@@ -13,10 +13,12 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use rookferry_wire::Outcome;
@@ -58,6 +60,9 @@
 #[derive(Debug)]
 struct ConnectionState {
     requests: AtomicUsize,
+    /// Requests among them whose answer the HTTP library has, but may not have written yet.
+    unwritten: AtomicUsize,
+    is_closed: AtomicBool,
     idle_since: Mutex<Instant>,
 }
 
@@ -96,7 +101,8 @@
         }
     }
 
-    /// Number of active requests; a request is active until its response body is dropped.
+    /// Number of active requests; a request is active until its answer is written to the
+    /// connection, or the connection is closed.
     #[must_use]
     pub fn active_requests(&self) -> usize {
         self.inner.requests.load(Ordering::SeqCst)
@@ -135,6 +141,8 @@
         let client_addr = stream.peer_addr()?;
         let state = Arc::new(ConnectionState {
             requests: AtomicUsize::new(0),
+            unwritten: AtomicUsize::new(0),
+            is_closed: AtomicBool::new(false),
             idle_since: Mutex::new(Instant::now()),
         });
         self.inner
@@ -163,7 +171,31 @@
     }
 }
 
-/// Counts a request as active until it is dropped.
+impl TableInner {
+    /// Counts the requests of a connection whose answers are written as no longer active.
+    fn finish_written(&self, state: &ConnectionState) {
+        let written = state.unwritten.swap(0, Ordering::SeqCst);
+        if written == 0 {
+            return;
+        }
+        let mut idle_since = state
+            .idle_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *idle_since = Instant::now();
+        drop(idle_since);
+        state.requests.fetch_sub(written, Ordering::SeqCst);
+        self.finish(written);
+    }
+
+    fn finish(&self, requests: usize) {
+        if self.requests.fetch_sub(requests, Ordering::SeqCst) == requests {
+            self.idle.notify_waiters();
+        }
+    }
+}
+
+/// Counts a request as active until it is dropped and its answer is written.
 #[derive(Debug)]
 pub struct RequestGuard {
     table: Arc<TableInner>,
@@ -172,15 +204,13 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        if let Some(state) = &self.state {
-            *state
-                .idle_since
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner) = Instant::now();
-            state.requests.fetch_sub(1, Ordering::SeqCst);
-        }
-        if self.table.requests.fetch_sub(1, Ordering::SeqCst) == 1 {
-            self.table.idle.notify_waiters();
+        let Some(state) = &self.state else {
+            self.table.finish(1);
+            return;
+        };
+        state.unwritten.fetch_add(1, Ordering::SeqCst);
+        if state.is_closed.load(Ordering::SeqCst) {
+            self.table.finish_written(state);
         }
     }
 }
@@ -219,6 +249,8 @@
 
 impl Drop for TimedStream {
     fn drop(&mut self) {
+        self.state.is_closed.store(true, Ordering::SeqCst);
+        self.table.finish_written(&self.state);
         self.table.shard(self.client_addr).remove(&self.client_addr);
         self.table.open.fetch_sub(1, Ordering::Relaxed);
     }
@@ -251,8 +283,11 @@
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
+    // The HTTP library flushes once it has written all that it has.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+        self.table.finish_written(&self.state);
+        Poll::Ready(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
