fix(stream): a second send to the same engine uses another connection

A stream that may run once ran twice, or its caller got 503 for a run: after an engine's refusal for a later engine's sake, the stream was sent again to the same first engine over the connection of the refusal, and a late copy of that refusal, which has the same attempt id, passed for the answer.

A further send of a request to an engine now opens a connection of its own, where no earlier answer to it can arrive.

--- a/crates/rookferry_relay/src/stream_opener/mod.rs
+++ b/crates/rookferry_relay/src/stream_opener/mod.rs
@@ -91,6 +91,8 @@
     is_budgeted: bool,
     /// Whether a run broke with its connection, as other open ones may have.
     is_connection_broken: bool,
+    /// Engines that the request was sent to.
+    sent_to: Vec<ServerKey>,
     /// Whether the stream counts as started.
     is_started: bool,
 }
@@ -105,6 +107,7 @@
             reached: 0,
             is_budgeted: false,
             is_connection_broken: false,
+            sent_to: Vec::new(),
             is_started: false,
         }
     }
@@ -122,6 +125,7 @@
             reached: 1,
             is_budgeted: false,
             is_connection_broken: true,
+            sent_to: Vec::new(),
             is_started: true,
         }
     }
@@ -360,9 +364,12 @@
             return SendOutcome::Failed(UpstreamError::Withdrawn);
         };
         let mut upstream = relay.upstream(first.server, &self.target.service);
-        if self.is_connection_broken {
+        // A late copy of an answer to this request would pass for the next one's.
+        let was_sent_there = self.sent_to.contains(&first.server);
+        if self.is_connection_broken || was_sent_there {
             upstream.dial = Dial::New;
         }
+        self.sent_to.push(first.server);
         supervisor.set_upstream(upstream.clone());
         let stages = supervisor.path().stages().iter();
         let servers: Vec<ServerKey> = stages.map(|stage| stage.server).collect();
