--- a/crates/rookferry_relay/src/sync/servers.rs
+++ b/crates/rookferry_relay/src/sync/servers.rs
@@ -463,10 +463,8 @@
         }
         ListUpdate::Changes(changes) => {
             let is_changed = !changes.value.is_empty();
-            // The outage may have shown in another instance's reads only.
-            let may_have_lapsed = uncertain.may_lapse(now) || relay.is_after_gap(LAPSE_WINDOW);
             for change in changes.value {
-                apply_change(relay, directory, change, may_have_lapsed, now);
+                apply_change(relay, directory, change, uncertain.may_lapse(now), now);
             }
             is_changed
         }
