--- a/crates/rookferry_relay/src/links/tunnel.rs
+++ b/crates/rookferry_relay/src/links/tunnel.rs
@@ -57,7 +57,7 @@
 const ASK_NEXT_AFTER: Duration = Duration::from_millis(25);
 /// Time limit of a peer's response; covers its connect to the server.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a peer that doesn't respond is left alone, and one that has no room or is
+/// How long a peer that doesn't respond is avoided, and one that has no room or is
 /// stopping.
 const SILENT_PEER_PAUSE: Duration = Duration::from_secs(1);
 const UNABLE_PEER_PAUSE: Duration = Duration::from_millis(300);
