--- /dev/null
+++ b/review/standins-2/src/bin/case_6.rs
@@ -0,0 +1,202 @@
+//! Case 6: the servers of one service read slowly for some seconds, while clients send it
+//! bodies within `MaxBodyBytes`. The instances hold the bodies, exceed `MemoryMb`, and are
+//! killed with the requests to other, sound servers.
+//!
+//! LOST: more than three times, a machine passes a request from a kept channel on to a
+//! sound engine and then closes that channel with no answer.
+
+use std::collections::HashSet;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use review_standins_2::load::Clients;
+use review_standins_2::load::End;
+use review_standins_2::load::Kind;
+use review_standins_2::load::watch_memory;
+use review_standins_2::node::Node;
+use review_standins_2::node::Scratch;
+use review_standins_2::node::free_ports;
+use review_standins_2::record::Record;
+use review_standins_2::server::Reply;
+use review_standins_2::server::Server;
+use review_standins_2::server::Work;
+use review_standins_2::store::Store;
+
+const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+/// `MemoryMb` of the sheet.
+const MEMORY_MB: u64 = 260;
+/// `MaxBodyBytes` of the configuration.
+const BODY_BYTES: usize = 4_194_304;
+/// Clients of a zone: 40, as on the sheet.
+const UPLOADERS: usize = 32;
+const DESK_CLIENTS: usize = 8;
+const BEFORE: Duration = Duration::from_secs(6);
+const SLOW: Duration = Duration::from_secs(5);
+const AFTER: Duration = Duration::from_secs(4);
+/// A slow server reads 16 KB in this time.
+const SLOW_READ_MS: u64 = 100;
+const DESK_WORK: Duration = Duration::from_millis(250);
+const CONFIG: &str = r#"{"Version":1,"Routes":[{"Name":"stamp","Host":"desk.example",
+"PathPrefix":"/stamp/","RouteType":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":500,
+"Priority":2,"Service":"counter-desk","MaxAttempts":1,"Public":false},{"Name":"scan",
+"Host":"desk.example","PathPrefix":"/scan/","RouteType":"non_idempotent","TimeoutMs":10000,
+"TargetLatencyMs":2000,"Priority":3,"Service":"scan-desk","MaxAttempts":1,"Public":false}],
+"Services":[{"Name":"counter-desk","HealthPath":"/health","MaxConns":400,"Protocol":"h1",
+"Tls":false},{"Name":"scan-desk","HealthPath":"/health","MaxConns":400,"Protocol":"h1",
+"Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+"IdleTimeoutMs":15000},"Tenants":[{"Name":"choir","ApiKeys":["key-one"],"Priority":1}]}"#;
+
+fn run(folder: PathBuf, is_troubled: bool) -> Option<bool> {
+    let record = Record::start(&folder).ok()?;
+    let scratch = Scratch::new();
+    let (store, store_addr) = Store::start();
+    store.put("config", "main", CONFIG);
+    let runs: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let work = |service: &'static str, takes: Duration| {
+        let (runs, record) = (runs.clone(), record.clone());
+        let work: Work = Arc::new(move |id, attempt, _request| {
+            record.line(&format!("server {id} of {service}: runs {attempt}"));
+            runs.lock().expect("a lock").insert(attempt.to_owned());
+            thread::sleep(takes);
+            Reply {
+                status: 200,
+                body: vec![b'x'; 800],
+            }
+        });
+        work
+    };
+    let mut scan_servers = Vec::new();
+    for (index, zone) in ZONES.iter().enumerate() {
+        let desk = work("counter-desk", DESK_WORK);
+        Server::start(
+            &store,
+            "counter-desk",
+            &format!("i-desk-{index}"),
+            zone,
+            desk,
+        );
+        let scan = work("scan-desk", Duration::from_millis(20));
+        let scan = Server::start(&store, "scan-desk", &format!("i-scan-{index}"), zone, scan);
+        scan_servers.push(scan);
+    }
+    let ports = free_ports(ZONES.len());
+    let zones = ZONES.iter().enumerate();
+    let mut nodes: Vec<Node> = zones
+        .map(|(index, zone)| Node::start(&scratch.0, &ports, index, zone, store_addr))
+        .collect();
+    if !nodes.iter().all(Node::wait_ready) {
+        record.print("the instances did not become ready");
+        return None;
+    }
+    let clients = Clients::new(&record);
+    let kind = |name, path, body, pause_ms| Kind {
+        name,
+        path,
+        body,
+        pause: Duration::from_millis(pause_ms),
+        read_pause_ms: AtomicU64::new(0),
+        read_bytes: 64 * 1024,
+        keeps_channels: true,
+        time_limit: Duration::from_secs(10),
+    };
+    let scan = Arc::new(kind("scan", "/scan/1", vec![b'y'; BODY_BYTES], 3_200));
+    let desk = Arc::new(kind("stamp", "/stamp/1", b"stamp".to_vec(), 50));
+    let mut started = Vec::new();
+    for (machine, node) in nodes.iter().enumerate() {
+        for number in 0..UPLOADERS + DESK_CLIENTS {
+            let clients = clients.clone();
+            let kind = if number < UPLOADERS {
+                scan.clone()
+            } else {
+                desk.clone()
+            };
+            let front = node.front;
+            started.push(thread::spawn(move || {
+                // Clients don't start at the same moment.
+                thread::sleep(Duration::from_millis(100 * (number as u64 % 32)));
+                clients.run(&kind, machine, front, number);
+            }));
+        }
+    }
+    let watch_over = Arc::new(AtomicBool::new(false));
+    let (watching, watched) = (watch_over.clone(), record.clone());
+    let watch = thread::spawn(move || {
+        let uses = watch_memory(&watched, &mut nodes, MEMORY_MB, &watching);
+        (uses, nodes)
+    });
+    thread::sleep(BEFORE);
+    if is_troubled {
+        record.line("the servers of scan-desk begin to read slowly");
+        scan_servers
+            .iter()
+            .for_each(|server| server.set_read_pause_ms(SLOW_READ_MS));
+    }
+    thread::sleep(SLOW);
+    scan_servers
+        .iter()
+        .for_each(|server| server.set_read_pause_ms(0));
+    record.line("the servers of scan-desk read as fast as before");
+    thread::sleep(AFTER);
+    clients.is_over.store(true, Ordering::Relaxed);
+    for client in started {
+        let _ = client.join();
+    }
+    watch_over.store(true, Ordering::Relaxed);
+    let (uses, nodes) = watch.join().ok()?;
+    drop(nodes);
+    let runs = runs.lock().expect("a lock");
+    let sent = clients.sent.lock().expect("a lock");
+    let lost = sent.iter().filter(|sent| {
+        sent.kind == "stamp"
+            && sent.is_on_kept_channel
+            && sent.end == End::Closed
+            && runs.contains(&sent.attempt)
+    });
+    let lost: Vec<_> = lost.collect();
+    for sent in &lost {
+        record.line(&format!(
+            "LOST: {} was run, and its kept channel at edge-{} closed with no answer",
+            sent.attempt, sent.machine
+        ));
+    }
+    let served = |kind: &str| {
+        let of_kind = sent.iter().filter(|sent| sent.kind == kind);
+        let served = of_kind
+            .clone()
+            .filter(|sent| sent.end == End::Status(200))
+            .count();
+        (of_kind.count(), served)
+    };
+    let ends: usize = uses.values().map(|machine| machine.ends.len()).sum();
+    let most_mb = uses
+        .values()
+        .map(|machine| machine.most_mb)
+        .max()
+        .unwrap_or(0);
+    let ((stamps, stamps_served), (scans, scans_served)) = (served("stamp"), served("scan"));
+    record.print(&format!(
+        "stamp: {stamps_served} of {stamps} served; scan: {scans_served} of {scans} served; most memory {most_mb} MB of {MEMORY_MB}; {ends} ends by memory; LOST: {} requests on kept channels to sound servers got no answer",
+        lost.len(),
+    ));
+    if stamps_served == 0 || scans_served == 0 {
+        return None;
+    }
+    Some(lost.len() <= 3)
+}
+
+fn main() -> ExitCode {
+    let folder = std::env::args_os().nth(1).map(PathBuf::from);
+    let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
+    match folder.and_then(|folder| run(folder, is_troubled)) {
+        Some(true) => ExitCode::SUCCESS,
+        Some(false) => ExitCode::from(1),
+        None => ExitCode::from(2),
+    }
+}
