--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -173,7 +173,18 @@
         .stdin(Stdio::null())
         .stdout(log)
         .stderr(errors);
-    command.spawn().expect("a process")
+    let child = command.spawn().expect("a process");
+    list_process(child.id());
+    child
+}
+
+/// Adds a process to the list by which `run.sh` ends what is left of a case that was killed.
+fn list_process(id: u32) {
+    let Some(list) = std::env::var_os("REVIEW_PROCESSES") else {
+        return;
+    };
+    let file = File::options().create(true).append(true).open(list);
+    let _ = file.and_then(|mut file| writeln!(file, "{id}"));
 }
 
 /// A folder for settings and logs, removed when dropped.
