--- a/crates/rookferry_relay/src/lib.rs
+++ b/crates/rookferry_relay/src/lib.rs
@@ -74,6 +74,7 @@
 pub use settings::MachineSettings;
 pub use settings::RelaySettings;
 pub use settings::SettingsError;
+pub use store::ConfigRead;
 pub use store::ListOptions;
 pub use store::SiteStore;
 pub use store::StoreConnection;
--- a/crates/rookferry_relay/src/store.rs
+++ b/crates/rookferry_relay/src/store.rs
@@ -74,6 +74,19 @@
     }
 }
 
+/// What a read of the configuration shows.
+#[derive(Clone, Debug)]
+pub enum ConfigRead {
+    /// It hasn't changed since the watched revision.
+    Unchanged,
+    /// The store has none.
+    Absent,
+    /// The store has one that can't be decoded, so its accounts and routes are unknown.
+    Unreadable,
+    /// The configuration.
+    Valid(ServingConfig),
+}
+
 /// The connection that a call to the store uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreConnection {
@@ -98,16 +111,11 @@
 
 /// The platform's store. The relay calls it concurrently from several tasks.
 pub trait SiteStore: Send + Sync {
-    /// Reads the configuration; `None` if there is none yet.
-    fn config(&self, options: ListOptions) -> StoreFuture<'_, Option<ServingConfig>>;
+    /// Reads the configuration; never returns [`ConfigRead::Unchanged`].
+    fn config(&self, options: ListOptions) -> StoreFuture<'_, ConfigRead>;
 
-    /// Waits for a configuration newer than a revision; `None` if none came within
-    /// `wait`.
-    fn watch_config(
-        &self,
-        after: ObjectVersion,
-        wait: Duration,
-    ) -> StoreFuture<'_, Option<ServingConfig>>;
+    /// Waits up to `wait` for a configuration newer than a revision.
+    fn watch_config(&self, after: ObjectVersion, wait: Duration) -> StoreFuture<'_, ConfigRead>;
 
     /// Lists the backend servers.
     fn servers(&self, options: ListOptions) -> StoreFuture<'_, Vec<BackendServer>>;
--- a/crates/rookferry_relay/src/sync/config.rs
+++ b/crates/rookferry_relay/src/sync/config.rs
@@ -9,14 +9,18 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use metrics::counter;
 use rookferry_core::ServingConfig;
 use rookferry_core::StoreVersion;
+use rookferry_net::clock;
 use slog::warn;
 
 use super::outage::Outage;
 use super::poll_interval;
 use crate::event_log::Weight;
+use crate::event_log::millis;
 use crate::relay::Relay;
+use crate::store::ConfigRead;
 use crate::store::StoreError;
 use crate::tracked_store::Versioned;
 
@@ -83,28 +87,52 @@
 
 impl StoredConfig {
     /// Applies an answer, and confirms the configuration as far as the answer does.
-    fn apply(&mut self, relay: &Relay, read: Versioned<Option<ServingConfig>>) {
+    fn apply(&mut self, relay: &Relay, read: Versioned<ConfigRead>) {
         let Versioned {
             version,
             value,
             requested_at,
         } = read;
         self.after = Some(version);
-        if let Some(config) = value {
-            self.shown = Some((version, config.version));
-            log_older(relay, &config);
-            relay.adopt_config(config, "store", requested_at);
-            return;
-        }
-        // An invalid configuration confirms the last valid one, as an answer without a
-        // change does; a configuration read in a previous era confirms nothing.
-        let shown = self.shown.filter(|(at, _)| at.era == version.era);
-        if let Some((_, config_version)) = shown {
-            relay.confirm_config(config_version, requested_at);
+        match value {
+            ConfigRead::Valid(config) => {
+                self.shown = Some((version, config.version));
+                log_older(relay, &config);
+                relay.adopt_config(config, "store", requested_at);
+            }
+            ConfigRead::Unchanged => {
+                // A configuration read in a previous era confirms nothing.
+                let shown = self.shown.filter(|(at, _)| at.era == version.era);
+                if let Some((_, config_version)) = shown {
+                    relay.confirm_config(config_version, requested_at);
+                }
+            }
+            // The active one may contain keys that are removed by now, so its age grows.
+            ConfigRead::Unreadable => {
+                self.shown = None;
+                log_unconfirmed(relay, version, "it can't be decoded");
+            }
+            ConfigRead::Absent => {
+                if self.shown.take().is_some() {
+                    log_unconfirmed(relay, version, "it is gone");
+                }
+            }
         }
     }
 }
 
+/// Logs that the store's configuration no longer confirms the active one.
+fn log_unconfirmed(relay: &Relay, version: StoreVersion, cause: &str) {
+    counter!("rookferry_config_unconfirmed_total").increment(1);
+    if let Some(log) = relay.events.line(Weight::Notable) {
+        let age = relay.config_age().age(clock::now());
+        warn!(log, "config: the store's doesn't confirm the active one";
+            "event" => "config_unconfirmed", "cause" => cause, "store_version" => %version,
+            "in_force" => relay.config_version(), "age_ms" => age.map(millis),
+            "refused_from_ms" => millis(relay.settings.bounds.max_config_age()));
+    }
+}
+
 /// Logs that the store has an older configuration than the active one.
 fn log_older(relay: &Relay, config: &ServingConfig) {
     let in_force = relay.config_version();
--- a/crates/rookferry_relay/src/tracked_store.rs
+++ b/crates/rookferry_relay/src/tracked_store.rs
@@ -20,7 +20,6 @@
 use rookferry_core::LeaseObject;
 use rookferry_core::PropagationBudget;
 use rookferry_core::QuarantineObject;
-use rookferry_core::ServingConfig;
 use rookferry_core::StoreContact;
 use rookferry_core::StoreVersion;
 use rookferry_net::clock;
@@ -34,6 +33,7 @@
 use crate::event_log::millis;
 use crate::mutex::lock;
 use crate::settings::BoundSettings;
+use crate::store::ConfigRead;
 use crate::store::ListOptions;
 use crate::store::SiteStore;
 use crate::store::StoreConnection;
@@ -317,7 +317,7 @@
         }
     }
 
-    pub(crate) async fn config(&self) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
+    pub(crate) async fn config(&self) -> Result<Versioned<ConfigRead>, StoreError> {
         let config = self.inner.config(self.list_options(StoreConnection::Kept));
         let read = self.read("config", config).await?;
         lock(&self.contact).record_config_read(read.requested_at);
@@ -328,7 +328,7 @@
         &self,
         after: StoreVersion,
         wait: Duration,
-    ) -> Result<Versioned<Option<ServingConfig>>, StoreError> {
+    ) -> Result<Versioned<ConfigRead>, StoreError> {
         let inner = &self.inner;
         let watch = self.read("watch_config", inner.watch_config(after.revision, wait));
         let fallback = self.read(
