fix(relay): requests without an answer get one before the process exits

Cause: the end of the grace period ended the process and not the requests in it; and a request that was accepted in time could be sent for the first time shortly before the end.

Requests without an answer now get one 0.3 s before the exit: 502 if they were sent, 503 if not. In the second half of the grace period none begins its first run; those that still wait are refused with 503.

--- a/crates/rookferry_relay/src/list_at_send.rs
+++ b/crates/rookferry_relay/src/list_at_send.rs
@@ -100,6 +100,11 @@
         };
     }
 
+    /// Whether any try was sent.
+    pub(crate) fn was_sent(&self) -> bool {
+        lock(&self.0).last.is_some()
+    }
+
     /// The list of the last try that was sent.
     pub(crate) fn last(&self) -> SentListFields {
         SentListFields(lock(&self.0).last)
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -54,6 +54,9 @@
 
 /// Part of the time for the shutdown that is reserved for the process's own exit.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Part of that time before the margin in which requests that are still without an answer
+/// are told so.
+const FINAL_ANSWERS: Duration = Duration::from_millis(300);
 /// How long listeners go on accepting after the shutdown begins: the balancer checks once
 /// a second, and removes an instance after two failed checks.
 const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(3_200);
@@ -216,7 +219,14 @@
             self.callers.wait_idle().await;
             self.relay.links.wait_unused().await;
         };
-        let is_drained = tokio::time::timeout(bound, finish).await.is_ok();
+        tokio::pin!(finish);
+        let drain_time = bound.saturating_sub(FINAL_ANSWERS);
+        let is_drained = tokio::time::timeout(drain_time, &mut finish).await.is_ok();
+        if !is_drained {
+            self.relay.end_requests();
+            // Streams that are open now break off.
+            let _ = tokio::time::timeout(FINAL_ANSWERS, finish).await;
+        }
         if let Some(log) = self.relay.events.line(Weight::Notable) {
             info!(log, "instance: stopped"; "event" => "stopped", "drained" => is_drained,
                 "took_ms" => millis(clock::since(started)));
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -293,7 +293,7 @@
 }
 
 /// Whether a request may still be sent: the configuration in force admits it, none of
-/// the servers is leaving, and it isn't quarantined. Records the server list by which it
+/// the servers is leaving, it isn't quarantined, and this instance runs long enough. Records the server list by which it
 /// is sent.
 pub(crate) fn may_send(relay: &Relay, request: &CallerRequest, servers: &[ServerKey]) -> bool {
     let confirmation = relay.servers_confirmation();
@@ -302,6 +302,7 @@
         return false;
     };
     let may_send = relay.is_config_fresh()
+        && (relay.may_begin_run() || request.sends.was_sent())
         && request.is_allowed_by(index)
         && none_is_leaving(relay, &view, servers)
         && !relay.is_quarantined(request);
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -110,6 +110,8 @@
     pub(crate) reads_store: AtomicBool,
     pub(crate) started_at: Instant,
     leaving_since: OnceLock<Instant>,
+    /// Whether requests without an answer are ended, as the process exits.
+    ends_requests: watch::Sender<bool>,
     pub(crate) config_age: Mutex<ConfigAge>,
     pub(crate) servers_age: Mutex<ServersAge>,
     /// When the last gap in the confirmations of the server list was found to be over.
@@ -162,6 +164,7 @@
             reads_store: AtomicBool::new(false),
             started_at: clock::now(),
             leaving_since: OnceLock::new(),
+            ends_requests: watch::Sender::new(false),
             config_age: Mutex::default(),
             servers_age: Mutex::default(),
             gap_ended_at: Mutex::default(),
@@ -185,6 +188,32 @@
         self.leaving_since.get_or_init(clock::now);
     }
 
+    /// Whether a request may still begin its first run. One that was sent later would
+    /// probably not finish before the process exits.
+    pub(crate) fn may_begin_run(&self) -> bool {
+        let last_start = self.settings.bounds.grace() / 2;
+        self.leaving_for().is_none_or(|since| since <= last_start)
+    }
+
+    /// Ends the requests that have no answer yet, as the process exits.
+    pub(crate) fn end_requests(&self) {
+        self.ends_requests.send_replace(true);
+    }
+
+    /// Whether requests without an answer are ended.
+    pub(crate) fn ends_requests(&self) -> bool {
+        *self.ends_requests.borrow()
+    }
+
+    /// Waits until requests without an answer are ended.
+    pub(crate) async fn requests_ended(&self) {
+        let mut ends = self.ends_requests.subscribe();
+        if ends.wait_for(|ends| *ends).await.is_err() {
+            // The sender lives as long as the process.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Time since the instance's start.
     pub(crate) fn age(&self) -> Duration {
         clock::since(self.started_at)
--- a/crates/rookferry_relay/src/request_handler.rs
+++ b/crates/rookferry_relay/src/request_handler.rs
@@ -56,26 +56,44 @@
 }
 
 /// Answers a caller's request.
-pub(crate) async fn handle(relay: Arc<Relay>, mut inbound: InboundRequest) -> Response<Body> {
+pub(crate) async fn handle(relay: Arc<Relay>, inbound: InboundRequest) -> Response<Body> {
     let received_at = clock::now();
     let head = relay.protocol.caller_head(&inbound.headers);
+    let sends = Arc::<SendRecord>::default();
+    let answer = tokio::select! {
+        answer = answer(&relay, inbound, &head, &sends, received_at) => answer,
+        () = relay.requests_ended() => {
+            let refusal = if sends.was_sent() { Refusal::Unknown } else { Refusal::Leaving };
+            refuse(&relay, refusal, &head, received_at, &sends)
+        }
+    };
+    close_if_leaving(&relay, answer)
+}
+
+/// A server's answer to a request, or a refusal.
+async fn answer(
+    relay: &Arc<Relay>,
+    mut inbound: InboundRequest,
+    head: &CallerHead,
+    sends: &Arc<SendRecord>,
+    received_at: Instant,
+) -> Response<Body> {
     // Requests with token counts (streams) can wait for the first configuration and list
     // of servers; others have less time and are refused with a retry time.
     if head.answer_tokens > 0
         && relay.is_starting()
         && let Some(longest) = relay.start_wait()
     {
-        await_start(&relay, longest).await;
+        await_start(relay, longest).await;
     }
-    let sends = Arc::<SendRecord>::default();
-    let refuse = |refusal| refuse(&relay, refusal, &head, received_at, &sends);
-    let body = match read_body(&relay, &mut inbound).await {
+    let refuse = |refusal| refuse(relay, refusal, head, received_at, sends);
+    let body = match read_body(relay, &mut inbound).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
     let mut permission = Permission::Free;
     for _ in 0..MAX_ADMISSIONS {
-        let admitted = admit(&relay, &inbound, &head, body.clone(), received_at);
+        let admitted = admit(relay, &inbound, head, body.clone(), received_at);
         let mut request = match admitted {
             Ok(request) => request,
             Err(refusal) => return refuse(refusal),
@@ -88,12 +106,12 @@
         };
         request.permission = permission;
         let served = if request.route.repeatability.is_stream() {
-            stream::serve(&relay, request).await
+            stream::serve(relay, request).await
         } else {
-            plain::serve(&relay, request).await
+            plain::serve(relay, request).await
         };
         match served {
-            ServeOutcome::Answer(answer) => return close_if_leaving(&relay, answer),
+            ServeOutcome::Answer(answer) => return answer,
             ServeOutcome::Refused(refusal) => return refuse(refusal),
             ServeOutcome::Withdrawn => {}
         }
--- a/crates/rookferry_relay/src/stream.rs
+++ b/crates/rookferry_relay/src/stream.rs
@@ -127,7 +127,7 @@
 
 impl Drop for FirstRunGuard {
     fn drop(&mut self) {
-        if self.is_over {
+        if self.is_over || self.relay.ends_requests() {
             return;
         }
         if let Some(log) = self.relay.events.line(Weight::Notable) {
