--- a/crates/rookferry_relay/src/settings.rs
+++ b/crates/rookferry_relay/src/settings.rs
@@ -36,6 +36,12 @@
     /// Bandwidth of the machine's link, in Mbit/s.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in MB.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may have open, those of files included.
+    #[serde(default)]
+    pub max_files: Option<f64>,
 }
 
 /// Bounds set by the operator; each counts from an answer of the platform.
@@ -144,6 +150,8 @@
         let machine = [
             ("machine.cores", self.machine.cores),
             ("machine.link_mbps", self.machine.link_mbps),
+            ("machine.memory_mb", self.machine.memory_mb),
+            ("machine.max_files", self.machine.max_files),
         ];
         for (name, value) in machine {
             if value.is_some_and(|value| !(value.is_finite() && value > 0.0)) {
