fix(net): clients beyond the limits use up neither memory nor descriptors

Clients that don't keep to the limits ended a process: many large bodies of legal size that stop short of their end, bodies far over the limit, heads and empty lines without end. Their callers' neighbours lost their requests with it.

Cause: limits held for each client, while memory and descriptors are shared by all. Bodies were read before key and route were looked at; the configured limit on heads was used nowhere; 4,096 connections of callers left no descriptors.

Heads and bodies of requests share a budget of a quarter of the machine's memory. When it is used up, the unfinished body that has gone longest without progress gives way with 503, and if all progress, the new request. Key and route are checked first, and bodies of refused requests are dropped as they arrive. Below the HTTP library, bytes of heads are counted and bounded, each and together, and get a timeout from the first one on. Callers and servers have shares of the descriptors; beyond it the connection without progress for longest is closed.

--- a/crates/rookferry_entry/src/entry.rs
+++ b/crates/rookferry_entry/src/entry.rs
@@ -169,6 +169,8 @@
         let limits = ConnectionLimits {
             max_connections: settings.limits.connections,
             head_timeout: settings.head_timeout(),
+            idle_timeout: settings.head_timeout(),
+            ..ConnectionLimits::default()
         };
         let callers = bind(settings.callers, "callers", limits).await?;
         let operators = bind(settings.operators, "operators", limits).await?;
--- a/crates/rookferry_entry/src/http/call.rs
+++ b/crates/rookferry_entry/src/http/call.rs
@@ -408,6 +408,7 @@
         let reason = match error {
             BodyError::TooLarge { .. } => ReasonCode::BodyTooLarge,
             BodyError::TooSlow { .. } => ReasonCode::BodyTooSlow,
+            BodyError::NoMemory { .. } => ReasonCode::Overloaded,
             BodyError::Broken { .. } => ReasonCode::BadRequest,
         };
         (reason, error.to_string())
--- a/crates/rookferry_net/src/inbound_request.rs
+++ b/crates/rookferry_net/src/inbound_request.rs
@@ -9,11 +9,18 @@
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
+use http_body::Body as _;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use snafu::Snafu;
 
+use crate::MemoryBudget;
+use crate::MemoryExhausted;
+use crate::MemoryLease;
+
+/// Least and most bytes by which the buffer of a body grows.
+const MIN_GROWTH_BYTES: usize = 1024;
+const MAX_GROWTH_BYTES: usize = 256 * 1024;
+
 /// Reason why a request body couldn't be read.
 #[derive(Debug, Snafu)]
 pub enum BodyError {
@@ -29,6 +36,12 @@
         /// The timeout.
         wait: Duration,
     },
+    /// There is no memory for the body.
+    #[snafu(display("{source}"))]
+    NoMemory {
+        /// The budget that is used up.
+        source: MemoryExhausted,
+    },
     /// The connection broke while the body was read.
     #[snafu(display("the body broke off: {message}"))]
     Broken {
@@ -80,6 +93,14 @@
         pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
     }
 
+    /// Bytes of the headers, of their names and values.
+    #[must_use]
+    pub fn header_bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let lengths = headers.map(|(name, value)| name.as_str().len() + value.len());
+        lengths.sum()
+    }
+
     /// Reads the complete body; a second call returns an empty body.
     ///
     /// # Errors
@@ -89,20 +110,93 @@
         &mut self,
         limit_bytes: usize,
         wait: Duration,
+    ) -> Result<Bytes, BodyError> {
+        let mut lease = MemoryBudget::new(limit_bytes).lease();
+        self.read_body_into(&mut lease, limit_bytes, wait).await
+    }
+
+    /// Reads the complete body into memory that `lease` takes as the body arrives; a second
+    /// call returns an empty body.
+    ///
+    /// # Errors
+    ///
+    /// If the body exceeds `limit_bytes`, takes longer than `wait` or is incomplete, or if
+    /// there is no memory for it.
+    pub async fn read_body_into(
+        &mut self,
+        lease: &mut MemoryLease,
+        limit_bytes: usize,
+        wait: Duration,
     ) -> Result<Bytes, BodyError> {
         let body = std::mem::take(&mut self.body);
-        let collected = tokio::time::timeout(wait, Limited::new(body, limit_bytes).collect()).await;
-        let Ok(collected) = collected else {
-            return Err(BodyError::TooSlow { wait });
+        let eviction = lease.eviction();
+        let read = tokio::select! {
+            read = tokio::time::timeout(wait, collect(body, lease, limit_bytes)) => read,
+            source = eviction.wait() => return Err(BodyError::NoMemory { source }),
         };
-        match collected {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
-                Err(BodyError::TooLarge { limit_bytes })
+        let whole = read.map_err(|_| BodyError::TooSlow { wait })??;
+        lease.finish();
+        Ok(whole)
+    }
+
+    /// Reads and drops the body, so that the connection can be used again.
+    ///
+    /// Stops after `limit_bytes`, after `wait`, or if the connection breaks; the connection
+    /// is closed then.
+    pub async fn discard_body(&mut self, limit_bytes: usize, wait: Duration) {
+        let mut body = std::mem::take(&mut self.body);
+        let announced = usize::try_from(body.size_hint().lower());
+        if announced.map_or(true, |length| length > limit_bytes) {
+            return;
+        }
+        let discard = async {
+            let mut length = 0;
+            while length <= limit_bytes
+                && let Some(Ok(frame)) = body.frame().await
+            {
+                length += frame.data_ref().map_or(0, Bytes::len);
             }
-            Err(error) => Err(BodyError::Broken {
-                message: error.to_string(),
-            }),
+        };
+        // A body that isn't read to its end closes the connection.
+        let _ = tokio::time::timeout(wait, discard).await;
+    }
+}
+
+/// Reads a body into one buffer, since each part may hold a larger buffer of the connection.
+async fn collect(
+    mut body: Body,
+    lease: &mut MemoryLease,
+    limit_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let announced = body.size_hint();
+    if usize::try_from(announced.lower()).map_or(true, |length| length > limit_bytes) {
+        return Err(BodyError::TooLarge { limit_bytes });
+    }
+    let exact = announced
+        .exact()
+        .and_then(|length| usize::try_from(length).ok());
+    let most = exact.unwrap_or(limit_bytes);
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Broken {
+            message: error.to_string(),
+        })?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let length = whole.len() + data.len();
+        if length > limit_bytes {
+            return Err(BodyError::TooLarge { limit_bytes });
+        }
+        if length > whole.capacity() {
+            let growth = whole.len().clamp(MIN_GROWTH_BYTES, MAX_GROWTH_BYTES);
+            let capacity = (whole.len() + growth).min(most).max(length);
+            let grown = lease.grow(capacity - whole.capacity()).await;
+            grown.map_err(|source| BodyError::NoMemory { source })?;
+            whole.reserve_exact(capacity - whole.len());
         }
+        whole.extend_from_slice(data);
+        lease.record_progress();
     }
+    Ok(Bytes::from(whole))
 }
--- a/crates/rookferry_net/src/server.rs
+++ b/crates/rookferry_net/src/server.rs
@@ -21,7 +21,6 @@
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
-    limits: ConnectionLimits,
     connections: ConnectionTable,
 }
 
@@ -34,8 +33,7 @@
     pub async fn bind(addr: SocketAddr, limits: ConnectionLimits) -> io::Result<Self> {
         Ok(Self {
             listener: TcpListener::bind(addr).await?,
-            limits,
-            connections: ConnectionTable::new(),
+            connections: ConnectionTable::new(limits),
         })
     }
 
@@ -58,10 +56,9 @@
     pub async fn serve<H: NewHandler + 'static>(self, router: H, stop: impl Future<Output = ()>) {
         let Self {
             listener,
-            limits,
             connections,
         } = self;
-        let wrap = move |stream| future::ready(admit(&connections, limits, stream));
+        let wrap = move |stream| future::ready(admit(&connections, stream));
         tokio::select! {
             () = stop => {}
             never = gotham::bind_server(listener, router, wrap) => never,
@@ -69,16 +66,12 @@
     }
 }
 
-fn admit(
-    connections: &ConnectionTable,
-    limits: ConnectionLimits,
-    stream: TcpStream,
-) -> Result<TimedStream, ()> {
+fn admit(connections: &ConnectionTable, stream: TcpStream) -> Result<TimedStream, ()> {
     // Responses are small and latency-sensitive.
     let _ = stream.set_nodelay(true);
-    if connections.open_connections() >= limits.max_connections {
+    if !connections.make_room() {
         let _ = stream.try_write(&connection_limit_response());
         return Err(());
     }
-    connections.register(stream, limits).map_err(drop)
+    connections.register(stream).map_err(drop)
 }
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -14,6 +14,7 @@
 use gotham::helpers::http::Body;
 use http::Response;
 use http::StatusCode;
+use metrics::counter;
 use metrics::gauge;
 use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -29,6 +30,7 @@
 use serde::Serialize;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -69,6 +71,19 @@
 ];
 /// Attempts to bind a port where the system chooses it.
 const MAX_PORT_TRIES: u32 = 20;
+/// Limits on connections for readiness checks, and for metrics scrapes. They are apart from
+/// callers', so that these can't hide an instance from its balancer.
+const MONITORING_LIMITS: ConnectionLimits = ConnectionLimits {
+    max_connections: 16,
+    head_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(20),
+    max_head_bytes: 16 * 1024,
+    max_unfinished_bytes: 256 * 1024,
+};
+/// Most bytes of a request line that come on top of the configured limit on heads.
+const REQUEST_LINE_BYTES: usize = 4 * 1024;
+/// A head that a caller sends within its timeout arrives later if packets are lost.
+const HEAD_TIMEOUT_FACTOR: u32 = 2;
 /// How often dropped log lines are reported.
 const DROPPED_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -141,10 +156,10 @@
         settings.listen.peers = peers;
         let relay = Arc::new(Relay::new(settings, protocol, store, connector, events));
         let stop = Arc::new(Notify::new());
-        let limits = ConnectionLimits::default();
+        let limits = relay.settings.machine.caller_connections();
         let callers = bind(listen.callers, limits, "callers").await?;
-        let readiness = bind(listen.readiness, limits, "readiness").await?;
-        let metrics_endpoint = bind(listen.metrics, limits, "metrics").await?;
+        let readiness = bind(listen.readiness, MONITORING_LIMITS, "readiness").await?;
+        let metrics_endpoint = bind(listen.metrics, MONITORING_LIMITS, "metrics").await?;
         let addr = |server: &Server, requested| server.local_addr().unwrap_or(requested);
         let addrs = NodeAddrs {
             callers: addr(&callers, listen.callers),
@@ -177,6 +192,8 @@
         tokio::spawn(monitor_paths(relay.clone()));
         tokio::spawn(Placement::new(relay.clone(), incarnation).run());
         tokio::spawn(log_dropped_lines(relay.clone()));
+        tokio::spawn(apply_caller_limits(relay.clone(), connections.clone()));
+        tokio::spawn(log_closed_connections(relay.clone(), connections.clone()));
         Ok(Self {
             relay,
             callers: connections,
@@ -290,6 +307,19 @@
     gauge!("rookferry_uptime_seconds").set(clock::since(metrics_endpoint.started_at).as_secs_f64());
     gauge!("rookferry_requests_under_way").set(metrics_endpoint.callers.active_requests() as f64);
     gauge!("rookferry_connections").set(metrics_endpoint.callers.open_connections() as f64);
+    let closed = metrics_endpoint.callers.closed_connections();
+    let causes = [
+        ("evicted", closed.evicted),
+        ("refused", closed.refused),
+        ("oversized_head", closed.oversized_heads),
+        ("slow_head", closed.slow_heads),
+    ];
+    for (cause, count) in causes {
+        counter!("rookferry_connections_closed_total", "cause" => cause).absolute(count);
+    }
+    let memory = &metrics_endpoint.relay.request_memory;
+    gauge!("rookferry_request_memory_bytes").set(memory.used_bytes() as f64);
+    counter!("rookferry_bodies_evicted_total").absolute(memory.evictions());
     let instances = metrics_endpoint.relay.instances.load(Ordering::Relaxed);
     gauge!("rookferry_instances").set(instances as f64);
     let holds_lease = metrics_endpoint.relay.holds_lease.load(Ordering::Relaxed);
@@ -309,6 +339,48 @@
     }
 }
 
+/// Applies the configured limits on callers to their connections.
+async fn apply_caller_limits(relay: Arc<Relay>, callers: ConnectionTable) {
+    let mut changes = relay.urgent_changes.subscribe();
+    loop {
+        let view = relay.view.load_full();
+        if let Some(index) = &view.index {
+            let configured = index.config().limits;
+            callers.set_limits(ConnectionLimits {
+                head_timeout: configured.head_timeout * HEAD_TIMEOUT_FACTOR,
+                idle_timeout: configured.idle_timeout,
+                max_head_bytes: configured.max_head_bytes.saturating_add(REQUEST_LINE_BYTES),
+                ..relay.settings.machine.caller_connections()
+            });
+        }
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Logs how many connections of callers were closed to stay within the limits.
+async fn log_closed_connections(relay: Arc<Relay>, callers: ConnectionTable) {
+    let mut before = (callers.closed_connections(), 0);
+    loop {
+        tokio::time::sleep(DROPPED_LOG_INTERVAL).await;
+        let closed = callers.closed_connections();
+        let evicted_bodies = relay.request_memory.evictions();
+        if (closed, evicted_bodies) == before {
+            continue;
+        }
+        before = (closed, evicted_bodies);
+        if let Some(log) = relay.events.line(Weight::Notable) {
+            warn!(log, "callers: connections were closed to stay within the limits";
+                "event" => "callers_limited", "evicted" => closed.evicted,
+                "refused" => closed.refused, "oversized_heads" => closed.oversized_heads,
+                "slow_heads" => closed.slow_heads, "evicted_bodies" => evicted_bodies,
+                "connections" => callers.open_connections(),
+                "request_memory_bytes" => relay.request_memory.used_bytes());
+        }
+    }
+}
+
 fn install_recorder() -> PrometheusHandle {
     let seconds = Matcher::Suffix("_seconds".to_owned());
     // Fails only if there are no buckets.
--- a/crates/rookferry_relay/src/pool.rs
+++ b/crates/rookferry_relay/src/pool.rs
@@ -52,6 +52,9 @@
     /// This instance's share of the server's connections is in use.
     #[snafu(display("all {limit} connections to {addr} are in use"))]
     Full { addr: SocketAddr, limit: usize },
+    /// All connections to servers that this instance may have are in use.
+    #[snafu(display("not connected to {addr}: all {limit} connections to servers are in use"))]
+    AllFull { addr: SocketAddr, limit: usize },
     /// The process has exited: it refuses connections, while others of its service accept
     /// them on the same way.
     #[snafu(display("{addr} refuses connections"))]
@@ -90,6 +93,9 @@
 pub(crate) struct UpstreamPool {
     epoch: Instant,
     servers: ArcSwap<HashMap<ServerKey, Arc<ServerPool>>>,
+    /// Open connections to all servers, and the most of them.
+    open: Arc<AtomicUsize>,
+    max_open: usize,
     /// Room for large answers that are read whole.
     large_answers: Arc<Semaphore>,
 }
@@ -113,19 +119,25 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionSlot {
     pool: Arc<ServerPool>,
+    /// Those to all servers.
+    open: Arc<AtomicUsize>,
 }
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         self.pool.open.fetch_sub(1, Ordering::Relaxed);
+        self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl UpstreamPool {
-    pub(crate) fn new() -> Self {
+    /// A pool of at most `max_open` connections.
+    pub(crate) fn new(max_open: usize) -> Self {
         Self {
             epoch: clock::now(),
             servers: ArcSwap::default(),
+            open: Arc::default(),
+            max_open,
             large_answers: Arc::new(Semaphore::new(MAX_LARGE_ANSWERS)),
         }
     }
@@ -154,16 +166,33 @@
         None
     }
 
-    /// Takes room for a new connection, if fewer than the server's limit are open.
+    /// Takes room for a new connection, if fewer than the server's limit are open, and fewer
+    /// than the limit for all servers.
     pub(crate) fn reserve(&self, upstream: &Upstream) -> Result<ConnectionSlot, ConnectError> {
         let pool = self.server(upstream.server);
+        let addr = upstream.server.addr;
         let limit = upstream.max_connections;
-        if pool.open.fetch_add(1, Ordering::Relaxed) >= limit {
-            pool.open.fetch_sub(1, Ordering::Relaxed);
-            let addr = upstream.server.addr;
+        let open_to_server = pool.open.fetch_add(1, Ordering::Relaxed);
+        let open = self.open.fetch_add(1, Ordering::Relaxed);
+        let slot = ConnectionSlot {
+            pool,
+            open: self.open.clone(),
+        };
+        if open_to_server >= limit {
             return Err(ConnectError::Full { addr, limit });
         }
-        Ok(ConnectionSlot { pool })
+        if open >= self.max_open && !self.close_any_idle() {
+            let limit = self.max_open;
+            return Err(ConnectError::AllFull { addr, limit });
+        }
+        Ok(slot)
+    }
+
+    /// Closes an idle connection to any server; false if there is none.
+    fn close_any_idle(&self) -> bool {
+        let servers = self.servers.load();
+        let mut pools = servers.values();
+        pools.any(|pool| lock(&pool.idle).pop().is_some())
     }
 
     /// Begins to use an opened stream, and spawns the task that drives it.
--- a/crates/rookferry_relay/src/refusal.rs
+++ b/crates/rookferry_relay/src/refusal.rs
@@ -31,6 +31,8 @@
     BodyTooLarge,
     /// The body was not received within the time limit.
     BodyTooSlow,
+    /// The instance has no memory for the request.
+    NoMemory,
     /// The instance has just started and has no configuration or list of servers yet;
     /// it is expected to after this time.
     Starting(Duration),
@@ -90,7 +92,8 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::Starting(_)
+            Self::NoMemory
+            | Self::Starting(_)
             | Self::ConfigUnknown
             | Self::ConfigStale
             | Self::Leaving
@@ -113,6 +116,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
+            Self::NoMemory => "no_memory",
             Self::Starting(_) => "starting",
             Self::ConfigUnknown => "config_unknown",
             Self::ConfigStale => "config_stale",
@@ -154,7 +158,9 @@
             Self::Starting(_) | Self::ConfigUnknown | Self::ConfigStale => ReasonCode::NotReady,
             Self::Leaving => ReasonCode::Leaving,
             Self::NoServer => ReasonCode::NoChain,
-            Self::Overloaded(_) | Self::BackedOff(_) | Self::AtLimit(_) => ReasonCode::Overloaded,
+            Self::NoMemory | Self::Overloaded(_) | Self::BackedOff(_) | Self::AtLimit(_) => {
+                ReasonCode::Overloaded
+            }
             Self::Quarantined { .. } => ReasonCode::Quarantined,
             Self::TimedOutNotRun | Self::TimedOut => ReasonCode::DeadlinePassed,
             Self::Unknown => ReasonCode::EngineLost,
@@ -175,7 +181,10 @@
             | Self::BackedOff(wait)
             | Self::AtLimit(wait)
             | Self::Quarantined { wait, .. } => Some(wait),
-            Self::TimedOutNotRun | Self::BodyTooSlow => Some(Duration::from_millis(100)),
+            // Another instance may have memory.
+            Self::TimedOutNotRun | Self::BodyTooSlow | Self::NoMemory => {
+                Some(Duration::from_millis(100))
+            }
             _ => None,
         }
     }
@@ -187,6 +196,7 @@
             Self::UnknownKey => "the key is missing or unknown; use one of the account's keys",
             Self::BodyTooLarge => "the body exceeds the size limit; send a shorter one",
             Self::BodyTooSlow => "the body did not arrive within the time limit; retry",
+            Self::NoMemory => "this instance's memory for requests is in use; retry",
             Self::Starting(_) => "this instance has just started; retry after the stated time",
             Self::ConfigUnknown => "this instance lacks the newest configuration; retry",
             Self::ConfigStale => "no reachable instance has the newest configuration; retry later",
@@ -229,7 +239,7 @@
         if let Some(Ok(value)) = attempt.map(HeaderValue::from_str) {
             headers.insert(names.attempt.clone(), value);
         }
-        if self == Self::Leaving {
+        if matches!(self, Self::Leaving | Self::NoMemory) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/rookferry_relay/src/relay.rs
+++ b/crates/rookferry_relay/src/relay.rs
@@ -28,6 +28,7 @@
 use rookferry_core::ServersAge;
 use rookferry_core::ServingConfig;
 use rookferry_core::ServingIndex;
+use rookferry_net::MemoryBudget;
 use rookferry_net::clock;
 use rookferry_wire::ServiceId;
 use slog::info;
@@ -77,6 +78,8 @@
     /// Permits for servers that have given a limit.
     pub(crate) permits: Permits,
     pub(crate) admission_gate: Arc<AdmissionGate>,
+    /// Memory for callers' requests.
+    pub(crate) request_memory: MemoryBudget,
     pub(crate) events: Arc<EventLog>,
     /// Incremented whenever paths may have to be checked again.
     pub(crate) fleet_changes: watch::Sender<u64>,
@@ -133,19 +136,22 @@
     ) -> Self {
         let events = Arc::new(events);
         let link_mbps = settings.machine.link_mbps.unwrap_or_default();
+        let max_server_connections = settings.machine.max_server_connections();
+        let request_memory = MemoryBudget::new(settings.machine.request_memory_bytes());
         let peers = PeerTable::new(settings.listen.peers, settings.domain.clone())
             .capacity(settings.machine.capacity());
         Self {
             store: TrackedStore::new(store, events.clone(), &settings.bounds),
             settings,
             protocol,
-            pool: UpstreamPool::new(),
+            pool: UpstreamPool::new(max_server_connections),
             links: LinkTable::new(connector),
             view: ArcSwap::default(),
             states: ServerStates::new(rand::random()),
             quarantine: RequestQuarantine::new(rand::random()),
             permits: Permits::new(rand::random()),
             admission_gate: Arc::new(AdmissionGate::new()),
+            request_memory,
             events,
             fleet_changes: watch::Sender::new(0),
             urgent_changes: watch::Sender::new(0),
--- a/crates/rookferry_relay/src/request.rs
+++ b/crates/rookferry_relay/src/request.rs
@@ -22,6 +22,7 @@
 use rookferry_core::ServingRoute;
 use rookferry_core::SuspectKind;
 use rookferry_core::Urgency;
+use rookferry_net::MemoryLease;
 use rookferry_net::clock;
 use rookferry_wire::AccountId;
 use rookferry_wire::EngineId;
@@ -89,6 +90,8 @@
     pub(crate) permission: Permission,
     /// The server lists by which it was sent, over all admissions.
     pub(crate) sends: Arc<SendRecord>,
+    /// The memory of the head and the body.
+    pub(crate) _memory: Arc<MemoryLease>,
 }
 
 impl CallerRequest {
--- a/crates/rookferry_relay/src/request_handler.rs
+++ b/crates/rookferry_relay/src/request_handler.rs
@@ -15,13 +15,16 @@
 use http::Response;
 use metrics::counter;
 use metrics::histogram;
+use rookferry_core::CallerLimits;
 use rookferry_core::Permission;
 use rookferry_core::RequestSignature;
 use rookferry_core::ServingAccount;
 use rookferry_core::ServingIndex;
+use rookferry_core::ServingRoute;
 use rookferry_core::Urgency;
 use rookferry_net::BodyError;
 use rookferry_net::InboundRequest;
+use rookferry_net::MemoryLease;
 use rookferry_net::clock;
 use rookferry_wire::ServiceId;
 use slog::info;
@@ -38,6 +41,7 @@
 use crate::request::PromptSegment;
 use crate::request::host_header;
 use crate::stream;
+use crate::view::SiteView;
 
 /// Maximum admissions of one request; it is admitted again if the configuration or the
 /// list of servers changes before it is sent.
@@ -78,6 +82,11 @@
     sends: &Arc<SendRecord>,
     received_at: Instant,
 ) -> Response<Body> {
+    let refuse = |refusal| refuse(relay, refusal, head, received_at, sends);
+    let mut memory = relay.request_memory.lease();
+    if memory.grow(inbound.header_bytes()).await.is_err() {
+        return refuse(Refusal::NoMemory);
+    }
     // Requests with token counts (streams) can wait for the first configuration and list
     // of servers; others have less time and are refused with a retry time.
     if head.answer_tokens > 0
@@ -86,14 +95,23 @@
     {
         await_start(relay, longest).await;
     }
-    let refuse = |refusal| refuse(relay, refusal, head, received_at, sends);
-    let body = match read_body(relay, &mut inbound).await {
+    // A body that isn't needed takes no memory.
+    if let Err(refusal) = check(relay, &relay.view.load(), &inbound, head).map(drop) {
+        discard_body(relay, &mut inbound).await;
+        return refuse(refusal);
+    }
+    let body = match read_body(relay, &mut inbound, &mut memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
+    let memory = Arc::new(memory);
     let mut permission = Permission::Free;
     for _ in 0..MAX_ADMISSIONS {
-        let admitted = admit(relay, &inbound, head, body.clone(), received_at);
+        let body = ReceivedBody {
+            bytes: body.clone(),
+            memory: memory.clone(),
+        };
+        let admitted = admit(relay, &inbound, head, body, received_at);
         let mut request = match admitted {
             Ok(request) => request,
             Err(refusal) => return refuse(refusal),
@@ -139,38 +157,66 @@
     response
 }
 
+/// A request's body, with the memory that it and the head take.
+struct ReceivedBody {
+    bytes: bytes::Bytes,
+    memory: Arc<MemoryLease>,
+}
+
 /// Reads the body within the configured size and time limits.
-async fn read_body(relay: &Relay, inbound: &mut InboundRequest) -> Result<bytes::Bytes, Refusal> {
-    let view = relay.view.load_full();
-    let Some(index) = &view.index else {
-        return Err(relay.unknown_site_refusal());
-    };
-    let limits = index.config().limits;
-    let read = inbound.read_body(limits.max_body_bytes, limits.head_timeout);
+async fn read_body(
+    relay: &Relay,
+    inbound: &mut InboundRequest,
+    memory: &mut MemoryLease,
+) -> Result<bytes::Bytes, Refusal> {
+    let limits = caller_limits(relay).ok_or_else(|| relay.unknown_site_refusal())?;
+    let read = inbound.read_body_into(memory, limits.max_body_bytes, limits.head_timeout);
     read.await.map_err(|error| match error {
         BodyError::TooLarge { .. } => Refusal::BodyTooLarge,
         BodyError::TooSlow { .. } => Refusal::BodyTooSlow,
+        BodyError::NoMemory { .. } => Refusal::NoMemory,
         BodyError::Broken { .. } => Refusal::BadRequest("the connection closed within the body"),
     })
 }
 
-/// Admits a request under the active configuration.
-fn admit(
+/// Reads the body of a request that is refused by its head. The connection would close
+/// otherwise, and the caller might not get the refusal.
+async fn discard_body(relay: &Relay, inbound: &mut InboundRequest) {
+    if let Some(limits) = caller_limits(relay) {
+        let discarded = inbound.discard_body(limits.max_body_bytes, limits.head_timeout);
+        discarded.await;
+    }
+}
+
+/// The configured limits on what callers send; none without a configuration.
+fn caller_limits(relay: &Relay) -> Option<CallerLimits> {
+    let view = relay.view.load();
+    view.index.as_ref().map(|index| index.config().limits)
+}
+
+/// What a request's head selects of the configuration.
+struct Selection<'a> {
+    index: &'a ServingIndex,
+    route: &'a ServingRoute,
+    attempt: &'a str,
+    account: Option<&'a ServingAccount>,
+}
+
+/// Checks a request's head under the active configuration.
+fn check<'a>(
     relay: &Relay,
+    view: &'a SiteView,
     inbound: &InboundRequest,
-    head: &CallerHead,
-    body: bytes::Bytes,
-    received_at: Instant,
-) -> Result<CallerRequest, Refusal> {
+    head: &'a CallerHead,
+) -> Result<Selection<'a>, Refusal> {
     if relay
         .leaving_for()
         .is_some_and(|since| since > NEW_WORK_WHILE_LEAVING)
     {
         return Err(Refusal::Leaving);
     }
-    let view = relay.view.load_full();
     // A configuration that may be outdated must neither admit nor refuse by its rules.
-    let known = view.index.as_ref().filter(|_| relay.knows_site());
+    let known = view.index.as_deref().filter(|_| relay.knows_site());
     let index = known.ok_or_else(|| relay.unknown_site_refusal())?;
     let host = host_header(&inbound.headers)
         .ok_or(Refusal::BadRequest("the Host header is missing or invalid"))?;
@@ -179,9 +225,32 @@
         .ok_or(Refusal::NoRoute)?;
     let attempt = head
         .attempt
-        .clone()
+        .as_deref()
         .ok_or(Refusal::BadRequest("the attempt id is missing or invalid"))?;
     let account = account_of(index, route.is_public, head)?;
+    Ok(Selection {
+        index,
+        route,
+        attempt,
+        account,
+    })
+}
+
+/// Admits a request under the active configuration.
+fn admit(
+    relay: &Relay,
+    inbound: &InboundRequest,
+    head: &CallerHead,
+    body: ReceivedBody,
+    received_at: Instant,
+) -> Result<CallerRequest, Refusal> {
+    let view = relay.view.load_full();
+    let Selection {
+        index,
+        route,
+        attempt,
+        account,
+    } = check(relay, &view, inbound, head)?;
     let urgency = Urgency {
         account: account.map_or(route.priority, |account| account.priority),
         route: route.priority,
@@ -191,11 +260,11 @@
         route.timeout.min(Duration::from_millis(left))
     });
     Ok(CallerRequest {
-        attempt,
+        attempt: attempt.to_owned(),
         method: inbound.method.clone(),
         uri: inbound.uri.clone(),
         headers: inbound.headers.clone(),
-        body,
+        body: body.bytes,
         head: head.clone(),
         account: account.map(|account| account.name.clone()),
         urgency,
@@ -209,6 +278,7 @@
         is_answered: AtomicBool::new(false),
         permission: Permission::Free,
         sends: Arc::default(),
+        _memory: body.memory,
     })
 }
 
--- a/crates/rookferry_relay/src/settings.rs
+++ b/crates/rookferry_relay/src/settings.rs
@@ -5,6 +5,7 @@
 
 use rookferry_core::Capacity;
 use rookferry_core::PropagationBudget;
+use rookferry_net::ConnectionLimits;
 use rookferry_wire::DomainId;
 use rookferry_wire::InstanceId;
 use rookferry_wire::SiteId;
@@ -12,6 +13,21 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+/// Memory of a small machine, in MB.
+const SMALL_MEMORY_MB: f64 = 160.0;
+/// Descriptors of a process on a small machine.
+const SMALL_MAX_FILES: f64 = 4_096.0;
+/// Descriptors for files and the runtime.
+const RESERVED_FILES: usize = 200;
+/// Shares of the other descriptors for callers and for servers. The rest is for peers, the
+/// store, readiness checks and metrics scrapes.
+const CALLER_SOCKETS_PERCENT: usize = 62;
+const SERVER_SOCKETS_PERCENT: usize = 25;
+/// Divisors of the memory that give the parts for callers' requests, and for heads that
+/// have not arrived completely.
+const REQUEST_MEMORY_PART: usize = 4;
+const UNFINISHED_HEADS_PART: usize = 16;
+
 /// Addresses at which an instance listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -203,6 +219,47 @@
     }
 }
 
+impl MachineSettings {
+    /// Memory that callers' requests may take, in bytes: heads and bodies of those that are
+    /// read or under way.
+    pub(crate) fn request_memory_bytes(&self) -> usize {
+        self.memory_bytes() / REQUEST_MEMORY_PART
+    }
+
+    /// Limits on callers' connections. Of the size of a head, the configuration decides.
+    pub(crate) fn caller_connections(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            max_connections: (self.max_sockets() * CALLER_SOCKETS_PERCENT / 100).max(1),
+            max_unfinished_bytes: self.memory_bytes() / UNFINISHED_HEADS_PART,
+            ..ConnectionLimits::default()
+        }
+    }
+
+    /// Most connections to backend servers.
+    pub(crate) fn max_server_connections(&self) -> usize {
+        (self.max_sockets() * SERVER_SOCKETS_PERCENT / 100).max(1)
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a cast of a float saturates, and the settings are checked"
+    )]
+    fn memory_bytes(&self) -> usize {
+        (self.memory_mb.unwrap_or(SMALL_MEMORY_MB) * 1_048_576.0) as usize
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a cast of a float saturates, and the settings are checked"
+    )]
+    fn max_sockets(&self) -> usize {
+        let max_files = self.max_files.unwrap_or(SMALL_MAX_FILES) as usize;
+        max_files.saturating_sub(RESERVED_FILES)
+    }
+}
+
 impl BoundSettings {
     /// How old the configuration may be when a request is sent.
     ///
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -100,7 +100,7 @@
         matches!(
             self,
             Self::NotConnected {
-                source: ConnectError::Full { .. }
+                source: ConnectError::Full { .. } | ConnectError::AllFull { .. }
             }
         )
     }
