fix(net): a body that doesn't give way shields no other

When the memory for requests was used up, the same stalled body was chosen again and again: one that is dropped by nobody, as a refused request's whose body is being discarded, made others wait for it in vain and be refused, while further stalled bodies kept their memory.

Each body is now evicted once, and the next one after it; a refused request's memory is freed before its body is discarded.

a_body_that_does_not_give_way_shields_no_other failed before (1 eviction where 2 are due) and passes.

--- a/crates/rookferry_net/src/memory_budget.rs
+++ b/crates/rookferry_net/src/memory_budget.rs
@@ -153,19 +153,28 @@
     }
 
     /// Evicts the body that has gone longest without progress, apart from `id`; false if
-    /// all progress.
+    /// all progress, and none is evicted already.
     fn evict(&mut self, id: u64, now: Instant) -> bool {
-        let others = self.unfinished.iter_mut().filter(|(other, body)| {
+        let mut is_pending = false;
+        let mut longest: Option<&mut Unfinished> = None;
+        for (other, body) in &mut self.unfinished {
+            is_pending |= body.is_evicted;
             let stalled_for = now.saturating_duration_since(body.progress_at);
-            **other != id && body.used_bytes > 0 && stalled_for >= MIN_STALL
-        });
-        let Some((_, stalled)) = others.min_by_key(|(_, body)| body.progress_at) else {
-            return false;
-        };
-        if !std::mem::replace(&mut stalled.is_evicted, true) {
-            self.evictions += 1;
-            stalled.evicted.notify_one();
+            let may_evict =
+                *other != id && !body.is_evicted && body.used_bytes > 0 && stalled_for >= MIN_STALL;
+            let is_longer = longest
+                .as_ref()
+                .is_none_or(|longest| body.progress_at < longest.progress_at);
+            if may_evict && is_longer {
+                longest = Some(body);
+            }
         }
+        let Some(body) = longest else {
+            return is_pending;
+        };
+        body.is_evicted = true;
+        body.evicted.notify_one();
+        self.evictions += 1;
         true
     }
 }
--- a/crates/rookferry_net/tests/memory_budget.rs
+++ b/crates/rookferry_net/tests/memory_budget.rs
@@ -27,6 +27,21 @@
     third.grow(350 * KB).await.expect("the memory of the first");
 }
 
+// Guards against waiting again and again for an evicted body that isn't dropped.
+#[tokio::test]
+async fn a_body_that_does_not_give_way_shields_no_other() {
+    let budget = MemoryBudget::new(BUDGET_BYTES);
+    let mut first = budget.lease();
+    first.grow(350 * KB).await.expect("memory");
+    let mut second = budget.lease();
+    second.grow(350 * KB).await.expect("memory");
+    tokio::time::sleep(STALL).await;
+    let mut third = budget.lease();
+    assert!(third.grow(350 * KB).await.is_err());
+    assert!(third.grow(350 * KB).await.is_err());
+    assert_eq!(budget.evictions(), 2);
+}
+
 // Guards against evicting bodies that arrive steadily.
 #[tokio::test]
 async fn a_body_that_makes_progress_is_not_evicted() {
--- a/crates/rookferry_relay/src/request_handler.rs
+++ b/crates/rookferry_relay/src/request_handler.rs
@@ -97,6 +97,7 @@
     }
     // A body that isn't needed takes no memory.
     if let Err(refusal) = check(relay, &relay.view.load(), &inbound, head).map(drop) {
+        drop(memory);
         discard_body(relay, &mut inbound).await;
         return refuse(refusal);
     }
