fix(relay): reports without end cost bounded memory

Cause: reports, answers to orders and refusals were read like answers that callers get, up to 32 MiB each, two of them at a time, and all others up to 1 MiB.

They are now read up to 256 KiB, and fail beyond it.

--- a/crates/rookferry_relay/src/exchange.rs
+++ b/crates/rookferry_relay/src/exchange.rs
@@ -136,7 +136,7 @@
             let answer = self
                 .send(upstream, request, Purpose::OwnCall, || true)
                 .await?;
-            answer.collect(addr).await
+            answer.collect_internal(addr).await
         };
         let Ok(answer) = tokio::time::timeout(wait, whole).await else {
             let message = format!("timed out after {} ms", wait.as_millis());
--- a/crates/rookferry_relay/src/plain.rs
+++ b/crates/rookferry_relay/src/plain.rs
@@ -249,7 +249,7 @@
             });
         }
         if answer.is_not_run(names) {
-            answer.collect(server.addr()).await?;
+            answer.collect_internal(server.addr()).await?;
             return Ok(None);
         }
         answer.collect(server.addr()).await.map(Some)
--- a/crates/rookferry_relay/src/stream_opener/mod.rs
+++ b/crates/rookferry_relay/src/stream_opener/mod.rs
@@ -438,7 +438,8 @@
                 .and_then(|addr| self.target.relay.engine_at(addr, path));
             let backoff = answer.backoff;
             // Reading the body to its end returns the connection to the pool.
-            let _ = tokio::time::timeout(MIN_TIME_LEFT, answer.collect(server.addr())).await;
+            let whole = answer.collect_internal(server.addr());
+            let _ = tokio::time::timeout(MIN_TIME_LEFT, whole).await;
             return SendOutcome::NotRun {
                 refused_by,
                 backoff,
--- a/crates/rookferry_relay/src/upstream.rs
+++ b/crates/rookferry_relay/src/upstream.rs
@@ -39,6 +39,9 @@
 const MAX_STALE_CONNECTIONS: usize = 4;
 /// Largest answer that is read whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Largest answer of those that callers don't get: reports, answers to orders, and refusals
+/// of requests that a server didn't run; in bytes.
+const MAX_INTERNAL_ANSWER_BYTES: usize = 256 * 1024;
 /// Size from which an answer that is read whole needs room among the large ones, and the
 /// step by which its buffer grows, in bytes.
 const LARGE_ANSWER_BYTES: usize = 1024 * 1024;
@@ -363,10 +366,26 @@
         }
     }
 
-    /// Reads the whole body and returns the connection to the pool.
+    /// Reads the whole body, for the caller, and returns the connection to the pool.
     ///
     /// Fails with `Lost` if the body breaks off or exceeds [`MAX_ANSWER_BYTES`].
     pub(crate) async fn collect(self, addr: SocketAddr) -> Result<WholeAnswer, UpstreamError> {
+        self.collect_within(addr, MAX_ANSWER_BYTES).await
+    }
+
+    /// The same for an answer that no caller gets, of [`MAX_INTERNAL_ANSWER_BYTES`] at most.
+    pub(crate) async fn collect_internal(
+        self,
+        addr: SocketAddr,
+    ) -> Result<WholeAnswer, UpstreamError> {
+        self.collect_within(addr, MAX_INTERNAL_ANSWER_BYTES).await
+    }
+
+    async fn collect_within(
+        self,
+        addr: SocketAddr,
+        max_bytes: usize,
+    ) -> Result<WholeAnswer, UpstreamError> {
         let Self {
             status,
             headers,
@@ -378,7 +397,7 @@
         let room = connection
             .as_ref()
             .map(|connection| &*connection.large_answers);
-        let body = read_whole(body, room)
+        let body = read_whole(body, room, max_bytes)
             .await
             .map_err(|message| UpstreamError::lost(addr, way, message))?;
         if let Some(connection) = connection {
@@ -393,8 +412,12 @@
 }
 
 /// Reads a body into one buffer; a large one once there is `room`. Fails with the cause if
-/// it breaks off or exceeds [`MAX_ANSWER_BYTES`].
-async fn read_whole(mut body: MeteredBody, room: Option<&Semaphore>) -> Result<Bytes, String> {
+/// it breaks off or exceeds `max_bytes`.
+async fn read_whole(
+    mut body: MeteredBody,
+    room: Option<&Semaphore>,
+    max_bytes: usize,
+) -> Result<Bytes, String> {
     let mut whole = Vec::new();
     let mut permit = None;
     while let Some(frame) = body.frame().await {
@@ -403,8 +426,8 @@
             continue;
         };
         let length = whole.len() + data.len();
-        if length > MAX_ANSWER_BYTES {
-            return Err(format!("more than {MAX_ANSWER_BYTES} bytes"));
+        if length > max_bytes {
+            return Err(format!("more than {max_bytes} bytes"));
         }
         if length > LARGE_ANSWER_BYTES && permit.is_none() {
             // The semaphore is never closed.
