--- a/crates/rookferry_net/src/server.rs
+++ b/crates/rookferry_net/src/server.rs
@@ -14,8 +14,8 @@
 
 use crate::ConnectionLimits;
 use crate::ConnectionTable;
-use crate::connection::TimedStream;
-use crate::connection::connection_limit_response;
+use crate::early_response::connection_limit_response;
+use crate::timed_stream::TimedStream;
 
 /// A bound listener that is ready to serve.
 #[derive(Debug)]
--- a/crates/rookferry_relay/src/node.rs
+++ b/crates/rookferry_relay/src/node.rs
@@ -56,8 +56,8 @@
 
 /// Part of the time for the shutdown that is reserved for the process's own exit.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
-/// Part of that time before the margin in which requests that are still without an answer
-/// are told so.
+/// Time before that margin in which requests without an answer get a final one, and no
+/// longer run.
 const FINAL_ANSWERS: Duration = Duration::from_millis(300);
 /// How long listeners go on accepting after the shutdown begins: the balancer checks once
 /// a second, and removes an instance after two failed checks.
