fix(net): an idle connection isn't closed for its former request's head

Since callers' kept connections were closed with 408 while they rested within the idle timeout, if their last request had been refused at once; the next request on them failed.

Cause: the time of the head's first byte was cleared by the next read of the stream while the request was active, and a request that is refused at once ends before that read.

Whether a head is unfinished now follows from the bytes that count for it, which the start of a request resets. a_connection_that_is_idle_within_its_timeout_is_used_again failed before (408 in place of 200) and passes.

--- a/crates/rookferry_net/src/connection.rs
+++ b/crates/rookferry_net/src/connection.rs
@@ -64,13 +64,18 @@
         self.requests.load(Ordering::SeqCst) > 0
     }
 
+    /// Whether a part of the next request head has arrived.
+    pub(crate) fn has_unfinished_head(&self) -> bool {
+        self.head_bytes.load(Ordering::SeqCst) > 0
+    }
+
     /// The rank, and since when the connection has made no progress; `None` if it may not
     /// be evicted.
     fn eviction_rank(&self, now: Instant) -> Option<(EvictionRank, Instant)> {
         if self.is_busy() || self.is_evicted.load(Ordering::SeqCst) {
             return None;
         }
-        let (rank, min_stall) = if self.head_bytes.load(Ordering::SeqCst) > 0 {
+        let (rank, min_stall) = if self.has_unfinished_head() {
             (EvictionRank::UnfinishedHead, MIN_HEAD_STALL)
         } else {
             (EvictionRank::Idle, MIN_IDLE)
--- a/crates/rookferry_net/src/timed_stream.rs
+++ b/crates/rookferry_net/src/timed_stream.rs
@@ -83,7 +83,8 @@
     /// Why the connection must be closed now, if it must.
     fn poll_closing(&mut self, cx: &mut Context<'_>, limits: &ConnectionLimits) -> Option<Closing> {
         let is_busy = self.state.is_busy();
-        if is_busy {
+        // A request may have begun and ended since the last read.
+        if is_busy || !self.state.has_unfinished_head() {
             self.head_since = None;
         }
         while self.timer.as_mut().poll(cx).is_ready() {
