--- a/crates/rookferry_relay/src/event_log.rs
+++ b/crates/rookferry_relay/src/event_log.rs
@@ -24,8 +24,10 @@
 pub const EVENTS: &[&str] = &[
     "attempt_failed",
     "caller_left",
+    "callers_limited",
     "config_adopted",
     "config_older",
+    "config_unconfirmed",
     "dependency_lost",
     "dependency_regained",
     "figures_unusable",
