fix(relay): a request's own memory is in the budget, also while its body is dropped

Callers saw: an instance with little memory for its descriptors (112 MB, 2,870) goes over its memory under a crowd on all of its connections, and ends with the requests of others.

Cause: the budget counted heads and bodies. Beside them each request takes buffers of its connection (reads of 16 KiB made the HTTP library enlarge them) and a future of 27 KB, whether its body is complete or not. A request that is refused by its head gave its memory back before its body was read and dropped, so that nothing bounded those.

Evidence: sizes of the futures printed on a scratch copy (answer 27,376 bytes, of which reading takes 1,072, a plain request 12,168 twice); with ten bytes of the body sent 42 KB a connection, with 100,000 or more 60 to 80 KB.

Change: 32 KiB of the budget for each request, from its first step to its end; a body that is dropped keeps its lease, and gives way when it is stalled; reads below 8 KiB; what follows the body is boxed. Small requests may have 96 KiB, as 32 of them are the request's own.

--- a/crates/rookferry_net/src/inbound_request.rs
+++ b/crates/rookferry_net/src/inbound_request.rs
@@ -141,9 +141,9 @@
 
     /// Reads and drops the body, so that the connection can be used again.
     ///
-    /// Stops after `limit_bytes`, after `wait`, or if the connection breaks; the connection
-    /// is closed then.
-    pub async fn discard_body(&mut self, limit_bytes: usize, wait: Duration) {
+    /// Stops after `limit_bytes`, after `wait`, if the connection breaks, or if `lease` is
+    /// evicted; the connection is closed then.
+    pub async fn discard_body(&mut self, lease: &MemoryLease, limit_bytes: usize, wait: Duration) {
         let mut body = std::mem::take(&mut self.body);
         let announced = usize::try_from(body.size_hint().lower());
         if announced.map_or(true, |length| length > limit_bytes) {
@@ -155,10 +155,14 @@
                 && let Some(Ok(frame)) = body.frame().await
             {
                 length += frame.data_ref().map_or(0, Bytes::len);
+                lease.record_progress();
             }
         };
         // A body that isn't read to its end closes the connection.
-        let _ = tokio::time::timeout(wait, discard).await;
+        tokio::select! {
+            _ = tokio::time::timeout(wait, discard) => {}
+            _ = lease.eviction().wait() => {}
+        }
     }
 }
 
--- a/crates/rookferry_net/src/memory_budget.rs
+++ b/crates/rookferry_net/src/memory_budget.rs
@@ -1,6 +1,6 @@
-//! A bound on the memory that callers' request bodies take, over all connections.
+//! A bound on the memory that callers' requests take, over all connections.
 //!
-//! A body takes memory as it arrives. When the budget is used up, the body that has gone
+//! A body takes memory as it arrives, and each request a fixed amount beside it. When the budget is used up, the body that has gone
 //! longest without progress gives way; if all progress, the one that needs memory is
 //! refused. Clients that send most of a body and stop therefore don't shut out others. The
 //! last part of the budget is reserved for small bodies.
@@ -22,8 +22,8 @@
 const MIN_STALL: Duration = Duration::from_millis(250);
 /// How long a body waits for an evicted one to free its memory.
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(500);
-/// Bodies up to this size may use the whole budget, in bytes.
-const SMALL_BYTES: usize = 64 * 1024;
+/// Requests up to this size may use the whole budget, in bytes.
+const SMALL_BYTES: usize = 96 * 1024;
 /// Divisor of the budget that gives the part that is reserved for small bodies.
 const RESERVED_PART: usize = 4;
 
--- a/crates/rookferry_net/src/timed_stream.rs
+++ b/crates/rookferry_net/src/timed_stream.rs
@@ -30,10 +30,9 @@
 use crate::early_response::head_timeout_response;
 use crate::early_response::oversized_head_response;
 
-/// Most bytes that are read at a time from a body, and from a head: less than the first size
-/// of the HTTP library's buffer, which then isn't enlarged.
-const BODY_READ_BYTES: usize = 16 * 1024;
-const HEAD_READ_BYTES: usize = 8 * 1024 - 1;
+/// Most bytes that are read at a time: less than the first size of the HTTP library's
+/// buffer, which then isn't enlarged.
+const READ_BYTES: usize = 8 * 1024 - 1;
 
 /// A client connection with timeouts for idleness and slow request heads, and limits on
 /// their size.
@@ -192,9 +191,9 @@
         }
         let is_busy = self.state.is_busy();
         let most = if is_busy {
-            BODY_READ_BYTES
+            READ_BYTES
         } else {
-            self.head_room(&limits).min(HEAD_READ_BYTES)
+            self.head_room(&limits).min(READ_BYTES)
         };
         let size = most.min(buf.remaining());
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
--- a/crates/rookferry_relay/src/request_handler.rs
+++ b/crates/rookferry_relay/src/request_handler.rs
@@ -46,6 +46,9 @@
 /// Maximum admissions of one request; it is admitted again if the configuration or the
 /// list of servers changes before it is sent.
 const MAX_ADMISSIONS: usize = 3;
+/// Memory that a request takes beside its head and body: buffers of its connection, and the
+/// state of its processing.
+const REQUEST_BYTES: usize = 32 * 1024;
 /// How long new requests are accepted after the order to stop. Callers' idle
 /// keep-alive connections are closed with their next served answer.
 const NEW_WORK_WHILE_LEAVING: Duration = Duration::from_millis(1_500);
@@ -84,7 +87,8 @@
 ) -> Response<Body> {
     let refuse = |refusal| refuse(relay, refusal, head, received_at, sends);
     let mut memory = relay.request_memory.lease();
-    if memory.grow(inbound.header_bytes()).await.is_err() {
+    let begin_bytes = REQUEST_BYTES + inbound.header_bytes();
+    if memory.grow(begin_bytes).await.is_err() {
         return refuse(Refusal::NoMemory);
     }
     // Requests with token counts (streams) can wait for the first configuration and list
@@ -95,24 +99,36 @@
     {
         await_start(relay, longest).await;
     }
-    // A body that isn't needed takes no memory.
+    // A body that isn't needed isn't kept.
     if let Err(refusal) = check(relay, &relay.view.load(), &inbound, head).map(drop) {
-        drop(memory);
-        discard_body(relay, &mut inbound).await;
+        discard_body(relay, &mut inbound, &memory).await;
         return refuse(refusal);
     }
     let body = match read_body(relay, &mut inbound, &mut memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
-    let memory = Arc::new(memory);
+    let body = ReceivedBody {
+        bytes: body,
+        memory: Arc::new(memory),
+    };
+    // Allocated apart, so that a request whose body is unfinished takes less memory.
+    Box::pin(serve(relay, inbound, head, body, sends, received_at)).await
+}
+
+/// A server's answer to a request whose body is complete, or a refusal.
+async fn serve(
+    relay: &Arc<Relay>,
+    inbound: InboundRequest,
+    head: &CallerHead,
+    body: ReceivedBody,
+    sends: &Arc<SendRecord>,
+    received_at: Instant,
+) -> Response<Body> {
+    let refuse = |refusal| refuse(relay, refusal, head, received_at, sends);
     let mut permission = Permission::Free;
     for _ in 0..MAX_ADMISSIONS {
-        let body = ReceivedBody {
-            bytes: body.clone(),
-            memory: memory.clone(),
-        };
-        let admitted = admit(relay, &inbound, head, body, received_at);
+        let admitted = admit(relay, &inbound, head, body.clone(), received_at);
         let mut request = match admitted {
             Ok(request) => request,
             Err(refusal) => return refuse(refusal),
@@ -158,7 +174,8 @@
     response
 }
 
-/// A request's body, with the memory that it and the head take.
+/// A request's body, with the memory that the request takes.
+#[derive(Clone)]
 struct ReceivedBody {
     bytes: bytes::Bytes,
     memory: Arc<MemoryLease>,
@@ -182,9 +199,9 @@
 
 /// Reads the body of a request that is refused by its head. The connection would close
 /// otherwise, and the caller might not get the refusal.
-async fn discard_body(relay: &Relay, inbound: &mut InboundRequest) {
+async fn discard_body(relay: &Relay, inbound: &mut InboundRequest, memory: &MemoryLease) {
     if let Some(limits) = caller_limits(relay) {
-        let discarded = inbound.discard_body(limits.max_body_bytes, limits.head_timeout);
+        let discarded = inbound.discard_body(memory, limits.max_body_bytes, limits.head_timeout);
         discarded.await;
     }
 }
